--- /dev/null
+++ b/jackdawspur/messages/_messages.py
@@ -0,0 +1,174 @@
+"""Typed messages between entry hosts; times in milliseconds."""
+
+from dataclasses import dataclass
+
+from jackdawspur.model import Answer, HostId, JobRequest, SubmissionId, UpstreamId
+from jackdawspur.platform import LogRecord
+
+__all__ = [
+    "CancelForward",
+    "CustomerUsage",
+    "Delegate",
+    "DelegateAnswer",
+    "Forward",
+    "ForwardAnswer",
+    "Heartbeat",
+    "Message",
+    "PeerSeen",
+    "RecordsPassed",
+    "RecordsWanted",
+    "SlotGrant",
+    "SlotRequest",
+    "SlotReturn",
+    "SlotsOfUpstream",
+    "ZoneVersion",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSeen:
+    """Report a peer that the sender heard from within its own time limit."""
+
+    host: HostId
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerUsage:
+    """Report the tasks that a customer has running and waiting at the sender."""
+
+    customer: str
+    running: int
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneVersion:
+    """Report the configuration version in force on every live host of a zone."""
+
+    zone: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Tell peers that the sender lives, and how busy it is."""
+
+    host: HostId
+    sequence: int
+    ready: bool
+    draining: bool
+    version: int
+    free_slots: int
+    waiting_tasks: int
+    backlog_ms: float
+    usage: tuple[CustomerUsage, ...] = ()
+    seen: tuple[PeerSeen, ...] = ()
+    zones: tuple[ZoneVersion, ...] = ()
+    bad_upstreams: tuple[UpstreamId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Pass a call on to the owner of its submission; `request` None asks for state."""
+
+    call: int
+    customer: str
+    submission: SubmissionId
+    wait: bool
+    request: JobRequest | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelForward:
+    """Pass a cancellation on to the owner of the submission or to its delegate."""
+
+    call: int
+    customer: str
+    submission: SubmissionId
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardAnswer:
+    """Answer a forwarded call."""
+
+    call: int
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Delegate:
+    """Hand a whole job, of which nothing was sent, to another host to run."""
+
+    submission: SubmissionId
+    request: JobRequest
+    remaining_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class DelegateAnswer:
+    """Return the end of a delegated job to its owner."""
+
+    submission: SubmissionId
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class SlotRequest:
+    """Ask a sibling to lend slots for one term."""
+
+    wanted: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsOfUpstream:
+    """Count slots of one upstream."""
+
+    upstream: UpstreamId
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotGrant:
+    """Lend slots until the term ends or they are returned."""
+
+    grant: int
+    term_ms: float
+    slots: tuple[SlotsOfUpstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReturn:
+    """Give lent slots back before the term ends."""
+
+    grant: int
+    slots: tuple[SlotsOfUpstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsWanted:
+    """Ask for configuration records after a version."""
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsPassed:
+    """Pass configuration records on, in log order."""
+
+    records: tuple[LogRecord, ...]
+
+
+Message = (
+    Heartbeat
+    | Forward
+    | CancelForward
+    | ForwardAnswer
+    | Delegate
+    | DelegateAnswer
+    | SlotRequest
+    | SlotGrant
+    | SlotReturn
+    | RecordsWanted
+    | RecordsPassed
+)
--- /dev/null
+++ b/jackdawspur/model/__init__.py
@@ -0,0 +1,48 @@
+"""Objects of the dispatcher's world: hosts, zones, customers, jobs and answers."""
+
+from jackdawspur.model._answer import (
+    Answer,
+    FailureCode,
+    JobState,
+    TaskOutcome,
+    TaskState,
+)
+from jackdawspur.model._ids import (
+    HostId,
+    InvalidId,
+    ModelError,
+    SubmissionId,
+    TaskId,
+    UpstreamId,
+)
+from jackdawspur.model._job import JobRequest, TaskSpec
+from jackdawspur.model._world import (
+    Contract,
+    Customer,
+    EntryHost,
+    Objective,
+    Upstream,
+    World,
+)
+
+__all__ = [
+    "Answer",
+    "Contract",
+    "Customer",
+    "EntryHost",
+    "FailureCode",
+    "HostId",
+    "InvalidId",
+    "JobRequest",
+    "JobState",
+    "ModelError",
+    "Objective",
+    "SubmissionId",
+    "TaskId",
+    "TaskOutcome",
+    "TaskSpec",
+    "TaskState",
+    "Upstream",
+    "UpstreamId",
+    "World",
+]
--- /dev/null
+++ b/jackdawspur/model/_job.py
@@ -0,0 +1,40 @@
+"""What a caller submits."""
+
+from dataclasses import dataclass
+
+from jackdawspur.model._ids import SubmissionId
+
+__all__ = ["MAX_TASKS", "JobRequest", "TaskSpec"]
+
+MAX_TASKS = 360
+
+
+@dataclass(frozen=True, slots=True)
+class TaskSpec:
+    """Describe one task: its input and what it declares to need.
+
+    Declarations are hints: `run_ms` in milliseconds, `memory_mb` in megabytes.
+    """
+
+    payload: str = ""
+    run_ms: float = 0.0
+    cpus: int = 1
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobRequest:
+    """Ask for all tasks of one job to run.
+
+    `deadline_ms` counts from the arrival at the first entry host. `key` is the
+    caller's own idempotency key; `submission` an id issued earlier.
+    """
+
+    customer: str
+    job_class: str
+    tasks: tuple[TaskSpec, ...]
+    deadline_ms: float
+    idempotent: bool = True
+    key: str | None = None
+    submission: SubmissionId | None = None
--- /dev/null
+++ b/jackdawspur/model/tests/test_ids.py
@@ -0,0 +1,26 @@
+"""Identifiers survive a round trip through text."""
+
+import pytest
+
+from jackdawspur.model import HostId, InvalidId, SubmissionId, TaskId, UpstreamId
+
+OWNER = HostId("north", "e1", 0xBEEF)
+
+
+def test_task_id_round_trip():
+    task = TaskId(SubmissionId(OWNER, 31), 7)
+    assert str(task) == "north.e1.beef.1f/7"
+    assert TaskId.parse(str(task)) == task
+
+
+def test_restart_makes_another_owner():
+    restarted = HostId("north", "e1", 0xBEF0)
+    assert restarted != OWNER
+    assert restarted.same_machine(OWNER)
+
+
+@pytest.mark.parametrize("kind", [HostId, SubmissionId, TaskId, UpstreamId])
+@pytest.mark.parametrize("text", ["", "x", "a.b.zz.1/x", "....", "a.b.1.2.3.4/5/6"])
+def test_foreign_text_is_refused(kind, text):
+    with pytest.raises(InvalidId):
+        kind.parse(text)
