--- /dev/null
+++ b/jackdawspur/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Thin adapters between the decision logic and the circuits loop."""
--- /dev/null
+++ b/jackdawspur/callers/_bodies.py
@@ -0,0 +1,148 @@
+"""Bodies that callers send, checked against frozen data classes."""
+
+from dataclasses import dataclass
+from typing import Annotated, ClassVar, TypeVar
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+
+from jackdawspur.exceptions import JackdawspurError
+from jackdawspur.model import MAX_TASKS, JobRequest, SubmissionId, TaskSpec
+
+__all__ = [
+    "BodyError",
+    "IdsBody",
+    "JobBody",
+    "Standing",
+    "TaskBody",
+    "read_ids_body",
+    "read_job_body",
+    "to_request",
+]
+
+MAX_PAYLOAD_BYTES = 65_536
+MAX_RUN_MS = 600_000.0
+MAX_DEADLINE_MS = 3_600_000.0
+MAX_IDS = 1000
+MAX_CPUS = 4096
+MAX_MEMORY_MB = 16_777_216
+MAX_ACCELERATORS = 1024
+MAX_ERRORS_SHOWN = 10
+
+# Unknown fields are refused: a misspelt "idempotent" must not run a request twice.
+STRICT = ConfigDict(extra="forbid", strict=True)
+
+
+class BodyError(JackdawspurError):
+    """Raise when a caller's body is not what was expected; names each field."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskBody:
+    """Describe one task; times in milliseconds, memory in megabytes."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    payload: Annotated[str, Field(max_length=MAX_PAYLOAD_BYTES)] = ""
+    run_ms: Annotated[float, Field(ge=0, le=MAX_RUN_MS, strict=False)] = 0.0
+    cpus: Annotated[int, Field(ge=1, le=MAX_CPUS)] = 1
+    memory_mb: Annotated[int, Field(ge=0, le=MAX_MEMORY_MB)] = 0
+    accelerators: Annotated[int, Field(ge=0, le=MAX_ACCELERATORS)] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobBody:
+    """Submit a job; `deadline_ms` counts from its arrival.
+
+    What is left out follows the standing settings of the class.
+    """
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    job_class: Annotated[str, Field(min_length=1, max_length=64)]
+    tasks: Annotated[tuple[TaskBody, ...], Field(min_length=1, max_length=MAX_TASKS)]
+    deadline_ms: Annotated[
+        float | None, Field(gt=0, le=MAX_DEADLINE_MS, strict=False)
+    ] = None
+    idempotent: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Hold the standing settings of a class of jobs; `deadline_ms` in milliseconds."""
+
+    deadline_ms: float
+    max_tasks: int
+    idempotent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class IdsBody:
+    """Ask for submission ids in advance."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    count: Annotated[int, Field(ge=1, le=MAX_IDS)] = 1
+
+
+T = TypeVar("T")
+
+_JOB = TypeAdapter(JobBody)
+_IDS = TypeAdapter(IdsBody)
+
+
+def read_job_body(body: bytes) -> JobBody:
+    """Return the job that the bytes describe; raise `BodyError`."""
+    return _read(_JOB, body)
+
+
+def read_ids_body(body: bytes) -> IdsBody:
+    """Return the wish for ids that the bytes describe; raise `BodyError`."""
+    return _read(_IDS, body or b"{}")
+
+
+def to_request(
+    body: JobBody,
+    customer: str,
+    standing: Standing,
+    key: str | None = None,
+    submission: SubmissionId | None = None,
+) -> JobRequest:
+    """Return the request that a checked body makes; raise `BodyError`.
+
+    A class that is not idempotent makes all its jobs so, whatever their body says.
+    """
+    if len(body.tasks) > standing.max_tasks:
+        text = f"tasks: {body.job_class} allows {standing.max_tasks} a job at most"
+        raise BodyError(text)
+    tasks = tuple(
+        TaskSpec(t.payload, t.run_ms, t.cpus, t.memory_mb, t.accelerators)
+        for t in body.tasks
+    )
+    return JobRequest(
+        customer,
+        body.job_class,
+        tasks,
+        body.deadline_ms or standing.deadline_ms,
+        standing.idempotent and body.idempotent is not False,
+        key,
+        submission,
+    )
+
+
+def _read(adapter: TypeAdapter[T], body: bytes) -> T:
+    try:
+        return adapter.validate_json(body)
+    except ValidationError as error:
+        raise BodyError(_describe(error)) from error
+
+
+def _describe(error: ValidationError) -> str:
+    """Name each wrong field and what was expected of it."""
+    details = error.errors(include_url=False, include_input=False)
+    lines = [
+        f"{'.'.join(str(part) for part in detail['loc']) or 'body'}: {detail['msg']}"
+        for detail in details[:MAX_ERRORS_SHOWN]
+    ]
+    if len(details) > MAX_ERRORS_SHOWN:
+        lines.append(f"and {len(details) - MAX_ERRORS_SHOWN} more")
+    return "; ".join(lines)
--- a/jackdawspur/dispatch/__init__.py
+++ b/jackdawspur/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """The decisions of one entry host: events and the time in, effects out."""
 
+from jackdawspur.dispatch._core import TICK_S, EntryCore
 from jackdawspur.dispatch._effects import (
     AnswerCall,
     AppendClaim,
@@ -29,10 +30,13 @@
     StatusReplied,
     Submitted,
     Tick,
+    UsageReplied,
     WorldSet,
 )
 
 __all__ = [
+    "TICK_S",
+    "EntryCore",
     "AnswerCall",
     "AppendClaim",
     "AskStatus",
@@ -59,5 +63,6 @@
     "StopTasks",
     "Submitted",
     "Tick",
+    "UsageReplied",
     "WorldSet",
 ]
--- /dev/null
+++ b/jackdawspur/dispatch/_answers.py
@@ -0,0 +1,103 @@
+"""Ending jobs and telling every caller of them, once."""
+
+from collections import defaultdict
+
+from jackdawspur.dispatch._effects import AnswerCall, SendPeer, StopTasks
+from jackdawspur.dispatch._job import Job, Stage, TaskPhase
+from jackdawspur.dispatch._state import State
+from jackdawspur.messages import DelegateAnswer, ForwardAnswer
+from jackdawspur.model import Answer, FailureCode, JobState, SubmissionId
+
+__all__ = [
+    "answer_call",
+    "complete_job",
+    "end_job",
+    "failure",
+    "give_up",
+    "pending",
+    "refusal",
+]
+
+
+def refusal(
+    code: FailureCode,
+    message: str,
+    retry_after_ms: float = 0.0,
+    submission: SubmissionId | None = None,
+) -> Answer:
+    """Return an answer that says nothing was or will be executed."""
+    return Answer(
+        JobState.REFUSED,
+        submission,
+        code=code,
+        message=message,
+        not_run=True,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def failure(code: FailureCode, message: str, submission: SubmissionId) -> Answer:
+    """Return an answer of a job of which something may have been executed."""
+    return Answer(JobState.FAILED, submission, code=code, message=message)
+
+
+def pending(submission: SubmissionId) -> Answer:
+    """Return the state of a job that has not ended."""
+    return Answer(JobState.PENDING, submission)
+
+
+def answer_call(state: State, call: int, answer: Answer) -> None:
+    """Answer a caller here, or through the host that forwarded its call."""
+    remote = state.remote_calls.pop(call, None)
+    if remote is None:
+        state.emit(AnswerCall(call, answer))
+        return
+    state.emit(SendPeer(remote.host, ForwardAnswer(remote.call, answer)))
+
+
+def complete_job(state: State, job: Job, now: float) -> None:
+    """End a job whose tasks all have their output."""
+    outputs = tuple(job.outputs[i] for i in range(len(job.request.tasks)))
+    end_job(state, job, Answer(JobState.COMPLETE, job.submission, outputs), now)
+
+
+def give_up(
+    state: State,
+    job: Job,
+    code: FailureCode,
+    message: str,
+    now: float,
+    retry_after_ms: float = 0.0,
+) -> None:
+    """End a job without its result; says "not run" only if nothing was sent."""
+    if job.untouched:
+        answer = refusal(code, message, retry_after_ms, job.submission)
+    else:
+        answer = failure(code, message, job.submission)
+    end_job(state, job, answer, now)
+
+
+def end_job(state: State, job: Job, answer: Answer, now: float) -> None:
+    """Fix a job's answer, stop what still runs and tell all its callers."""
+    if job.stage is Stage.ENDED:
+        return
+    job.stage = Stage.ENDED
+    job.answer = answer
+    state.queue.remove(job.submission)
+    state.claiming.pop(job.submission, None)
+    _stop_running(state, job)
+    state.keep_answer(job, now)
+    if job.origin is not None:
+        state.emit(SendPeer(job.origin, DelegateAnswer(job.submission, answer)))
+    for call in state.detach_all(job):
+        answer_call(state, call, answer)
+    state.counters.count_end(job, now)
+
+
+def _stop_running(state: State, job: Job) -> None:
+    tasks = defaultdict(list)
+    for index, placement in job.placements.items():
+        if placement.phase is not TaskPhase.DONE:
+            tasks[placement.upstream].append(job.task(index))
+    for upstream, stopped in tasks.items():
+        state.emit(StopTasks(upstream, tuple(stopped)))
--- /dev/null
+++ b/jackdawspur/dispatch/_core.py
@@ -0,0 +1,178 @@
+"""The decisions of one entry host, behind one function."""
+
+import random
+
+from jackdawspur.dispatch._counters import Counters
+from jackdawspur.dispatch._drain import drain, is_drained
+from jackdawspur.dispatch._effects import Effect
+from jackdawspur.dispatch._events import (
+    CallClosed,
+    CancelAsked,
+    ClaimEnded,
+    ClaimsRead,
+    DrainAsked,
+    Event,
+    HostsListed,
+    IdsAsked,
+    PeerReceived,
+    Polled,
+    ResultsReplied,
+    StartsLost,
+    StartsReplied,
+    StatusLost,
+    StatusReplied,
+    Submitted,
+    Tick,
+    UsageReplied,
+    WorldSet,
+)
+from jackdawspur.dispatch._flights import note_incarnation
+from jackdawspur.dispatch._loads import divide_slots, refresh_view
+from jackdawspur.dispatch._peers import receive, send_heartbeats, trade_slots
+from jackdawspur.dispatch._resolve import lose_status, reply_status
+from jackdawspur.dispatch._run import (
+    lose_starts,
+    reply_results,
+    reply_starts,
+    start_waiting,
+)
+from jackdawspur.dispatch._state import State
+from jackdawspur.dispatch._submit import (
+    ask_cancel,
+    close_call,
+    end_claim,
+    issue_ids,
+    poll,
+    read_claims,
+    submit,
+)
+from jackdawspur.model import HostId
+
+__all__ = ["TICK_S", "EntryCore"]
+
+# Ticks must not come less often than this while the host runs.
+TICK_S = 0.05
+
+
+class EntryCore:
+    """Turn what happens to an entry host into what it shall do.
+
+    All times are seconds on one monotonic clock; randomness comes from `rng` alone.
+    """
+
+    def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
+        self._state = State(host, rng, now)
+
+    @property
+    def host(self) -> HostId:
+        """Return the run of the host that decides here."""
+        return self._state.own
+
+    @property
+    def state(self) -> State:
+        """Return the memory behind the decisions, to be read only."""
+        return self._state
+
+    @property
+    def counters(self) -> Counters:
+        """Return what was counted since the start."""
+        return self._state.counters
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new jobs are accepted."""
+        return self._state.world is not None and not self._state.draining
+
+    @property
+    def drained(self) -> bool:
+        """Tell whether a host that shuts down may exit."""
+        return is_drained(self._state)
+
+    def next_wake(self) -> float | None:
+        """Return when the next `Tick` is needed at the latest, if one is."""
+        return self._state.next_wake()
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Return what to do about an event that happens now."""
+        return self.handle_all((event,), now)
+
+    def handle_all(self, events: tuple[Event, ...], now: float) -> list[Effect]:
+        """Return what to do about events that came together.
+
+        Starts that they make possible travel together.
+        """
+        state = self._state
+        self._notice_gap(now)
+        state.run_due(now)
+        for event in events:
+            _HANDLERS[type(event)](state, event, now)
+        start_waiting(state, now)
+        trade_slots(state, now)
+        return state.take_effects()
+
+    def _notice_gap(self, now: float) -> None:
+        """Give up old beliefs when this host was paused.
+
+        Ticks come every `TICK_S`, so a long silence means that the process stood
+        still. Others may have taken its slots over; deadlines passed unseen. The view
+        starts afresh, and due timers run before anything is sent.
+        """
+        state = self._state
+        gap = now - state.last_event_at
+        state.last_event_at = now
+        if state.view.resumed(now, gap):
+            refresh_view(state, now)
+
+
+def _set_world(state: State, event: WorldSet, now: float) -> None:
+    """Take a version into force; an older one changes nothing."""
+    if state.world is not None and event.world.version < state.world.version:
+        return
+    state.set_world(event.world, now)
+    refresh_view(state, now)
+    divide_slots(state, now)
+
+
+def _tick(state: State, _event: Tick, now: float) -> None:
+    state.view.tick(now)
+    refresh_view(state, now)
+    state.slots.expire(now)
+    state.queue.quotas_changed()
+    send_heartbeats(state, now)
+
+
+def _list_hosts(state: State, event: HostsListed, now: float) -> None:
+    state.view.listed(event.hosts, now)
+
+
+def _note_usage(state: State, event: UsageReplied, now: float) -> None:
+    reply = event.reply
+    note_incarnation(state, reply.upstream, reply.incarnation, now)
+    if reply.usage is None:
+        return
+    if reply.usage.leaving:
+        state.view.note_leaving(reply.upstream, now)
+    else:
+        state.view.note_staying(reply.upstream, now)
+
+
+_HANDLERS = {
+    Submitted: submit,
+    Polled: poll,
+    CancelAsked: ask_cancel,
+    IdsAsked: issue_ids,
+    CallClosed: close_call,
+    StartsReplied: reply_starts,
+    StartsLost: lose_starts,
+    ResultsReplied: reply_results,
+    StatusReplied: reply_status,
+    StatusLost: lose_status,
+    UsageReplied: _note_usage,
+    PeerReceived: receive,
+    WorldSet: _set_world,
+    HostsListed: _list_hosts,
+    ClaimEnded: end_claim,
+    ClaimsRead: read_claims,
+    DrainAsked: drain,
+    Tick: _tick,
+}
--- /dev/null
+++ b/jackdawspur/dispatch/_counters.py
@@ -0,0 +1,44 @@
+"""What one entry host has done since its start, for operators."""
+
+from dataclasses import dataclass, field
+
+from jackdawspur.dispatch._job import Job
+from jackdawspur.metrics import ClassName, Histograms
+from jackdawspur.model import FailureCode, JobState
+
+__all__ = ["Counters"]
+
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count jobs, starts and messages; response times in milliseconds."""
+
+    submitted: int = 0
+    complete: int = 0
+    failed: int = 0
+    refused: int = 0
+    starts: int = 0
+    starts_refused: int = 0
+    starts_lost: int = 0
+    status_queries: int = 0
+    delegated: int = 0
+    forwarded: int = 0
+    loans_asked: int = 0
+    codes: dict[FailureCode, int] = field(default_factory=dict)
+    responses: Histograms = field(default_factory=Histograms)
+
+    def count_end(self, job: Job, now: float) -> None:
+        """Count a job's end, and its response time where it completed."""
+        answer = job.answer
+        if answer.state is JobState.COMPLETE:
+            self.complete += 1
+            name = ClassName(job.customer, job.request.job_class)
+            self.responses.record(name, (now - job.arrived) * MS_PER_S)
+        elif answer.state is JobState.REFUSED:
+            self.refused += 1
+        else:
+            self.failed += 1
+        if answer.code is not None:
+            self.codes[answer.code] = self.codes.get(answer.code, 0) + 1
--- a/jackdawspur/dispatch/_events.py
+++ b/jackdawspur/dispatch/_events.py
@@ -32,6 +32,7 @@
     "StatusReplied",
     "Submitted",
     "Tick",
+    "UsageReplied",
     "WorldSet",
 ]
 
@@ -118,6 +119,13 @@
     tasks: tuple[TaskId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UsageReplied:
+    """An upstream reported its load; the report lags."""
+
+    reply: UpstreamReply
+
+
 @dataclass(frozen=True, slots=True)
 class PeerReceived:
     """A message of another entry host arrived."""
@@ -159,9 +167,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsRead:
-    """Claims were read from the log, in log order."""
+    """Claims were read from the log, in log order.
+
+    `gap` when the log had trimmed claims away that this host never read.
+    """
 
     claims: tuple[Claim, ...]
+    gap: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +199,7 @@
     | ResultsReplied
     | StatusReplied
     | StatusLost
+    | UsageReplied
     | PeerReceived
     | WorldSet
     | HostsListed
--- /dev/null
+++ b/jackdawspur/dispatch/_peers.py
@@ -0,0 +1,173 @@
+"""Messages of other entry hosts: heartbeats, loans, forwards and delegations."""
+
+from dataclasses import replace
+
+from jackdawspur.dispatch._answers import end_job
+from jackdawspur.dispatch._delegate import receive_delegate_answer
+from jackdawspur.dispatch._door import refuse_at_door
+from jackdawspur.dispatch._effects import SendPeer
+from jackdawspur.dispatch._events import CancelAsked, PeerReceived, Polled, Submitted
+from jackdawspur.dispatch._forward import open_remote_call, receive_forward_answer
+from jackdawspur.dispatch._job import Job
+from jackdawspur.dispatch._loads import note_loads
+from jackdawspur.dispatch._place import enqueue
+from jackdawspur.dispatch._state import State
+from jackdawspur.dispatch._submit import ask_cancel, cancel_job, expire, poll, submit
+from jackdawspur.messages import (
+    CancelForward,
+    Delegate,
+    DelegateAnswer,
+    Forward,
+    ForwardAnswer,
+    Heartbeat,
+    SlotGrant,
+    SlotRequest,
+    SlotReturn,
+)
+from jackdawspur.model import HostId
+
+__all__ = ["receive", "send_heartbeats", "trade_slots"]
+
+MS_PER_S = 1000.0
+NO_VERSION = -1
+
+
+def receive(state: State, event: PeerReceived, now: float) -> None:
+    """Act on a message of another entry host."""
+    handler = _HANDLERS.get(type(event.message))
+    if handler is not None:
+        handler(state, event.sender, event.message, now)
+
+
+def _heartbeat(state: State, sender: HostId, beat: Heartbeat, now: float) -> None:
+    state.view.heard(beat, now)
+    if sender.zone == state.own.zone:
+        state.health.told(sender, beat.bad_upstreams, now)
+        if beat.reports_usage:
+            state.quotas.reported(sender, beat.usage, now)
+    note_loads(state, now)
+
+
+def _forward(state: State, sender: HostId, message: Forward, now: float) -> None:
+    """Treat a forwarded call as one of our own that is answered through its host."""
+    call = open_remote_call(state, sender, message.call)
+    if call is None:
+        return
+    if message.request is None or message.submission.owner != state.own:
+        question = Polled(call, message.customer, message.submission, message.wait)
+        poll(state, question, now)
+        return
+    request = replace(message.request, submission=message.submission)
+    submit(state, Submitted(call, request, message.wait), now)
+
+
+def _forwarded_cancel(
+    state: State, sender: HostId, message: CancelForward, now: float
+) -> None:
+    job = state.jobs.get(message.submission)
+    if job is not None and job.origin == sender:
+        cancel_job(state, job, now)
+        return
+    call = open_remote_call(state, sender, message.call)
+    if call is not None:
+        ask_cancel(state, CancelAsked(call, message.customer, message.submission), now)
+
+
+def _forward_answer(
+    state: State, _sender: HostId, message: ForwardAnswer, _now: float
+) -> None:
+    receive_forward_answer(state, message)
+
+
+def _delegate(state: State, sender: HostId, message: Delegate, now: float) -> None:
+    """Run a job for its owner, once however often the owner repeats the message."""
+    known = state.jobs.get(message.submission)
+    if known is not None:
+        if known.answer is not None:
+            again = DelegateAnswer(known.submission, known.answer)
+            state.emit(SendPeer(sender, again))
+        return
+    deadline = now + message.remaining_ms / MS_PER_S
+    job = Job(message.submission, message.request, now, deadline, origin=sender)
+    state.jobs[job.submission] = job
+    state.schedule(deadline, lambda at: expire(state, job, at))
+    refused = refuse_at_door(state, message.request, now)
+    if refused is not None:
+        end_job(state, job, refused, now)
+        return
+    enqueue(state, job, now)
+
+
+def _delegate_answer(
+    state: State, sender: HostId, message: DelegateAnswer, now: float
+) -> None:
+    returned = receive_delegate_answer(state, sender, message, now)
+    if returned is not None:
+        enqueue(state, returned, now)
+
+
+def _slot_request(
+    state: State, sender: HostId, message: SlotRequest, now: float
+) -> None:
+    grant = state.slots.lend(sender, message, state.queue.waiting(), now)
+    if grant is not None:
+        state.emit(SendPeer(sender, grant))
+
+
+def _slot_grant(state: State, sender: HostId, message: SlotGrant, now: float) -> None:
+    for back in state.slots.borrow(sender, message, now):
+        state.emit(SendPeer(back.to, back.message))
+
+
+def _slot_return(
+    state: State, sender: HostId, message: SlotReturn, _now: float
+) -> None:
+    state.slots.returned(sender, message)
+
+
+_HANDLERS = {
+    Heartbeat: _heartbeat,
+    Forward: _forward,
+    CancelForward: _forwarded_cancel,
+    ForwardAnswer: _forward_answer,
+    Delegate: _delegate,
+    DelegateAnswer: _delegate_answer,
+    SlotRequest: _slot_request,
+    SlotGrant: _slot_grant,
+    SlotReturn: _slot_return,
+}
+
+
+def trade_slots(state: State, now: float) -> None:
+    """Ask siblings for slots that waiting tasks lack, and return unused ones."""
+    waiting = state.queue.waiting()
+    if waiting and now >= state.hold_until:
+        spare = state.sibling_spare(now)
+        for ask in state.slots.ask(waiting, spare, now):
+            state.counters.loans_asked += 1
+            state.emit(SendPeer(ask.to, ask.request))
+    for back in state.slots.give_back(waiting, now):
+        state.emit(SendPeer(back.to, back.message))
+
+
+def send_heartbeats(state: State, now: float) -> None:
+    """Tell the peers whose turn it is that this host lives and how busy it is."""
+    state.heartbeats += 1
+    for addressed in state.view.heartbeats_due(_own_heartbeat(state, now), now):
+        state.emit(SendPeer(addressed.to, addressed.heartbeat))
+
+
+def _own_heartbeat(state: State, now: float) -> Heartbeat:
+    waiting = state.queue.waiting_customers()
+    return Heartbeat(
+        state.own,
+        state.heartbeats,
+        state.world is not None,
+        state.draining,
+        state.world.version if state.world else NO_VERSION,
+        state.slots.free_own(now),
+        state.queue.waiting(),
+        state.queue.backlog_ms(),
+        usage=state.quotas.advertise(waiting, now),
+        bad_upstreams=state.health.bad(now),
+    )
--- /dev/null
+++ b/jackdawspur/dispatch/_state.py
@@ -0,0 +1,238 @@
+"""All that one entry host holds in memory."""
+
+import heapq
+import random
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jackdawspur.dispatch._counters import Counters
+from jackdawspur.dispatch._effects import Effect
+from jackdawspur.dispatch._job import Job, Placement
+from jackdawspur.dispatch._room import Room
+from jackdawspur.health import UpstreamHealth
+from jackdawspur.limits import CallLimits, Quotas, RetryBudget
+from jackdawspur.membership import View
+from jackdawspur.messages import CancelForward, Forward
+from jackdawspur.model import (
+    Customer,
+    HostId,
+    Objective,
+    SubmissionId,
+    TaskId,
+    UpstreamId,
+    World,
+)
+from jackdawspur.ownership import ClaimTable, IdIssuer
+from jackdawspur.scheduling import (
+    Admission,
+    Elsewhere,
+    JobQueue,
+    RunTimes,
+    UpstreamSizes,
+)
+from jackdawspur.sharing import SlotTable
+
+__all__ = ["Action", "Flight", "Forwarded", "RemoteCall", "State"]
+
+ANSWERS_KEPT_S = 600.0
+MAX_KEPT_BYTES = 8_388_608
+ANSWER_BASE_BYTES = 600
+LOG_RETRY_MS = 1000.0
+
+Action = Callable[[float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteCall:
+    """Name a call that another entry host forwarded here."""
+
+    host: HostId
+    call: int
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """Keep a call that was forwarded until its answer; `limit` in seconds."""
+
+    submission: SubmissionId
+    message: Forward | CancelForward
+    limit: float
+
+
+@dataclass(slots=True)
+class Flight:
+    """Tie a task that was sent to its job, until its end is known."""
+
+    job: Job
+    index: int
+    placement: Placement
+
+
+class State:
+    """Hold the decisions' memory; functions of this package change it."""
+
+    def __init__(self, own: HostId, rng: random.Random, now: float) -> None:
+        self.own = own
+        self.rng = rng
+        self.last_event_at = now
+        self.world: World | None = None
+        self.customers: dict[str, Customer] = {}
+        self.pack = False
+        self.zone_slots: Counter[str] = Counter()
+        self._forget_parts(own, rng, now)
+        self.jobs: dict[SubmissionId, Job] = {}
+        self.claiming: dict[SubmissionId, Job] = {}
+        self.retried: dict[SubmissionId, SubmissionId] = {}
+        self.flights: dict[TaskId, Flight] = {}
+        self.flights_at: dict[UpstreamId, set[TaskId]] = {}
+        self.attempts: dict[UpstreamId, int] = {}
+        self.incarnations: dict[UpstreamId, int] = {}
+        self.forwards: dict[int, Forwarded] = {}
+        self.remote_calls: dict[int, RemoteCall] = {}
+        self.impatient_calls: set[int] = set()
+        self.log_up = True
+        self.claims_blind_until = now
+        self.log_retry_ms = LOG_RETRY_MS
+        self.draining = False
+        self.heartbeats = 0
+        self.sharers: tuple[HostId, ...] = ()
+        self.peers: tuple[HostId, ...] = ()
+        self.hold_until = now
+        self.counters = Counters()
+        self._effects: list[Effect] = []
+        self._timers: list[tuple[float, int, Action]] = []
+        self._timer_number = 0
+        self._remote_number = 0
+        self._job_of_call: dict[int, Job] = {}
+        self._kept: OrderedDict[SubmissionId, int] = OrderedDict()
+        self._kept_bytes = 0
+
+    def _forget_parts(self, own: HostId, rng: random.Random, now: float) -> None:
+        self.ids = IdIssuer(own)
+        self.claims = ClaimTable()
+        self.view = View(own, now)
+        self.slots = SlotTable(own)
+        self.room = Room()
+        self.health = UpstreamHealth(own)
+        self.queue = JobQueue()
+        self.run_times = RunTimes()
+        self.admission = Admission(rng)
+        self.elsewhere = Elsewhere(own.zone, rng)
+        self.sizes = UpstreamSizes(())
+        self.quotas = Quotas(own)
+        self.retries = RetryBudget()
+        self.limits = CallLimits()
+
+    @property
+    def live_jobs(self) -> int:
+        """Return the number of jobs that have no answer yet."""
+        return len(self.jobs) - len(self._kept)
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect for the adapters to carry out."""
+        self._effects.append(effect)
+
+    def take_effects(self) -> list[Effect]:
+        """Return the effects since the last call."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def schedule(self, at: float, action: Action) -> None:
+        """Run an action once the time has come."""
+        self._timer_number += 1
+        heapq.heappush(self._timers, (at, self._timer_number, action))
+
+    def next_wake(self) -> float | None:
+        """Return when the next scheduled action is due."""
+        return self._timers[0][0] if self._timers else None
+
+    def run_due(self, now: float) -> None:
+        """Run the scheduled actions whose time has come."""
+        while self._timers and self._timers[0][0] <= now:
+            action = heapq.heappop(self._timers)[-1]
+            action(now)
+
+    def attach(self, call: int, job: Job) -> None:
+        """Let a call wait for a job."""
+        job.calls.add(call)
+        self._job_of_call[call] = job
+
+    def detach(self, call: int) -> None:
+        """Let a call wait no longer."""
+        job = self._job_of_call.pop(call, None)
+        if job is not None:
+            job.calls.discard(call)
+
+    def detach_all(self, job: Job) -> list[int]:
+        """Return the calls that waited for a job, and let them wait no longer."""
+        calls = sorted(job.calls)
+        for call in calls:
+            self.detach(call)
+        return calls
+
+    def next_remote_call(self) -> int:
+        """Return a number for a forwarded call; callers' own are positive."""
+        self._remote_number -= 1
+        return self._remote_number
+
+    def latest_attempt(self, submission: SubmissionId) -> SubmissionId:
+        """Return the last attempt at a submission of which nothing had run."""
+        while submission in self.retried:
+            submission = self.retried[submission]
+        return submission
+
+    def sibling_spare(self, now: float) -> dict[HostId, int]:
+        """Return the slots that siblings last said they could lend."""
+        spare = {}
+        for host in self.view.siblings():
+            load = self.view.load_of(host)
+            if load is not None and self.view.is_live(host):
+                spare[host] = load.free_slots
+        return spare
+
+    def find_job(self, submission: SubmissionId) -> Job | None:
+        """Return a job that is under way or whose answer is still kept."""
+        return self.jobs.get(submission)
+
+    def find_claiming(self, customer: str, key: str) -> Job | None:
+        """Return the job whose claim of the key is under way here."""
+        for job in self.claiming.values():
+            if job.customer == customer and job.request.key == key:
+                return job
+        return None
+
+    def keep_answer(self, job: Job, now: float) -> None:
+        """Keep an ended job's answer for repeats, within bounded memory."""
+        size = ANSWER_BASE_BYTES + sum(len(o) for o in job.answer.outputs)
+        self._kept[job.submission] = size
+        self._kept_bytes += size
+        job.outputs.clear()
+        self.schedule(now + ANSWERS_KEPT_S, lambda _at: self._drop(job.submission))
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            self._drop(next(iter(self._kept)))
+
+    def _drop(self, submission: SubmissionId) -> None:
+        size = self._kept.pop(submission, None)
+        if size is not None:
+            self._kept_bytes -= size
+            self.jobs.pop(submission, None)
+            self.retried.pop(submission, None)
+
+    def set_world(self, world: World, now: float) -> None:
+        """Take a newer version of the configuration into force."""
+        self.world = world
+        self.customers = {customer.name: customer for customer in world.customers}
+        objectives = {c.contract.objective for c in world.customers}
+        self.pack = objectives == {Objective.MESSAGES}
+        own = [u for u in world.upstreams if u.id.zone == self.own.zone]
+        self.zone_slots = Counter()
+        for upstream in world.upstreams:
+            self.zone_slots[upstream.id.zone] += upstream.slots
+        self.sizes = UpstreamSizes(own)
+        self.room.set_upstreams(own)
+        self.health.set_upstreams(u.id for u in own)
+        self.queue.set_customers(world.customers)
+        self.quotas.set_world(world)
+        self.retries.set_customers(frozenset(self.customers))
+        self.view.set_world(world, now)
--- /dev/null
+++ b/jackdawspur/entry/_host.py
@@ -0,0 +1,316 @@
+"""An entry host on one circuits loop."""
+
+import logging
+import random
+from time import monotonic, time
+
+from circuits import Component, Event as LoopEvent, handler
+from circuits.core.pollers import EPoll
+from result import Ok
+
+from jackdawspur.adapters import (
+    Deadlines,
+    HttpClient,
+    HttpHostList,
+    HttpLog,
+    Links,
+    WebServer,
+)
+from jackdawspur.callers import HttpReply, reply_answer, reply_ids
+from jackdawspur.configuration import (
+    ActivateWorld,
+    DeskReply,
+    DeskRequest,
+    HeartbeatSeen,
+    Keeper,
+    LogBudget,
+    OperatorDesk,
+    OperatorEntry,
+    PeerAsked,
+    PeerRecords,
+    PeersSeen,
+    Readiness,
+    Right,
+)
+from jackdawspur.dispatch import (
+    TICK_S,
+    AnswerCall,
+    AppendClaim,
+    AskStatus,
+    DrainAsked,
+    EntryCore,
+    Event,
+    HostsListed,
+    IssueIds,
+    PeerReceived,
+    SendPeer,
+    StartTasks,
+    StopTasks,
+    Tick,
+    WorldSet,
+)
+from jackdawspur.entry._claims import ClaimDriver
+from jackdawspur.entry._keeping import ConfigurationDriver
+from jackdawspur.entry._meter import Meter
+from jackdawspur.entry._routes import Routes
+from jackdawspur.entry._status import HostStatus, status_of
+from jackdawspur.entry._upstreams import UpstreamDriver
+from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
+from jackdawspur.model import EntryHost, HostId, TaskId
+from jackdawspur.settings import EntrySettings
+
+__all__ = ["EntryHostProcess", "run_entry"]
+
+HOST_LIST_INTERVAL_S = 1.0
+EXIT_GRACE_S = 0.2
+MS_PER_S = 1000.0
+
+log = logging.getLogger(__name__)
+
+
+class flush(LoopEvent):
+    """Let the decisions handle what came in during this pass of the loop."""
+
+
+class EntryHostProcess(Component):
+    """Connect one host's decisions to its sockets."""
+
+    channel = "entry"
+
+    def init(self, settings: EntrySettings, poller: EPoll) -> None:
+        """Open the sockets; circuits passes the constructor's arguments."""
+        self._settings = settings
+        # The start time grows from run to run, so a restarted host is another owner.
+        incarnation = int(time() * MS_PER_S)
+        self._own = HostId(settings.zone, settings.name, incarnation)
+        rng = random.Random(str(self._own))
+        now = monotonic()
+        self._core = EntryCore(self._own, rng, now)
+        self._events: list[Event] = []
+        self._flushing = False
+        self._wake_at: float | None = None
+        self._draining = False
+        self._meter = Meter(settings.statsd, str(self._own))
+        self._deadlines = Deadlines().register(self)
+        self._routes = Routes(self)
+        self._web = WebServer(settings.http, self._routes).register(self)
+        self._links = Links(
+            self._own, settings.link, poller, self._on_message, self._meter.sent
+        ).register(self)
+        self._links.set_peers(_siblings(settings))
+        self._open_platform(settings, rng, now)
+        self._tick()
+        log.info("entry host started", extra={"host": str(self._own)})
+
+    def _open_platform(
+        self, settings: EntrySettings, rng: random.Random, now: float
+    ) -> None:
+        budget = LogBudget(len(settings.siblings) + 1, now)
+        self._budget = budget
+        self._keeper = Keeper(self._own, rng, budget, now)
+        desk = OperatorDesk(self._keeper, _bootstrap(settings))
+        self._desk = desk
+        self._configuration = ConfigurationDriver(
+            self._keeper,
+            desk,
+            self._open_log(settings.log),
+            self._links.send,
+            self._activate,
+            self._reply_operator,
+        )
+        claims_log = self._open_log(settings.log)
+        self._claims = ClaimDriver(claims_log, budget, self._deadlines, self.post)
+        self._claims.begin()
+        self._upstreams = UpstreamDriver(
+            self._own,
+            self,
+            self._deadlines,
+            self.post,
+            lambda upstream: bool(self._core.state.flights_at.get(upstream)),
+        )
+        if settings.host_list is not None:
+            client = HttpClient(_split(settings.host_list), self._deadlines)
+            self._host_list = HttpHostList(client.register(self))
+            self._fetch_list()
+
+    def _open_log(self, address: str) -> HttpLog:
+        appends = HttpClient(_split(address), self._deadlines).register(self)
+        reads = HttpClient(_split(address), self._deadlines).register(self)
+        return HttpLog(appends, reads)
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the decisions, with all others of this pass."""
+        self._events.append(event)
+        if not self._flushing:
+            self._flushing = True
+            self.fire(flush())
+
+    def ask_desk(self, request: DeskRequest) -> None:
+        """Hand a request to the operators' desk."""
+        self._configuration.ask(request)
+
+    def reply(self, number: int, reply: HttpReply) -> None:
+        """Reply to an HTTP call."""
+        self._web.reply(number, reply)
+
+    def readiness(self) -> Readiness:
+        """Tell whether new jobs are accepted, and why not."""
+        readiness = self._keeper.readiness
+        ready = readiness.ready and self._core.ready and not self._draining
+        return Readiness(ready, readiness.reason)
+
+    def status(self) -> HostStatus:
+        """Return what operators see of this host."""
+        return status_of(self._core, monotonic())
+
+    @handler("flush")
+    def _on_flush(self) -> None:
+        self._flushing = False
+        events, self._events = self._events, []
+        effects = self._core.handle_all(tuple(events), monotonic())
+        for effect in effects:
+            _ACTIONS[type(effect)](self, effect)
+        self._set_wake()
+        self._exit_when_drained()
+
+    def _set_wake(self) -> None:
+        """Wake for the decisions' next timer, if no tick comes before it."""
+        wake = self._core.next_wake()
+        now = monotonic()
+        if wake is None or wake > now + TICK_S:
+            return
+        if self._wake_at is not None and now < self._wake_at <= wake:
+            return
+        self._wake_at = wake
+        self._deadlines.call_after(max(0.0, wake - now), self._wake)
+
+    def _wake(self) -> None:
+        self._wake_at = None
+        if not self._flushing:
+            self._flushing = True
+            self.fire(flush())
+
+    def _tick(self) -> None:
+        self.post(Tick())
+        self._configuration.tick()
+        state = self._core.state
+        self._configuration.tell(PeersSeen(state.view.peers()))
+        self._desk.set_unreachable(state.view.unreachable_zones(monotonic()))
+        self._meter.report(self._core)
+        self._deadlines.call_after(TICK_S, self._tick)
+
+    def _fetch_list(self) -> None:
+        def fetched(done) -> None:
+            if isinstance(done, Ok):
+                self.post(HostsListed(done.ok_value))
+            self._deadlines.call_after(HOST_LIST_INTERVAL_S, self._fetch_list)
+
+        self._host_list.fetch(fetched)
+
+    def _on_message(self, sender: HostId, message: Message) -> None:
+        if isinstance(message, RecordsWanted):
+            self._configuration.tell(PeerAsked(sender, message))
+        elif isinstance(message, RecordsPassed):
+            self._configuration.tell(PeerRecords(sender, message))
+        else:
+            if isinstance(message, Heartbeat):
+                self._configuration.tell(HeartbeatSeen(message))
+            self.post(PeerReceived(sender, message))
+
+    def _activate(self, effect: ActivateWorld) -> None:
+        world = effect.world
+        self._budget.set_hosts(max(1, len(world.entry_hosts)))
+        self._routes.set_configuration(effect.configuration)
+        self._links.set_peers(world.entry_hosts or _siblings(self._settings))
+        self._upstreams.set_upstreams(world.upstreams)
+        self.post(WorldSet(world))
+
+    def _reply_operator(self, reply: DeskReply) -> None:
+        self._routes.desk_replied(reply)
+
+    def _start(self, effect: StartTasks) -> None:
+        self._upstreams.start(effect)
+
+    def _ask_status(self, effect: AskStatus) -> None:
+        self._upstreams.ask_status(effect)
+
+    def _stop_tasks(self, effect: StopTasks) -> None:
+        self._upstreams.stop(effect)
+
+    def _answer(self, effect: AnswerCall) -> None:
+        answer = effect.answer
+        if answer.code is not None:
+            log.info(
+                "job not completed",
+                extra={
+                    "submission": str(answer.submission),
+                    "state": str(answer.state),
+                    "code": str(answer.code),
+                    "not_run": answer.not_run,
+                    "reason": answer.message,
+                },
+            )
+        self._web.reply(effect.call, reply_answer(answer))
+
+    def _issue(self, effect: IssueIds) -> None:
+        self._web.reply(effect.call, reply_ids(effect.ids))
+
+    def _send(self, effect: SendPeer) -> None:
+        self._links.send(effect.to, effect.message)
+
+    def _append_claim(self, effect: AppendClaim) -> None:
+        self._claims.append(effect.claim)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, signo, _stack) -> None:
+        """Drain at the first signal, end at the second."""
+        event.stop()
+        if self._draining:
+            self.post(DrainAsked(0.0))
+            self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
+            return
+        self._draining = True
+        log.info("draining", extra={"live_jobs": self._core.state.live_jobs})
+        self.post(DrainAsked(self._settings.drain_ms))
+
+    def _exit_when_drained(self) -> None:
+        """Stop once every caller has its answer and the bytes had time to leave."""
+        if self._draining and self._core.drained and not self._web.open_calls:
+            log.info("drained")
+            self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
+
+
+_ACTIONS = {
+    StartTasks: EntryHostProcess._start,
+    AskStatus: EntryHostProcess._ask_status,
+    StopTasks: EntryHostProcess._stop_tasks,
+    AnswerCall: EntryHostProcess._answer,
+    IssueIds: EntryHostProcess._issue,
+    SendPeer: EntryHostProcess._send,
+    AppendClaim: EntryHostProcess._append_claim,
+}
+
+
+def _siblings(settings: EntrySettings) -> tuple[EntryHost, ...]:
+    return tuple(EntryHost(s.zone, s.name, s.http, s.link) for s in settings.siblings)
+
+
+def _bootstrap(settings: EntrySettings) -> tuple[OperatorEntry, ...]:
+    """Return the operators who may confirm the first configuration."""
+    return tuple(
+        OperatorEntry(name=o.name, token_sha256=(o.token_sha256,), rights=tuple(Right))
+        for o in settings.operators
+    )
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run an entry host until it is told to stop and has drained."""
+    root = Component()
+    poller = EPoll().register(root)
+    EntryHostProcess(settings, poller).register(root)
+    root.run()
--- /dev/null
+++ b/jackdawspur/entry/_routes.py
@@ -0,0 +1,295 @@
+"""The HTTP interface of an entry host: callers, operators and health checks."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from time import time
+from typing import Protocol
+
+import msgspec
+
+from jackdawspur.adapters import Call, WebService
+from jackdawspur.callers import (
+    BodyError,
+    HttpReply,
+    Standing,
+    read_ids_body,
+    read_job_body,
+    reply_refusal,
+    to_request,
+)
+from jackdawspur.configuration import (
+    Configuration,
+    ConfirmAsked,
+    CustomerEntry,
+    DeskReply,
+    DeskRequest,
+    HistoryAsked,
+    PlanAsked,
+    Readiness,
+    StatusAsked,
+    class_of,
+    text_of,
+    token_hash,
+)
+from jackdawspur.dispatch import (
+    CallClosed,
+    CancelAsked,
+    Event,
+    IdsAsked,
+    Polled,
+    Submitted,
+)
+from jackdawspur.entry._status import HostStatus, text_of_status
+from jackdawspur.model import FailureCode, InvalidId, SubmissionId
+
+__all__ = ["HostFace", "Routes"]
+
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 200
+TEXT = "text/plain; charset=utf-8"
+
+
+class HostFace(Protocol):
+    """What the routes need of the host behind them."""
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the decisions."""
+
+    def ask_desk(self, request: DeskRequest) -> None:
+        """Hand a request to the operators' desk."""
+
+    def reply(self, number: int, reply: HttpReply) -> None:
+        """Reply to a call."""
+
+    def readiness(self) -> Readiness:
+        """Tell whether new jobs are accepted, and why not."""
+
+    def status(self) -> HostStatus:
+        """Return what operators see of this host."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Health:
+    ready: bool
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _DeskBody:
+    code: str
+    message: str
+    page: str
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class _Route:
+    method: str
+    pattern: re.Pattern[str]
+    handle: Callable[["Routes", Call, re.Match[str]], None]
+
+
+class Routes(WebService):
+    """Turn HTTP calls into events and requests."""
+
+    def __init__(self, host: HostFace) -> None:
+        self._host = host
+        self._customers: dict[str, CustomerEntry] = {}
+        self._as_text: set[int] = set()
+        self._status_calls: set[int] = set()
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take the customers and their tokens into force."""
+        self._customers = {
+            hashed: customer
+            for customer in configuration.customers
+            for hashed in customer.token_sha256
+        }
+
+    def called(self, call: Call) -> None:
+        """Handle one call by its route."""
+        known_path = False
+        for route in _ROUTES:
+            match = route.pattern.fullmatch(call.path)
+            if match is None:
+                continue
+            known_path = True
+            if route.method == call.method:
+                route.handle(self, call, match)
+                return
+        self._refuse_unknown(call, known_path)
+
+    def closed(self, number: int) -> None:
+        """Note that a caller went away."""
+        self._as_text.discard(number)
+        self._status_calls.discard(number)
+        self._host.post(CallClosed(number))
+
+    def desk_replied(self, reply: DeskReply) -> None:
+        """Pass the desk's reply on to its operator."""
+        as_text = reply.call in self._as_text
+        self._as_text.discard(reply.call)
+        wants_status = reply.call in self._status_calls
+        self._status_calls.discard(reply.call)
+        if wants_status and reply.status == HTTPStatus.OK:
+            self._reply_status(reply, as_text)
+        elif as_text:
+            body = text_of(reply).encode()
+            self._host.reply(reply.call, HttpReply(int(reply.status), body, 0, TEXT))
+        else:
+            shown = _DeskBody(str(reply.code), reply.message, reply.page, reply.body)
+            body = msgspec.json.encode(shown)
+            self._host.reply(reply.call, HttpReply(int(reply.status), body))
+
+    def _reply_status(self, reply: DeskReply, as_text: bool) -> None:
+        status = self._host.status()
+        if as_text:
+            body = (text_of_status(status) + text_of(reply)).encode()
+            self._host.reply(reply.call, HttpReply(200, body, 0, TEXT))
+            return
+        shown = _FullStatus(status, reply.body)
+        self._host.reply(reply.call, HttpReply(200, msgspec.json.encode(shown)))
+
+    def _refuse_unknown(self, call: Call, known_path: bool) -> None:
+        code = FailureCode.INVALID if known_path else FailureCode.NOT_FOUND
+        text = f"{call.method} {call.path} is not offered here"
+        self._host.reply(call.number, reply_refusal(code, text))
+
+    def _customer(self, call: Call) -> CustomerEntry | None:
+        """Return the customer whose token came, or refuse the call."""
+        customer = self._customers.get(token_hash(call.token)) if call.token else None
+        if customer is not None:
+            return customer
+        readiness = self._host.readiness()
+        if not self._customers and not readiness.ready:
+            refused = reply_refusal(FailureCode.NOT_READY, readiness.message)
+        else:
+            text = "a bearer token of a customer is needed"
+            refused = reply_refusal(FailureCode.UNAUTHORIZED, text)
+        self._host.reply(call.number, refused)
+        return None
+
+    def _refuse(self, call: Call, code: FailureCode, text: str) -> None:
+        self._host.reply(call.number, reply_refusal(code, text))
+
+    def _submit(
+        self, call: Call, submission: SubmissionId | None, key: str | None
+    ) -> None:
+        customer = self._customer(call)
+        if customer is None:
+            return
+        if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+            text = f"{KEY_HEADER}: 1 to {MAX_KEY_LENGTH} characters expected"
+            self._refuse(call, FailureCode.INVALID, text)
+            return
+        try:
+            body = read_job_body(call.body)
+            standing = _standing(customer, body.job_class)
+            request = to_request(body, customer.name, standing, key, submission)
+        except BodyError as error:
+            self._refuse(call, FailureCode.INVALID, str(error))
+            return
+        self._host.post(Submitted(call.number, request, call.flag("wait")))
+
+    def _post_job(self, call: Call, _match: re.Match[str]) -> None:
+        self._submit(call, None, call.headers.get(KEY_HEADER))
+
+    def _put_submission(self, call: Call, match: re.Match[str]) -> None:
+        submission = self._submission(call, match)
+        if submission is not None:
+            self._submit(call, submission, None)
+
+    def _submission(self, call: Call, match: re.Match[str]) -> SubmissionId | None:
+        try:
+            return SubmissionId.parse(match["id"])
+        except InvalidId as error:
+            self._refuse(call, FailureCode.NOT_FOUND, str(error))
+            return None
+
+    def _get_submission(self, call: Call, match: re.Match[str]) -> None:
+        customer = self._customer(call)
+        submission = self._submission(call, match) if customer else None
+        if submission is not None:
+            wait = call.flag("wait")
+            self._host.post(Polled(call.number, customer.name, submission, wait))
+
+    def _delete_submission(self, call: Call, match: re.Match[str]) -> None:
+        customer = self._customer(call)
+        submission = self._submission(call, match) if customer else None
+        if submission is not None:
+            self._host.post(CancelAsked(call.number, customer.name, submission))
+
+    def _post_submissions(self, call: Call, _match: re.Match[str]) -> None:
+        customer = self._customer(call)
+        if customer is None:
+            return
+        try:
+            count = read_ids_body(call.body).count
+        except BodyError as error:
+            self._refuse(call, FailureCode.INVALID, str(error))
+            return
+        self._host.post(IdsAsked(call.number, customer.name, count))
+
+    def _livez(self, call: Call, _match: re.Match[str]) -> None:
+        self._host.reply(call.number, HttpReply(200, b'{"live":true}'))
+
+    def _readyz(self, call: Call, _match: re.Match[str]) -> None:
+        readiness = self._host.readiness()
+        body = msgspec.json.encode(_Health(readiness.ready, readiness.message))
+        self._host.reply(call.number, HttpReply(200 if readiness.ready else 503, body))
+
+    def _ask(self, call: Call, request: DeskRequest) -> None:
+        if "format=text" in call.query:
+            self._as_text.add(call.number)
+        self._host.ask_desk(request)
+
+    def _plan(self, call: Call, _match: re.Match[str]) -> None:
+        intent = call.body.decode(errors="replace")
+        self._ask(call, PlanAsked(call.number, call.token or "", intent, time()))
+
+    def _confirm(self, call: Call, match: re.Match[str]) -> None:
+        request = ConfirmAsked(call.number, call.token or "", match["id"], time())
+        self._ask(call, request)
+
+    def _history(self, call: Call, _match: re.Match[str]) -> None:
+        self._ask(call, HistoryAsked(call.number, call.token or "", time()))
+
+    def _status(self, call: Call, _match: re.Match[str]) -> None:
+        self._status_calls.add(call.number)
+        self._ask(call, StatusAsked(call.number, call.token or "", time()))
+
+
+@dataclass(frozen=True, slots=True)
+class _FullStatus:
+    host: HostStatus
+    configuration: object
+
+
+def _standing(customer: CustomerEntry, name: str) -> Standing:
+    settings = class_of(customer, name)
+    if settings is None:
+        known = ", ".join(c.name for c in customer.classes) or "none"
+        raise BodyError(f"job_class: no such class; configured are: {known}")
+    return Standing(settings.deadline_ms, settings.max_tasks, settings.idempotent)
+
+
+def _route(method: str, path: str, handle) -> _Route:
+    return _Route(method, re.compile(path), handle)
+
+
+_ID = r"(?P<id>[A-Za-z0-9._-]{1,200})"
+_ROUTES = (
+    _route("POST", r"/v1/jobs", Routes._post_job),
+    _route("POST", r"/v1/submissions", Routes._post_submissions),
+    _route("PUT", rf"/v1/submissions/{_ID}", Routes._put_submission),
+    _route("GET", rf"/v1/submissions/{_ID}", Routes._get_submission),
+    _route("DELETE", rf"/v1/submissions/{_ID}", Routes._delete_submission),
+    _route("GET", r"/livez", Routes._livez),
+    _route("GET", r"/readyz", Routes._readyz),
+    _route("GET", r"/status", Routes._status),
+    _route("POST", r"/admin/v1/plans", Routes._plan),
+    _route("POST", rf"/admin/v1/plans/{_ID}/confirm", Routes._confirm),
+    _route("GET", r"/admin/v1/history", Routes._history),
+)
--- /dev/null
+++ b/jackdawspur/entry/_upstreams.py
@@ -0,0 +1,196 @@
+"""Carrying out what the decisions ask of upstreams."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from circuits import BaseComponent
+from result import Ok, Result
+
+from jackdawspur.adapters import Deadlines, HttpClient, HttpLimits, HttpUpstream
+from jackdawspur.dispatch import (
+    AskStatus,
+    Event,
+    ResultsReplied,
+    StartsLost,
+    StartsReplied,
+    StartTasks,
+    StatusLost,
+    StatusReplied,
+    StopTasks,
+    UsageReplied,
+)
+from jackdawspur.model import HostId, Upstream, UpstreamId
+from jackdawspur.platform import OutcomeUnknown, PlatformError, UpstreamReply
+
+__all__ = ["UpstreamDriver"]
+
+RESULT_WAIT_MS = 5000.0
+POLL_RETRY_S = 0.1
+USAGE_INTERVAL_S = 5.0
+# Polls for results and for usage have connections of their own.
+OWN_CONNECTIONS = 4
+MAX_WAITING_REQUESTS = 256
+
+Post = Callable[[Event], None]
+Reply = Result[UpstreamReply, PlatformError]
+
+
+@dataclass(slots=True)
+class _Link:
+    """Hold the connections to one upstream and how far its results were read."""
+
+    address: str
+    client: HttpUpstream
+    requests: HttpClient
+    polls: HttpClient
+    cursor: int = 0
+    incarnation: int | None = None
+    polling: bool = False
+    open: bool = True
+
+
+class UpstreamDriver:
+    """Keep one link to each upstream of the zone and report what comes back."""
+
+    def __init__(
+        self,
+        own: HostId,
+        root: BaseComponent,
+        deadlines: Deadlines,
+        post: Post,
+        has_flights: Callable[[UpstreamId], bool],
+    ) -> None:
+        self._own = own
+        self._root = root
+        self._deadlines = deadlines
+        self._post = post
+        self._has_flights = has_flights
+        self._links: dict[UpstreamId, _Link] = {}
+
+    def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Link to the upstreams of the own zone and leave those that went."""
+        own = {u.id: u for u in upstreams if u.id.zone == self._own.zone}
+        for upstream, link in list(self._links.items()):
+            wanted = own.get(upstream)
+            idle = not self._has_flights(upstream)
+            if (wanted is None or wanted.address != link.address) and idle:
+                self._close(upstream)
+        for upstream in own.values():
+            if upstream.id not in self._links:
+                self._open(upstream)
+
+    def _open(self, upstream: Upstream) -> None:
+        address = _split(upstream.address)
+        share = max(1, min(upstream.connections, OWN_CONNECTIONS))
+        limits = HttpLimits(connections=share, waiting=MAX_WAITING_REQUESTS)
+        one = HttpLimits(connections=1, waiting=MAX_WAITING_REQUESTS)
+        requests = HttpClient(address, self._deadlines, limits).register(self._root)
+        polls = HttpClient(address, self._deadlines, one).register(self._root)
+        client = HttpUpstream(upstream.id, self._own, requests, polls)
+        link = _Link(upstream.address, client, requests, polls)
+        self._links[upstream.id] = link
+        self._ask_usage(upstream.id, link)
+
+    def _close(self, upstream: UpstreamId) -> None:
+        link = self._links.pop(upstream)
+        link.open = False
+        link.client.close()
+        link.requests.unregister()
+        link.polls.unregister()
+
+    def start(self, effect: StartTasks) -> None:
+        """Send starts, once, and follow the results."""
+        link = self._links.get(effect.upstream)
+        tasks = tuple(start.task for start in effect.starts)
+        if link is None:
+            self._post(StartsLost(effect.upstream, tasks, left=False))
+            return
+
+        def done(reply: Reply) -> None:
+            if isinstance(reply, Ok):
+                self._post(StartsReplied(reply.ok_value))
+                return
+            left = isinstance(reply.err_value, OutcomeUnknown)
+            self._post(StartsLost(effect.upstream, tasks, left))
+
+        link.client.start(effect.starts, done)
+        self._poll(effect.upstream, link)
+
+    def ask_status(self, effect: AskStatus) -> None:
+        """Ask how far tasks are and bar those that have not started."""
+        link = self._links.get(effect.upstream)
+        if link is None:
+            self._post(StatusLost(effect.upstream, effect.tasks))
+            return
+
+        def done(reply: Reply) -> None:
+            if isinstance(reply, Ok):
+                self._post(StatusReplied(reply.ok_value))
+            else:
+                self._post(StatusLost(effect.upstream, effect.tasks))
+
+        link.client.status(effect.tasks, True, done)
+
+    def stop(self, effect: StopTasks) -> None:
+        """Stop tasks; a lost reply is left to their leases."""
+        link = self._links.get(effect.upstream)
+        if link is None:
+            return
+
+        def done(reply: Reply) -> None:
+            if isinstance(reply, Ok):
+                self._post(StatusReplied(reply.ok_value))
+
+        link.client.stop(effect.tasks, done)
+
+    def _poll(self, upstream: UpstreamId, link: _Link) -> None:
+        """Wait for results while some task is under way there."""
+        if link.polling or not link.open:
+            return
+        link.polling = True
+        link.client.results(
+            link.cursor,
+            RESULT_WAIT_MS,
+            lambda reply: self._polled(upstream, link, reply),
+        )
+
+    def _polled(self, upstream: UpstreamId, link: _Link, reply: Reply) -> None:
+        link.polling = False
+        if isinstance(reply, Ok):
+            self._take_results(link, reply.ok_value)
+            self._deadlines.call_after(0.0, lambda: self._poll_again(upstream, link))
+        else:
+            # The upstream keeps results until a later cursor, so none is lost.
+            self._deadlines.call_after(
+                POLL_RETRY_S, lambda: self._poll_again(upstream, link)
+            )
+
+    def _take_results(self, link: _Link, reply: UpstreamReply) -> None:
+        if link.incarnation not in (None, reply.incarnation):
+            link.cursor = 0
+        link.incarnation = reply.incarnation
+        link.cursor = reply.cursor
+        self._post(ResultsReplied(reply))
+
+    def _poll_again(self, upstream: UpstreamId, link: _Link) -> None:
+        if self._has_flights(upstream):
+            self._poll(upstream, link)
+
+    def _ask_usage(self, upstream: UpstreamId, link: _Link) -> None:
+        """Ask for the load now and then: it also tells of restarts and of leaving."""
+        if not link.open:
+            return
+
+        def done(reply: Reply) -> None:
+            if isinstance(reply, Ok):
+                self._post(UsageReplied(reply.ok_value))
+            self._deadlines.call_after(
+                USAGE_INTERVAL_S, lambda: self._ask_usage(upstream, link)
+            )
+
+        link.client.usage(done)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/jackdawspur/links/tests/test_links.py
@@ -0,0 +1,64 @@
+"""Messages survive the codec; foreign and stale ones do no harm."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from jackdawspur.links import (
+    Envelope,
+    LinkError,
+    StaleFilter,
+    UnknownSchema,
+    decode,
+    encode,
+)
+from jackdawspur.messages import Delegate, Heartbeat, SlotGrant, SlotsOfUpstream
+from jackdawspur.model import (
+    HostId,
+    JobRequest,
+    SubmissionId,
+    TaskSpec,
+    UpstreamId,
+)
+
+ONE = HostId("north", "e1", 5)
+TWO = HostId("south", "e2", 9)
+REQUEST = JobRequest("roster", "confirm", (TaskSpec("{}", 120.0),), 900.0, key="k")
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Heartbeat(ONE, 3, True, False, 17, 30, 0, 0.0, bad_upstreams=()),
+        Delegate(SubmissionId(ONE, 4), REQUEST, 512.5),
+        SlotGrant(1, 200.0, (SlotsOfUpstream(UpstreamId("north", "w1"), 2),)),
+    ],
+)
+def test_message_round_trip(message):
+    envelope = Envelope(ONE, TWO, 12.25, message)
+    assert decode(encode(envelope)) == envelope
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.binary(max_size=200))
+def test_foreign_bytes_are_refused(data):
+    with pytest.raises(LinkError):
+        decode(data)
+
+
+def test_newer_schema_is_told_apart():
+    data = encode(Envelope(ONE, TWO, 0.0, Delegate(SubmissionId(ONE, 4), REQUEST, 1)))
+    with pytest.raises(UnknownSchema):
+        decode(data.replace(b"\xa6schema\x01", b"\xa6schema\x02"))
+
+
+def test_message_held_up_by_a_cut_is_stale():
+    """A caller was told "outcome unknown"; 30 s later its job starts all the same.
+
+    The owner delegates a job, the link is cut, the owner gives up. The link heals and
+    delivers what its queue held. Cause: a queue outlives the reason for its content.
+    """
+    stale = StaleFilter()
+    assert not stale.is_stale(ONE, sent_at=100.0, now=7.0)
+    assert not stale.is_stale(ONE, sent_at=101.0, now=8.001)
+    assert stale.is_stale(ONE, sent_at=102.0, now=39.0)
+    assert not stale.is_stale(ONE, sent_at=132.0, now=39.002)
--- a/jackdawspur/model/__init__.py
+++ b/jackdawspur/model/__init__.py
@@ -15,7 +15,7 @@
     TaskId,
     UpstreamId,
 )
-from jackdawspur.model._job import JobRequest, TaskSpec
+from jackdawspur.model._job import MAX_TASKS, JobRequest, TaskSpec
 from jackdawspur.model._world import (
     Contract,
     Customer,
@@ -26,6 +26,7 @@
 )
 
 __all__ = [
+    "MAX_TASKS",
     "Answer",
     "Contract",
     "Customer",
--- /dev/null
+++ b/jackdawspur/settings/__init__.py
@@ -0,0 +1,26 @@
+"""Settings of the programs, in JSON, checked against frozen data classes."""
+
+from jackdawspur.settings._entry import (
+    EntrySettings,
+    OperatorSettings,
+    SiblingSettings,
+)
+from jackdawspur.settings._load import SettingsError, load_settings
+from jackdawspur.settings._standins import (
+    HostListStandin,
+    ListedHostSettings,
+    LogStandin,
+    RackStandin,
+)
+
+__all__ = [
+    "EntrySettings",
+    "HostListStandin",
+    "ListedHostSettings",
+    "LogStandin",
+    "OperatorSettings",
+    "RackStandin",
+    "SettingsError",
+    "SiblingSettings",
+    "load_settings",
+]
--- /dev/null
+++ b/jackdawspur/settings/_standins.py
@@ -0,0 +1,60 @@
+"""Settings of the stand-ins."""
+
+from dataclasses import dataclass
+from typing import Annotated, ClassVar, Literal
+
+from pydantic import ConfigDict, Field
+
+from jackdawspur.settings._load import STRICT, Address, Name
+
+__all__ = ["HostListStandin", "ListedHostSettings", "LogStandin", "RackStandin"]
+
+
+@dataclass(frozen=True, slots=True)
+class RackStandin:
+    """Serve workers on several addresses from one process."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    addresses: Annotated[tuple[Address, ...], Field(min_length=1, max_length=64)]
+    slots: Annotated[int, Field(ge=1, le=4096)] = 8
+    cpus: Annotated[int, Field(ge=1, le=4096)] = 32
+    memory_mb: Annotated[int, Field(ge=1)] = 131_072
+    accelerators: Annotated[int, Field(ge=0, le=64)] = 0
+    usage_lag_ms: Annotated[float, Field(ge=0)] = 1000.0
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class LogStandin:
+    """Serve the log; `append_delay_ms` in milliseconds, retention in seconds."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    address: Address
+    append_delay_ms: Annotated[float, Field(ge=0)] = 5.0
+    appends_per_s: Annotated[float, Field(gt=0)] = 500.0
+    records_kept: Annotated[int, Field(ge=1)] = 100_000
+    seconds_kept: Annotated[float, Field(gt=0)] = 86_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHostSettings:
+    """Name a host on the list at the start."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    zone: Name
+    name: Name
+    role: Literal["entry", "upstream"]
+
+
+@dataclass(frozen=True, slots=True)
+class HostListStandin:
+    """Serve the host list; `lag_ms` in milliseconds."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    address: Address
+    lag_ms: Annotated[float, Field(ge=0)] = 5000.0
+    hosts: tuple[ListedHostSettings, ...] = ()
