--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -115,9 +115,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotRequest:
-    """Ask a sibling to lend slots for one term."""
+    """Ask a sibling to lend slots for one term; `number` tells requests apart."""
 
     wanted: int
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,11 +131,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotGrant:
-    """Lend slots until the term ends or they are returned."""
+    """Lend slots until the term ends or they are returned.
+
+    `request` is the number of the request that is granted.
+    """
 
     grant: int
     term_ms: float
     slots: tuple[SlotsOfUpstream, ...]
+    request: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/jackdawspur/sharing/__init__.py
@@ -0,0 +1,20 @@
+"""Divide the slots of a zone's upstreams among its entry hosts, and lend them."""
+
+from jackdawspur.sharing._division import divide
+from jackdawspur.sharing._limits import (
+    LEND_MARGIN,
+    LEND_TERM,
+    LONGEST_HOLD,
+)
+from jackdawspur.sharing._loans import Ask, GiveBack
+from jackdawspur.sharing._table import SlotTable
+
+__all__ = [
+    "Ask",
+    "GiveBack",
+    "LEND_MARGIN",
+    "LEND_TERM",
+    "LONGEST_HOLD",
+    "SlotTable",
+    "divide",
+]
