Know live hosts, leaving upstreams and cut-off zones from heartbeats

A lagging list kills live hosts and keeps leaving upstreams in use. Direct signals decide; a host that starts or wakes shares as if all siblings lived.

--- /dev/null
+++ b/jackdawspur/membership/tests/conftest.py
@@ -0,0 +1,88 @@
+"""A handful of views joined by messages on virtual time."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+
+from jackdawspur.membership import View
+from jackdawspur.messages import CustomerUsage, Heartbeat, Pulse
+from jackdawspur.model import EntryHost, HostId, World
+
+STEP = 0.05
+PACKET = 90
+
+
+@dataclass
+class Net:
+    """Deliver heartbeats one step later, but not over cuts or to the dead."""
+
+    world: World
+    views: dict[HostId, View] = field(default_factory=dict)
+    now: float = 0.0
+    cut: set[str] = field(default_factory=set)
+    paused: set[HostId] = field(default_factory=set)
+    bad: dict[HostId, tuple] = field(default_factory=dict)
+    usage: tuple[CustomerUsage, ...] = ()
+    sent: dict[HostId, int] = field(default_factory=dict)
+    sequence: int = 0
+
+    def start(self, host):
+        view = self.views[host] = View(host, self.now)
+        view.set_world(self.world, self.now)
+        return view
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP)):
+            self.now += STEP
+            flights = [flight for host in self.views for flight in self._send(host)]
+            for sender, to, message in flights:
+                self._deliver(sender, to, message)
+            for host in self.views.keys() - self.paused:
+                self.views[host].tick(self.now)
+
+    def _send(self, host):
+        if host in self.paused:
+            return
+        self.sequence += 1
+        state = Heartbeat(
+            host, self.sequence, True, False, 7, 4, 2, 1.0, usage=self.usage
+        )
+        for out in self.views[host].heartbeats_due(state, self.now):
+            size = len(msgspec.msgpack.encode(out.message)) + PACKET
+            self.sent[host] = self.sent.get(host, 0) + size
+            yield host, out.to, out.message
+
+    def _deliver(self, sender, to, message):
+        apart = sender.zone != to.zone and self.cut & {sender.zone, to.zone}
+        for host in self.views.keys() - self.paused:
+            if apart or not host.same_machine(to):
+                continue
+            if isinstance(message, Pulse):
+                self.views[host].pulsed(sender, message, self.now)
+            else:
+                self.views[host].heard(message, self.now)
+
+
+def build(zones, hosts):
+    """Return a net of zones of equal size, all hosts started."""
+    names = [
+        (f"zone-{z:02}", f"entry-{h:02}") for z in range(zones) for h in range(hosts)
+    ]
+    net = Net(World(0, entry_hosts=tuple(EntryHost(*name, "", "") for name in names)))
+    for name in names:
+        net.start(HostId(*name, 1))
+    return net
+
+
+@pytest.fixture
+def net():
+    """Return three zones of two hosts, after a first exchange."""
+    net = build(3, 2)
+    net.run(5)
+    return net
+
+
+@pytest.fixture
+def hosts(net):
+    return list(net.views)
--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -15,6 +15,7 @@
     "Heartbeat",
     "Message",
     "PeerSeen",
+    "Pulse",
     "RecordsPassed",
     "RecordsWanted",
     "SlotGrant",
@@ -44,15 +45,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneVersion:
-    """Report the configuration version in force on every live host of a zone."""
+    """Report the configuration version in force on every live host of a zone.
+
+    `hosts` live there; `usage` lists the zone's heaviest customers.
+    """
 
     zone: str
     version: int
+    free_slots: int = 0
+    waiting_tasks: int = 0
+    hosts: int = 0
+    usage: tuple[CustomerUsage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Tell peers that the sender lives, and how busy it is."""
+    """Tell peers that the sender lives, and how busy it is.
+
+    To another zone `zones` holds the sender's own; to siblings, the other zones that
+    the sender hears itself. `usage` counts only when `reports_usage` is set.
+    """
 
     host: HostId
     sequence: int
@@ -66,6 +78,18 @@
     seen: tuple[PeerSeen, ...] = ()
     zones: tuple[ZoneVersion, ...] = ()
     bad_upstreams: tuple[UpstreamId, ...] = ()
+    leaving_upstreams: tuple[UpstreamId, ...] = ()
+    reports_usage: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Pulse:
+    """Tell siblings, between heartbeats, that the sender lives and how busy it is."""
+
+    sequence: int
+    free_slots: int
+    waiting_tasks: int
+    backlog_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +190,7 @@
 
 Message = (
     Heartbeat
+    | Pulse
     | Forward
     | CancelForward
     | ForwardAnswer
--- a/jackdawspur/model/__init__.py
+++ b/jackdawspur/model/__init__.py
@@ -16,6 +16,7 @@
     UpstreamId,
 )
 from jackdawspur.model._job import JobRequest, TaskSpec
+from jackdawspur.model._rendezvous import rendezvous
 from jackdawspur.model._world import (
     Contract,
     Customer,
@@ -45,4 +46,5 @@
     "Upstream",
     "UpstreamId",
     "World",
+    "rendezvous",
 ]
--- a/jackdawspur/sharing/_division.py
+++ b/jackdawspur/sharing/_division.py
@@ -1,15 +1,10 @@
 """The division of slots that every host computes alike from the same view."""
 
-import hashlib
 from collections.abc import Iterable, Mapping
-from functools import lru_cache
 
-from jackdawspur.model import HostId, Upstream, UpstreamId
+from jackdawspur.model import HostId, Upstream, UpstreamId, rendezvous
 
-__all__ = ["divide", "rendezvous"]
-
-DIGEST_BYTES = 8
-HASHES_KEPT = 8192
+__all__ = ["divide"]
 
 
 def divide(
@@ -35,14 +30,6 @@
     return shares
 
 
-@lru_cache(maxsize=HASHES_KEPT)
-def rendezvous(*parts: str) -> int:
-    """Return a number that all hosts agree on for these texts."""
-    text = "\x00".join(parts).encode()
-    digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
-    return int.from_bytes(digest)
-
-
 def _favoured(
     upstream: UpstreamId, totals: Mapping[HostId, int], rest: int
 ) -> set[HostId]:
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from jackdawspur.messages import SlotGrant, SlotRequest, SlotReturn
-from jackdawspur.model import HostId, Upstream, UpstreamId
-from jackdawspur.sharing._division import divide, rendezvous
+from jackdawspur.model import HostId, Upstream, UpstreamId, rendezvous
+from jackdawspur.sharing._division import divide
 from jackdawspur.sharing._limits import FIRST_BACK_OFF, LONGEST_BACK_OFF
 from jackdawspur.sharing._loans import Ask, Borrowing, GiveBack, Lending, refusal
 
