--- /dev/null
+++ b/jackdawspur/configuration/_changes.py
@@ -0,0 +1,222 @@
+"""Typed changes of the configuration; an intent is a list of them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from jackdawspur.configuration._document import (
+    SCHEMA_VERSION,
+    STRICT,
+    Configuration,
+    CustomerEntry,
+    EntryHostEntry,
+    Name,
+    OperatorEntry,
+    Policies,
+    UpstreamEntry,
+    ZoneEntry,
+)
+from jackdawspur.configuration._errors import FieldError
+
+__all__ = [
+    "SECTIONS",
+    "Change",
+    "Entry",
+    "Intent",
+    "Key",
+    "Put",
+    "Remove",
+    "Section",
+    "SetPolicies",
+    "apply_changes",
+    "changes_between",
+    "key_of",
+]
+
+MAX_CHANGES = 25_000
+
+Section = Literal["customers", "operators", "zones", "entry_hosts", "upstreams"]
+SECTIONS: tuple[Section, ...] = (
+    "customers",
+    "operators",
+    "zones",
+    "entry_hosts",
+    "upstreams",
+)
+Entry = CustomerEntry | OperatorEntry | ZoneEntry | EntryHostEntry | UpstreamEntry
+# `zone.name` for hosts and upstreams, the name for the rest; unique in its section.
+Key = str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PutCustomer:
+    """Add a customer or replace it."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["put_customer"] = "put_customer"
+    entry: CustomerEntry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PutOperator:
+    """Add an operator or replace it."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["put_operator"] = "put_operator"
+    entry: OperatorEntry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PutZone:
+    """Add an availability zone or replace it."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["put_zone"] = "put_zone"
+    entry: ZoneEntry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PutEntryHost:
+    """Add an entry host or replace it."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["put_entry_host"] = "put_entry_host"
+    entry: EntryHostEntry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PutUpstream:
+    """Add an upstream or replace it."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["put_upstream"] = "put_upstream"
+    entry: UpstreamEntry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Remove:
+    """Remove one object; `zone` stays empty where a name alone is unique."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["remove"] = "remove"
+    section: Section
+    name: Name
+    zone: Name | Literal[""] = ""
+
+    @property
+    def key(self) -> Key:
+        """Return the object's key in its section."""
+        return f"{self.zone}.{self.name}" if self.zone else self.name
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SetPolicies:
+    """Replace the policies."""
+
+    __pydantic_config__ = STRICT
+
+    op: Literal["set_policies"] = "set_policies"
+    policies: Policies
+
+
+Put = PutCustomer | PutOperator | PutZone | PutEntryHost | PutUpstream
+Change = Annotated[Put | Remove | SetPolicies, Field(discriminator="op")]
+
+_PUT_OF: dict[Section, type[Put]] = dict(
+    zip(
+        SECTIONS,
+        (PutCustomer, PutOperator, PutZone, PutEntryHost, PutUpstream),
+        strict=True,
+    )
+)
+_SECTION_OF = {kind: section for section, kind in _PUT_OF.items()}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Intent:
+    """Ask for changes; mass removal must be allowed in so many words."""
+
+    __pydantic_config__ = STRICT
+
+    schema_version: Literal[SCHEMA_VERSION] = SCHEMA_VERSION
+    reason: Annotated[str, Field(min_length=1, max_length=500)]
+    changes: Annotated[tuple[Change, ...], Field(min_length=1, max_length=MAX_CHANGES)]
+    allow_mass_removal: bool = False
+
+
+def key_of(entry: Entry) -> Key:
+    """Return the key of an entry in its section."""
+    zone = getattr(entry, "zone", "")
+    return f"{zone}.{entry.name}" if zone else entry.name
+
+
+def target_of(change: Change) -> tuple[str, Key]:
+    """Return the section and key that a change touches."""
+    if isinstance(change, SetPolicies):
+        return "policies", ""
+    if isinstance(change, Remove):
+        return change.section, change.key
+    return _SECTION_OF[type(change)], key_of(change.entry)
+
+
+def apply_changes(
+    base: Configuration, changes: Iterable[Change]
+) -> tuple[Configuration, tuple[FieldError, ...]]:
+    """Return the configuration after the changes, and those that can't be made."""
+    touched: dict[str, dict[Key, Entry]] = {}
+    seen: set[tuple[str, Key]] = set()
+    errors = []
+    policies = base.policies
+    for index, change in enumerate(changes):
+        section, key = target = target_of(change)
+        if target in seen:
+            errors.append(FieldError(f"changes[{index}]", f"touches {key!r} twice"))
+        seen.add(target)
+        if isinstance(change, SetPolicies):
+            policies = change.policies
+            continue
+        if section not in touched:
+            touched[section] = {key_of(e): e for e in getattr(base, section)}
+        entries = touched[section]
+        if not isinstance(change, Remove):
+            entries[key] = change.entry
+        elif entries.pop(key, None) is None:
+            errors.append(FieldError(f"changes[{index}]", f"no {key!r} in {section}"))
+    sections = {name: tuple(entries.values()) for name, entries in touched.items()}
+    return replace(base, policies=policies, **sections), tuple(errors)
+
+
+def changes_between(base: Configuration, wanted: Configuration) -> tuple[Change, ...]:
+    """Return the changes that lead from one configuration to another."""
+    changes: list[Change] = []
+    for section in SECTIONS:
+        changes += _section_changes(section, base, wanted)
+    if base.policies != wanted.policies:
+        changes.append(SetPolicies(policies=wanted.policies))
+    return tuple(changes)
+
+
+def _section_changes(
+    section: Section, base: Configuration, wanted: Configuration
+) -> list[Change]:
+    before = {key_of(e): e for e in getattr(base, section)}
+    after = {key_of(e): e for e in getattr(wanted, section)}
+    changes: list[Change] = [
+        Remove(section=section, name=entry.name, zone=getattr(entry, "zone", ""))
+        for key, entry in before.items()
+        if key not in after
+    ]
+    changes += [
+        _PUT_OF[section](entry=entry)
+        for key, entry in after.items()
+        if before.get(key) != entry
+    ]
+    return changes
--- /dev/null
+++ b/jackdawspur/configuration/_document.py
@@ -0,0 +1,191 @@
+"""The configuration document: what operators state and hosts obey."""
+
+import enum
+import ipaddress
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, ConfigDict, Field
+
+from jackdawspur.model import Contract, Objective
+from jackdawspur.model._job import MAX_TASKS
+
+__all__ = [
+    "SCHEMA_VERSION",
+    "Configuration",
+    "ContractTerms",
+    "CustomerEntry",
+    "EntryHostEntry",
+    "JobClass",
+    "OperatorEntry",
+    "Policies",
+    "Right",
+    "UpstreamEntry",
+    "ZoneEntry",
+]
+
+SCHEMA_VERSION = 1
+MAX_CUSTOMERS = 2_000
+MAX_OPERATORS = 500
+MAX_ZONES = 200
+MAX_ENTRY_HOSTS = 2_000
+MAX_UPSTREAMS = 20_000
+# An unknown field is a misspelt one: within a known schema version it is refused.
+STRICT = ConfigDict(extra="forbid")
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        number = int(port) if port.isdecimal() else 0
+    except ValueError:
+        number = 0
+    if not 1 <= number <= 65535:
+        raise ValueError("must be IP:port; host names are not looked up")
+    return text
+
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$")]
+Address = Annotated[str, AfterValidator(_check_address)]
+TokenHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+TokenHashes = Annotated[tuple[TokenHash, ...], Field(min_length=1, max_length=8)]
+
+
+class Right(enum.StrEnum):
+    """Name what an operator may do."""
+
+    VIEW = "view"
+    PLAN = "plan"
+    CONFIRM = "confirm"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ContractTerms:
+    """State what a customer is promised; `max_wait_ms` in milliseconds."""
+
+    __pydantic_config__ = STRICT
+
+    objective: Objective = Objective.RESPONSE_TIME
+    tail_over_ideal: Annotated[float, Field(ge=1, le=100)] = 2.0
+    max_wait_ms: Annotated[float, Field(ge=0, le=60_000)] = 2000.0
+
+    @property
+    def contract(self) -> Contract:
+        """Return the terms as the model's contract."""
+        return Contract(self.objective, self.tail_over_ideal, self.max_wait_ms)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobClass:
+    """Hold the standing settings of one class of jobs."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    deadline_ms: Annotated[float, Field(ge=1, le=600_000)] = 10_000.0
+    max_tasks: Annotated[int, Field(ge=1, le=MAX_TASKS)] = MAX_TASKS
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CustomerEntry:
+    """Describe a customer, its tokens' SHA-256, its quota and contract."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    token_sha256: TokenHashes
+    quota_slots: Annotated[int, Field(ge=1, le=1_000_000)]
+    weight: Annotated[float, Field(ge=0.01, le=1_000)] = 1.0
+    contract: ContractTerms = ContractTerms()
+    classes: Annotated[tuple[JobClass, ...], Field(max_length=100)] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorEntry:
+    """Describe an operator, the tokens' SHA-256 and rights."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    token_sha256: TokenHashes
+    rights: Annotated[tuple[Right, ...], Field(min_length=1)] = (Right.VIEW,)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ZoneEntry:
+    """Describe an availability zone and its region."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    region: Name
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryHostEntry:
+    """Say where an entry host listens."""
+
+    __pydantic_config__ = STRICT
+
+    zone: Name
+    name: Name
+    http: Address
+    link: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamEntry:
+    """Say where an upstream listens and what it can hold."""
+
+    __pydantic_config__ = STRICT
+
+    zone: Name
+    name: Name
+    address: Address
+    slots: Annotated[int, Field(ge=1, le=4096)] = 8
+    connections: Annotated[int, Field(ge=1, le=65535)] = 64
+    cpus: Annotated[int, Field(ge=1, le=4096)] = 32
+    memory_mb: Annotated[int, Field(ge=1, le=67_108_864)] = 131_072
+    accelerators: Annotated[int, Field(ge=0, le=64)] = 0
+    rack: Annotated[str, Field(max_length=63)] = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Policies:
+    """Hold what applies to every zone; the unit ends each name."""
+
+    __pydantic_config__ = STRICT
+
+    eject_after_failures: Annotated[int, Field(ge=1, le=1000)] = 3
+    eject_max_share: Annotated[float, Field(ge=0, le=1)] = 0.3
+    readmit_after_s: Annotated[float, Field(ge=0.1, le=3600)] = 5.0
+    heartbeat_interval_ms: Annotated[float, Field(ge=50, le=10_000)] = 500.0
+    drain_bound_s: Annotated[float, Field(ge=1, le=3600)] = 30.0
+    key_window_s: Annotated[float, Field(ge=1, le=604_800)] = 3600.0
+    snapshot_after_changes: Annotated[int, Field(ge=10, le=1000)] = 200
+    snapshot_interval_s: Annotated[float, Field(ge=60, le=86_400)] = 3600.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """Hold everything that operators configure, in one schema version."""
+
+    __pydantic_config__ = STRICT
+
+    schema_version: Literal[SCHEMA_VERSION] = SCHEMA_VERSION
+    customers: Annotated[
+        tuple[CustomerEntry, ...], Field(max_length=MAX_CUSTOMERS)
+    ] = ()
+    operators: Annotated[
+        tuple[OperatorEntry, ...], Field(max_length=MAX_OPERATORS)
+    ] = ()
+    zones: Annotated[tuple[ZoneEntry, ...], Field(max_length=MAX_ZONES)] = ()
+    entry_hosts: Annotated[
+        tuple[EntryHostEntry, ...], Field(max_length=MAX_ENTRY_HOSTS)
+    ] = ()
+    upstreams: Annotated[
+        tuple[UpstreamEntry, ...], Field(max_length=MAX_UPSTREAMS)
+    ] = ()
+    policies: Policies = Policies()
--- /dev/null
+++ b/jackdawspur/configuration/_keeper.py
@@ -0,0 +1,301 @@
+"""Keep one host's configuration: read, pass on, snapshot, and tell readiness."""
+
+import random
+from functools import singledispatchmethod
+
+from jackdawspur.configuration._budget import LogBudget, Purpose
+from jackdawspur.configuration._fold import NOTHING, Fold
+from jackdawspur.configuration._keeping import (
+    ActivateWorld,
+    AppendEnded,
+    AppendRecord,
+    AskRecords,
+    HeartbeatSeen,
+    KeeperEffect,
+    KeeperEvent,
+    KeeperTick,
+    LogCut,
+    LogFailed,
+    LogRead,
+    PeerAsked,
+    PeerRecords,
+    PeersSeen,
+    ReadLog,
+    ReportSkipped,
+    SendRecords,
+)
+from jackdawspur.configuration._readiness import LogHealth, Readiness, ReadinessReason
+from jackdawspur.configuration._records import encode_record
+from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of
+from jackdawspur.configuration._world import world_of
+from jackdawspur.configuration._zones import ZoneReports
+from jackdawspur.messages import RecordsWanted
+from jackdawspur.model import HostId
+from jackdawspur.platform import LogRecord
+
+__all__ = ["Keeper"]
+
+LONG_POLL_MS = 2000.0
+# A log that answers empty reads at once must not be asked in a tight loop.
+EMPTY_READ_GAP_S = 0.05
+LOG_SLOW_S = 1.0
+BACKOFF_FIRST_S = 0.2
+BACKOFF_MAX_S = 5.0
+ASK_TIMEOUT_S = 0.5
+# Longer than a long poll's answer takes, so that a healthy log costs no pass-on.
+BEHIND_S = 0.3
+COLD_START_BOUND_S = 5.0
+SNAPSHOT_STAGGER_S = 5.0
+SNAPSHOT_RETRY_S = 30.0
+
+
+class Keeper:
+    """Decide for one run of a host; times in seconds of the monotonic clock."""
+
+    def __init__(
+        self, host: HostId, rng: random.Random, budget: LogBudget, now: float
+    ) -> None:
+        self.fold = Fold()
+        self.zones = ZoneReports(host)
+        self.budget = budget
+        self.log_health = LogHealth.UNKNOWN
+        self._host = host
+        self._rng = rng
+        self._started = now
+        self._wall = 0.0
+        self._tail = Tail()
+        self._ready = False
+        self._reason = ReadinessReason.READING_LOG
+        self._caught_up = False
+        self._active = NOTHING
+        self._reported = NOTHING
+        self._reading_since: float | None = None
+        self._read_wait_ms = 0.0
+        self._next_read = now
+        self._failures = 0
+        self._live: tuple[HostId, ...] = ()
+        self._heard: dict[HostId, int] = {}
+        self._answered: set[HostId] = set()
+        self._behind_since: float | None = None
+        self._ask_until = now
+        self._snapshot_due: float | None = None
+        self._snapshot_not_before = now
+
+    @property
+    def readiness(self) -> Readiness:
+        """Return whether this host's configuration is fit to serve."""
+        return Readiness(self._ready, self._reason)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force on this host, for its heartbeats."""
+        return self._active
+
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether the end of the log was reached since the start."""
+        return self._caught_up
+
+    def handle(self, now: float, event: KeeperEvent) -> list[KeeperEffect]:
+        """Take one event; return what has to be done, in order."""
+        effects = self._on(event, now)
+        effects += self._activate(now)
+        effects += self._read(now)
+        effects += self._ask(now)
+        return effects
+
+    @singledispatchmethod
+    def _on(self, event: KeeperEvent, now: float) -> list[KeeperEffect]:
+        raise TypeError(f"not an event of the keeper: {event!r}")
+
+    @_on.register
+    def _on_read(self, event: LogRead, now: float) -> list[KeeperEffect]:
+        self._reading_since = None
+        self._failures = 0
+        self.log_health = LogHealth.UP
+        self._next_read = now
+        if not event.records:
+            self._caught_up = True
+            self._next_read = now + EMPTY_READ_GAP_S
+        self._take(event.records)
+        return []
+
+    @_on.register
+    def _on_failed(self, event: LogFailed, now: float) -> list[KeeperEffect]:
+        self._reading_since = None
+        self.log_health = LogHealth.DOWN
+        delay = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**self._failures)
+        # Jitter: else all hosts come back in the same moment after an outage.
+        self._next_read = now + delay * self._rng.uniform(0.5, 1.0)
+        self._failures = min(self._failures + 1, 16)
+        return []
+
+    @_on.register
+    def _on_cut(self, event: LogCut, now: float) -> list[KeeperEffect]:
+        self._reading_since = None
+        self._next_read = now
+        self.log_health = LogHealth.UP
+        if event.first > self.fold.through + 1:
+            self.fold.skip_to(event.first)
+            self._tail.restart(event.first - 1)
+        else:
+            self._next_read = now + EMPTY_READ_GAP_S
+        return []
+
+    @_on.register
+    def _on_asked(self, event: PeerAsked, now: float) -> list[KeeperEffect]:
+        passed = self._tail.answer(event.wanted.after, self.fold, self._wall)
+        return [SendRecords(event.sender, passed)]
+
+    @_on.register
+    def _on_passed(self, event: PeerRecords, now: float) -> list[KeeperEffect]:
+        self._answered.add(event.sender)
+        self._ask_until = now
+        passed = event.passed
+        if self.fold.contiguous and passed.after <= self.fold.through:
+            self._take(passed.records)
+        elif self.fold.fold_after(passed.after, passed.records):
+            self._tail.restart(self.fold.through)
+        return []
+
+    @_on.register
+    def _on_view(self, event: PeersSeen, now: float) -> list[KeeperEffect]:
+        self._live = event.live
+        alive = set(event.live)
+        self._heard = {h: v for h, v in self._heard.items() if h in alive}
+        self._answered &= alive
+        return []
+
+    @_on.register
+    def _on_heartbeat(self, event: HeartbeatSeen, now: float) -> list[KeeperEffect]:
+        heartbeat = event.heartbeat
+        self._heard[heartbeat.host] = heartbeat.version
+        self.zones.note_heartbeat(heartbeat, now)
+        return []
+
+    @_on.register
+    def _on_append(self, event: AppendEnded, now: float) -> list[KeeperEffect]:
+        return []
+
+    @_on.register
+    def _on_tick(self, event: KeeperTick, now: float) -> list[KeeperEffect]:
+        self._wall = event.wall
+        waited = now - (now if self._reading_since is None else self._reading_since)
+        if waited > self._read_wait_ms / 1000 + LOG_SLOW_S:
+            self.log_health = LogHealth.SLOW
+        return self._snapshot(now)
+
+    def _take(self, records: tuple[LogRecord, ...]) -> None:
+        fresh = [r for r in records if r.offset > self.fold.through]
+        self.fold.fold(fresh)
+        self._tail.extend(fresh)
+
+    def _activate(self, now: float) -> list[KeeperEffect]:
+        fold = self.fold
+        effects: list[KeeperEffect] = [
+            ReportSkipped(s) for s in fold.skipped if s.offset > self._reported
+        ]
+        self._reported = max((s.offset for s in fold.skipped), default=self._reported)
+        if not self._ready:
+            self._reason = self._obstacle(now)
+            self._ready = self._reason is ReadinessReason.READY
+        # While cold, nothing is put in force that a newer version replaces at once.
+        if self._ready and fold.version > self._active:
+            self._active = fold.version
+            self.zones.note_version(fold.version, now)
+            world = world_of(fold.configuration, fold.version)
+            effects.append(ActivateWorld(world, fold.configuration))
+        self.zones.settle(self._live, self._active if self._ready else None, now)
+        return effects
+
+    def _obstacle(self, now: float) -> ReadinessReason:
+        log_up = self.log_health is LogHealth.UP
+        known = self.fold.version != NOTHING
+        if self._caught_up and log_up and self.fold.contiguous:
+            if self.fold.head == NOTHING:
+                return ReadinessReason.NO_CONFIGURATION
+            return ReadinessReason.READY if known else ReadinessReason.NEWER_SCHEMA
+        if self.log_health is LogHealth.UNKNOWN or (log_up and not self._caught_up):
+            return ReadinessReason.READING_LOG
+        waited_out = now - self._started >= COLD_START_BOUND_S
+        if not known:
+            return self._nothing_known(waited_out)
+        if waited_out or not self._live:
+            return ReadinessReason.READY
+        if any(
+            self._heard.get(host, NOTHING) > self.fold.version for host in self._live
+        ):
+            return ReadinessReason.BEHIND_PEERS
+        unheard = set(self._live) - self._heard.keys() - self._answered
+        return ReadinessReason.ASKING_PEERS if unheard else ReadinessReason.READY
+
+    def _nothing_known(self, waited_out: bool) -> ReadinessReason:
+        if self._live and not waited_out:
+            return ReadinessReason.ASKING_PEERS
+        if self.log_health is LogHealth.UP:
+            return ReadinessReason.LOG_TRIMMED
+        return ReadinessReason.LOG_UNREACHABLE
+
+    def _read(self, now: float) -> list[KeeperEffect]:
+        if self._reading_since is not None or now < self._next_read:
+            return []
+        self._reading_since = now
+        self._read_wait_ms = LONG_POLL_MS if self._caught_up else 0.0
+        return [ReadLog(self.fold.through + 1, self._read_wait_ms)]
+
+    def _ask(self, now: float) -> list[KeeperEffect]:
+        wanted = self._wanted_peers(now)
+        if not wanted or now < self._ask_until:
+            return []
+        self._ask_until = now + ASK_TIMEOUT_S
+        after = self.fold.through if self.fold.contiguous else WHOLE_STATE
+        return [AskRecords(self._rng.choice(wanted), RecordsWanted(after))]
+
+    def _wanted_peers(self, now: float) -> list[HostId]:
+        newer = [h for h in self._live if self._heard.get(h, NOTHING) > self._seen]
+        log_up = self.log_health is LogHealth.UP
+        if not newer:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        if newer and (not log_up or now - self._behind_since >= BEHIND_S):
+            return newer
+        stuck = log_up and self._caught_up and not self.fold.contiguous
+        cold = not self._ready and self.log_health in (LogHealth.SLOW, LogHealth.DOWN)
+        if stuck or cold:
+            # Those that haven't answered yet come first; all may have to be heard.
+            return [h for h in self._live if h not in self._answered] or newer
+        return []
+
+    @property
+    def _seen(self) -> int:
+        # A version followed but not readable here needs no asking for.
+        return max(self.fold.version, self.fold.head)
+
+    def _snapshot(self, now: float) -> list[KeeperEffect]:
+        if not self._snapshot_wanted():
+            self._snapshot_due = None
+            return []
+        if self._snapshot_due is None:
+            self._snapshot_due = now
+        # Every host works its turn out of its own view. If the first can't reach
+        # the log or the views differ, another follows; a double changes nothing.
+        names = sorted({(h.zone, h.name) for h in (*self._live, self._host)})
+        turn = names.index((self._host.zone, self._host.name)) * SNAPSHOT_STAGGER_S
+        if now < max(self._snapshot_due + turn, self._snapshot_not_before):
+            return []
+        self._snapshot_not_before = now + SNAPSHOT_RETRY_S
+        if not self.budget.take(Purpose.SNAPSHOT, now):
+            return []
+        record = snapshot_of(self.fold, self._wall)
+        body = encode_record(record)
+        return [AppendRecord(Purpose.SNAPSHOT, record.id, body)]
+
+    def _snapshot_wanted(self) -> bool:
+        fold = self.fold
+        sure = fold.contiguous and fold.head == fold.version != NOTHING
+        if not (sure and self._ready and self.log_health is LogHealth.UP):
+            return False
+        policies = fold.configuration.policies
+        aged = self._wall - fold.snapshot_at >= policies.snapshot_interval_s
+        return aged or fold.changes_since_snapshot >= policies.snapshot_after_changes
--- /dev/null
+++ b/jackdawspur/configuration/_readiness.py
@@ -0,0 +1,53 @@
+"""Say whether this host's configuration is fit to serve, and why not."""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["LogHealth", "Readiness", "ReadinessReason"]
+
+
+class LogHealth(enum.StrEnum):
+    """Tell how the log answers this host."""
+
+    UNKNOWN = "unknown"
+    UP = "up"
+    SLOW = "slow"
+    DOWN = "down"
+
+
+class ReadinessReason(enum.StrEnum):
+    """Say why a host is ready or not."""
+
+    READY = "ready"
+    READING_LOG = "reading_log"
+    ASKING_PEERS = "asking_peers"
+    BEHIND_PEERS = "behind_peers"
+    LOG_UNREACHABLE = "log_unreachable"
+    LOG_TRIMMED = "log_trimmed"
+    NEWER_SCHEMA = "newer_schema"
+    NO_CONFIGURATION = "no_configuration"
+
+
+MESSAGES = {
+    ReadinessReason.READY: "a configuration is in force",
+    ReadinessReason.READING_LOG: "reading the log",
+    ReadinessReason.ASKING_PEERS: "the log does not answer; waiting for peers",
+    ReadinessReason.BEHIND_PEERS: "a peer has a newer version than read so far",
+    ReadinessReason.LOG_UNREACHABLE: "the log does not answer and no peer does",
+    ReadinessReason.LOG_TRIMMED: "the log was trimmed and holds no snapshot",
+    ReadinessReason.NEWER_SCHEMA: "the log holds only a newer schema version",
+    ReadinessReason.NO_CONFIGURATION: "no configuration was ever confirmed",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Readiness:
+    """Carry the answer of the readiness check."""
+
+    ready: bool
+    reason: ReadinessReason
+
+    @property
+    def message(self) -> str:
+        """Return the reason as a sentence for people."""
+        return MESSAGES[self.reason]
--- /dev/null
+++ b/jackdawspur/configuration/_tail.py
@@ -0,0 +1,84 @@
+"""Keep the newest records of the log to pass them on."""
+
+from collections import deque
+from collections.abc import Iterable
+
+from jackdawspur.configuration._fold import NOTHING, Fold
+from jackdawspur.configuration._records import Snapshot, encode_record
+from jackdawspur.messages import RecordsPassed
+from jackdawspur.platform import LogRecord
+
+__all__ = ["WHOLE_STATE", "Tail", "snapshot_of"]
+
+# Asked for in place of an offset when a gap has to be bridged.
+WHOLE_STATE = -2
+
+RECORDS_KEPT = 512
+BYTES_KEPT = 1_000_000
+RECORDS_PASSED = 100
+BYTES_PASSED = 250_000
+HISTORY_IN_SNAPSHOT = 50
+
+
+def snapshot_of(fold: Fold, wall: float) -> Snapshot:
+    """Return the state of a fold as a record.
+
+    `through` claims only what this host is sure of: beyond a gap, or past a winner
+    of a newer schema, that is the version in force.
+    """
+    sure = fold.contiguous and fold.head == fold.version
+    return Snapshot(
+        id=f"snapshot-{fold.version}",
+        version=fold.version,
+        through=fold.through if sure else fold.version,
+        at=wall,
+        configuration=fold.configuration,
+        history=fold.history[-HISTORY_IN_SNAPSHOT:],
+    )
+
+
+class Tail:
+    """Hold records without a gap after the offset `after`, bounded."""
+
+    def __init__(self) -> None:
+        self._after = NOTHING
+        self._records: deque[LogRecord] = deque()
+        self._bytes = 0
+
+    def extend(self, records: Iterable[LogRecord]) -> None:
+        """Add records that follow without a gap."""
+        for record in records:
+            self._records.append(record)
+            self._bytes += len(record.body)
+        while len(self._records) > RECORDS_KEPT or self._bytes > BYTES_KEPT:
+            dropped = self._records.popleft()
+            self._after = dropped.offset
+            self._bytes -= len(dropped.body)
+
+    def restart(self, after: int) -> None:
+        """Forget all records, because others are missing before the next."""
+        self._records.clear()
+        self._bytes = 0
+        self._after = after
+
+    def answer(self, after: int, fold: Fold, wall: float) -> RecordsPassed:
+        """Return what follows an offset, or a snapshot if that is not kept."""
+        if after >= self._after:
+            return RecordsPassed(self._batch(after), after)
+        if fold.version == NOTHING:
+            return RecordsPassed((), after)
+        snapshot = snapshot_of(fold, wall)
+        record = LogRecord(snapshot.through, encode_record(snapshot))
+        return RecordsPassed((record,), snapshot.through - 1)
+
+    def _batch(self, after: int) -> tuple[LogRecord, ...]:
+        batch: list[LogRecord] = []
+        size = 0
+        for record in self._records:
+            if record.offset <= after:
+                continue
+            size += len(record.body)
+            if batch and (size > BYTES_PASSED or len(batch) == RECORDS_PASSED):
+                break
+            batch.append(record)
+        return tuple(batch)
--- /dev/null
+++ b/jackdawspur/configuration/_views.py
@@ -0,0 +1,88 @@
+"""Work out what operators are shown from the state of one host."""
+
+from jackdawspur.configuration._budget import Purpose
+from jackdawspur.configuration._keeper import Keeper
+from jackdawspur.configuration._operations import (
+    AppendCount,
+    AuditEntry,
+    ChangeState,
+    ChangeStatus,
+    Conflict,
+    DeskStatus,
+    History,
+)
+from jackdawspur.configuration._records import HistoryEntry
+
+__all__ = ["change_status", "conflict", "history", "obstacle", "status"]
+
+CHANGES_IN_STATUS = 10
+
+
+def obstacle(keeper: Keeper) -> str:
+    """Return why this host can't plan or confirm now; empty if it can."""
+    fold = keeper.fold
+    if not fold.contiguous:
+        return "records are missing here until a snapshot comes; ask another host"
+    if fold.head != fold.version:
+        return "a newer schema version is in force; ask a host with a newer program"
+    if not keeper.caught_up:
+        return "this host hasn't read the log to its end; ask another"
+    return ""
+
+
+def change_status(keeper: Keeper, entry: HistoryEntry) -> ChangeStatus:
+    """Return how far a confirmed change is."""
+    hosts = keeper.fold.configuration.entry_hosts
+    zones = {host.zone for host in hosts}
+    in_force = keeper.zones.in_force(entry.version) & zones
+    state = ChangeState.IN_FORCE if in_force else ChangeState.CONFIRMED
+    if zones and in_force == zones:
+        state = ChangeState.ACCEPTED
+    return ChangeStatus(
+        plan=entry.plan,
+        state=state,
+        version=entry.version,
+        operator=entry.operator,
+        reason=entry.reason,
+        at=entry.at,
+        in_force=tuple(sorted(in_force)),
+        lacking=tuple(sorted(zones - in_force)),
+        summary=entry.summary,
+    )
+
+
+def conflict(keeper: Keeper, base: int) -> Conflict:
+    """Return what won against a plan with an older base."""
+    since = keeper.fold.changes_since(base)
+    # Exactly one change can have been built on the base: that one won.
+    won = next((e.version for e in since if e.base == base), keeper.fold.head)
+    return Conflict(base, won, tuple(change_status(keeper, e) for e in since))
+
+
+def history(keeper: Keeper, refused: tuple[AuditEntry, ...]) -> History:
+    """Return changes in force, confirms that lost and refused requests."""
+    fold = keeper.fold
+    changes = tuple(change_status(keeper, entry) for entry in fold.history)
+    return History(changes, fold.voids, refused)
+
+
+def status(keeper: Keeper, refusals: int) -> DeskStatus:
+    """Return the configuration as this host sees it."""
+    fold, budget = keeper.fold, keeper.budget
+    recent = fold.history[-CHANGES_IN_STATUS:]
+    return DeskStatus(
+        version=keeper.version,
+        head=fold.head,
+        through=fold.through,
+        contiguous=fold.contiguous,
+        readiness=keeper.readiness,
+        log=keeper.log_health,
+        zones=keeper.zones.reports,
+        changes=tuple(change_status(keeper, entry) for entry in recent),
+        skipped=fold.skipped,
+        delays=keeper.zones.delays,
+        appends=tuple(
+            AppendCount(p, budget.made[p], budget.refused[p]) for p in Purpose
+        ),
+        refusals=refusals,
+    )
--- /dev/null
+++ b/jackdawspur/configuration/_world.py
@@ -0,0 +1,76 @@
+"""Turn a configuration into the model's world, and tokens into their owners."""
+
+import hashlib
+import hmac
+
+from jackdawspur.configuration._document import (
+    Configuration,
+    CustomerEntry,
+    JobClass,
+    OperatorEntry,
+    UpstreamEntry,
+)
+from jackdawspur.model import Customer, EntryHost, Upstream, UpstreamId, World
+
+__all__ = ["class_of", "customer_of", "operator_of", "token_hash", "world_of"]
+
+
+def world_of(configuration: Configuration, version: int) -> World:
+    """Return what one version of the configuration says of the world."""
+    return World(
+        version=version,
+        customers=tuple(map(_customer, configuration.customers)),
+        entry_hosts=tuple(
+            EntryHost(host.zone, host.name, host.http, host.link)
+            for host in configuration.entry_hosts
+        ),
+        upstreams=tuple(map(_upstream, configuration.upstreams)),
+    )
+
+
+def token_hash(token: str) -> str:
+    """Return the hash that stands in the document for a token."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def customer_of(configuration: Configuration, token: str) -> CustomerEntry | None:
+    """Return the customer that a bearer token names."""
+    return _owner(configuration.customers, token)
+
+
+def operator_of(configuration: Configuration, token: str) -> OperatorEntry | None:
+    """Return the operator that a bearer token names."""
+    return _owner(configuration.operators, token)
+
+
+def class_of(customer: CustomerEntry, name: str) -> JobClass | None:
+    """Return the standing settings of one of a customer's job classes."""
+    return next((c for c in customer.classes if c.name == name), None)
+
+
+def _owner(entries, token: str):
+    wanted = token_hash(token)
+    for entry in entries:
+        # Constant time, so that response times don't help to guess a hash.
+        if any(hmac.compare_digest(wanted, known) for known in entry.token_sha256):
+            return entry
+    return None
+
+
+def _customer(entry: CustomerEntry) -> Customer:
+    return Customer(
+        entry.name, entry.quota_slots, entry.weight, entry.contract.contract
+    )
+
+
+def _upstream(entry: UpstreamEntry) -> Upstream:
+    return Upstream(
+        UpstreamId(entry.zone, entry.name),
+        entry.address,
+        entry.slots,
+        entry.connections,
+        entry.cpus,
+        entry.memory_mb,
+        entry.accelerators,
+        entry.rack,
+    )
--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -154,9 +154,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsPassed:
-    """Pass configuration records on, in log order."""
+    """Pass configuration records on, in log order; none is missing after `after`."""
 
     records: tuple[LogRecord, ...]
+    after: int = -1
 
 
 Message = (
