--- a/jackdawspur/configuration/_keeper.py
+++ b/jackdawspur/configuration/_keeper.py
@@ -26,6 +26,7 @@
 )
 from jackdawspur.configuration._readiness import LogHealth, Readiness, ReadinessReason
 from jackdawspur.configuration._records import encode_record
+from jackdawspur.configuration._snapshots import SnapshotTurns
 from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of
 from jackdawspur.configuration._world import world_of
 from jackdawspur.configuration._zones import ZoneReports
@@ -45,8 +46,6 @@
 # Longer than a long poll's answer takes, so that a healthy log costs no pass-on.
 BEHIND_S = 0.3
 COLD_START_BOUND_S = 5.0
-SNAPSHOT_STAGGER_S = 5.0
-SNAPSHOT_RETRY_S = 30.0
 
 
 class Keeper:
@@ -78,8 +77,7 @@
         self._answered: set[HostId] = set()
         self._behind_since: float | None = None
         self._ask_until = now
-        self._snapshot_due: float | None = None
-        self._snapshot_not_before = now
+        self._snapshots = SnapshotTurns(host)
 
     @property
     def readiness(self) -> Readiness:
@@ -273,29 +271,12 @@
         return max(self.fold.version, self.fold.head)
 
     def _snapshot(self, now: float) -> list[KeeperEffect]:
-        if not self._snapshot_wanted():
-            self._snapshot_due = None
-            return []
-        if self._snapshot_due is None:
-            self._snapshot_due = now
-        # Every host works its turn out of its own view. If the first can't reach
-        # the log or the views differ, another follows; a double changes nothing.
-        names = sorted({(h.zone, h.name) for h in (*self._live, self._host)})
-        turn = names.index((self._host.zone, self._host.name)) * SNAPSHOT_STAGGER_S
-        if now < max(self._snapshot_due + turn, self._snapshot_not_before):
+        fold = self.fold
+        sure = fold.contiguous and fold.head == fold.version != NOTHING
+        able = sure and self._ready and self.log_health is LogHealth.UP
+        if not self._snapshots.due(fold, able, self._live, self._wall, now):
             return []
-        self._snapshot_not_before = now + SNAPSHOT_RETRY_S
         if not self.budget.take(Purpose.SNAPSHOT, now):
             return []
-        record = snapshot_of(self.fold, self._wall)
-        body = encode_record(record)
-        return [AppendRecord(Purpose.SNAPSHOT, record.id, body)]
-
-    def _snapshot_wanted(self) -> bool:
-        fold = self.fold
-        sure = fold.contiguous and fold.head == fold.version != NOTHING
-        if not (sure and self._ready and self.log_health is LogHealth.UP):
-            return False
-        policies = fold.configuration.policies
-        aged = self._wall - fold.snapshot_at >= policies.snapshot_interval_s
-        return aged or fold.changes_since_snapshot >= policies.snapshot_after_changes
+        record = snapshot_of(fold, self._wall)
+        return [AppendRecord(Purpose.SNAPSHOT, record.id, encode_record(record))]
--- a/jackdawspur/configuration/_pending.py
+++ b/jackdawspur/configuration/_pending.py
@@ -19,7 +19,7 @@
 
 PAGE = "operators/configuration"
 
-_STATUS_OF = {
+STATUS_OF = {
     DeskCode.OK: HTTPStatus.OK,
     DeskCode.INVALID: HTTPStatus.BAD_REQUEST,
     DeskCode.UNAUTHORIZED: HTTPStatus.UNAUTHORIZED,
