--- /dev/null
+++ b/jackdawspur/adapters/__init__.py
@@ -0,0 +1,14 @@
+"""Adapters between the decisions and everything that talks."""
+
+from jackdawspur.adapters._deadlines import Deadline, Deadlines
+from jackdawspur.adapters._http_client import HttpClient, HttpLimits, Replied
+from jackdawspur.adapters._http_connection import HttpReply
+
+__all__ = [
+    "Deadline",
+    "Deadlines",
+    "HttpClient",
+    "HttpLimits",
+    "HttpReply",
+    "Replied",
+]
--- /dev/null
+++ b/jackdawspur/standins/_worker_service.py
@@ -0,0 +1,220 @@
+"""Serve workers over HTTP; many of them in one process."""
+
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+
+import msgspec
+from circuits import Manager
+from circuits.core.pollers import EPoll
+
+from jackdawspur.adapters import Deadline, Deadlines
+from jackdawspur.standins._http_service import (
+    Exchange,
+    HttpService,
+    not_found,
+    split_address,
+)
+from jackdawspur.standins._worker import Worker
+from jackdawspur.standins._worker_types import (
+    RackSettings,
+    WorkerFaults,
+    WorkerSettings,
+)
+from jackdawspur.wire import StartsRequest, StatusRequest, StopRequest
+
+__all__ = ["WorkerService", "make_rack", "run_worker"]
+
+MS = 1000.0
+STARTS = "/v1/starts"
+RESULTS = "/v1/results"
+STATUS = "/v1/status"
+STOP = "/v1/stop"
+USAGE = "/v1/usage"
+COUNTERS = "/v1/counters"
+FAULTS = "/faults"
+
+
+class _Poll:
+    """Hold a long poll until a result of its holder is there, or its time is up."""
+
+    __slots__ = ("after", "deadline", "exchange", "holder")
+
+    def __init__(self, exchange: Exchange, holder: str, after: int) -> None:
+        self.exchange = exchange
+        self.holder = holder
+        self.after = after
+        self.deadline: Deadline | None = None
+
+
+class WorkerService(HttpService):
+    """Put one worker behind HTTP and misbehave as told."""
+
+    def __init__(
+        self, worker: Worker, address: tuple[str, int], deadlines: Deadlines, name: str
+    ) -> None:
+        super().__init__(address, channel=f"worker-{name}")
+        self._worker = worker
+        self._deadlines = deadlines
+        self._polls: list[_Poll] = []
+        self._wake: Deadline | None = None
+        self._wake_at: float | None = None
+        self._frozen_until = 0.0
+        self._arrived: deque[Exchange] = deque()
+        self._held: deque[Callable[[], None]] = deque()
+        self._requests: Counter[str] = Counter()
+        self._to_lose: Counter[str] = Counter()
+        self._answers = {
+            STARTS: self._starts,
+            RESULTS: self._results,
+            STATUS: self._status,
+            STOP: self._stop,
+            USAGE: self._usage,
+        }
+
+    @property
+    def worker(self) -> Worker:
+        """Return the worker behind it."""
+        return self._worker
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request, unless the worker is frozen."""
+        self._requests[exchange.path] += 1
+        if exchange.path == FAULTS:
+            self._set_faults(exchange)
+        elif exchange.path == COUNTERS:
+            counters = self._worker.counters()
+            requests = dict(self._requests)
+            exchange.reply(msgspec.structs.replace(counters, requests=requests))
+        elif self._deadlines.now < self._frozen_until:
+            self._arrived.append(exchange)
+        else:
+            self._answers.get(exchange.path, not_found)(exchange)
+            self._set_wake()
+
+    def gone(self, sock) -> None:
+        """Forget the polls of a closed connection."""
+        for poll in [each for each in self._polls if each.exchange.sock is sock]:
+            poll.deadline.cancel()
+            self._polls.remove(poll)
+
+    def _starts(self, exchange: Exchange) -> None:
+        request = msgspec.json.decode(exchange.body, type=StartsRequest)
+        self._reply(exchange, self._worker.start(request, self._deadlines.now))
+        self._answer_polls()
+
+    def _results(self, exchange: Exchange) -> None:
+        poll = _Poll(exchange, exchange.text("holder"), exchange.whole("after"))
+        wait_ms = exchange.number("wait_ms")
+        if not self._answer_poll(poll, final=wait_ms <= 0):
+            self._polls.append(poll)
+            poll.deadline = self._deadlines.call_after(
+                wait_ms / MS, lambda: self._poll_late(poll)
+            )
+
+    def _status(self, exchange: Exchange) -> None:
+        request = msgspec.json.decode(exchange.body, type=StatusRequest)
+        now = self._deadlines.now
+        self._reply(exchange, self._worker.status(request.tasks, request.seal, now))
+
+    def _stop(self, exchange: Exchange) -> None:
+        request = msgspec.json.decode(exchange.body, type=StopRequest)
+        self._reply(exchange, self._worker.stop(request.tasks, self._deadlines.now))
+        self._answer_polls()
+
+    def _usage(self, exchange: Exchange) -> None:
+        self._reply(exchange, self._worker.usage(self._deadlines.now))
+
+    def _poll_late(self, poll: _Poll) -> None:
+        self._polls.remove(poll)
+        self._answer_poll(poll, final=True)
+
+    def _answer_polls(self) -> None:
+        for poll in list(self._polls):
+            if self._answer_poll(poll, final=False):
+                poll.deadline.cancel()
+                self._polls.remove(poll)
+
+    def _answer_poll(self, poll: _Poll, final: bool) -> bool:
+        reply = self._worker.results(poll.holder, poll.after, self._deadlines.now)
+        if reply.outcomes or final:
+            self._reply(poll.exchange, reply)
+            return True
+        return False
+
+    def _reply(self, exchange: Exchange, body) -> None:
+        if self._to_lose[exchange.path] > 0:
+            self._to_lose[exchange.path] -= 1
+            exchange.drop()
+        elif self._worker.faults.hold_replies:
+            self._held.append(lambda: exchange.reply(body))
+        else:
+            exchange.reply(body)
+
+    def _set_faults(self, exchange: Exchange) -> None:
+        faults = msgspec.json.decode(exchange.body, type=WorkerFaults)
+        now = self._deadlines.now
+        self._worker.set_faults(faults, now)
+        self._to_lose[STARTS] = faults.lose_starts
+        self._to_lose[RESULTS] = faults.lose_results
+        self._to_lose[STATUS] = faults.lose_status
+        self._frozen_until = now + faults.frozen_ms / MS
+        self._deadlines.call_after(faults.frozen_ms / MS, self._thaw)
+        while self._held and not faults.hold_replies:
+            self._held.popleft()()
+        exchange.reply(faults)
+
+    def _thaw(self) -> None:
+        if self._deadlines.now < self._frozen_until:
+            return
+        self._advance()
+        while self._arrived:
+            self.serve(self._arrived.popleft())
+
+    def _advance(self) -> None:
+        self._wake_at = None
+        if self._deadlines.now < self._frozen_until:
+            return
+        if self._worker.advance(self._deadlines.now):
+            self._answer_polls()
+        self._set_wake()
+
+    def _set_wake(self) -> None:
+        change = self._worker.next_change
+        if change is None or (self._wake_at is not None and self._wake_at <= change):
+            return
+        if self._wake is not None:
+            self._wake.cancel()
+        self._wake_at = change
+        delay = max(0.0, change - self._deadlines.now)
+        self._wake = self._deadlines.call_after(delay, self._advance)
+
+
+def make_rack(settings: RackSettings, root: Manager) -> tuple[WorkerService, ...]:
+    """Register the workers of one process at its loop."""
+    deadlines = Deadlines().register(root)
+    incarnation = int(time.time() * MS)
+    return tuple(
+        _make_service(settings, place, text, deadlines, incarnation).register(root)
+        for place, text in enumerate(settings.addresses)
+    )
+
+
+def run_worker(settings: RackSettings) -> None:
+    """Serve the workers until the process is told to stop."""
+    root = Manager()
+    EPoll().register(root)
+    make_rack(settings, root)
+    root.run()
+
+
+def _make_service(
+    settings: RackSettings,
+    place: int,
+    address: str,
+    deadlines: Deadlines,
+    incarnation: int,
+) -> WorkerService:
+    sizes: WorkerSettings = settings.worker
+    worker = Worker(sizes, incarnation, settings.seed + place)
+    return WorkerService(worker, split_address(address), deadlines, str(place))
--- /dev/null
+++ b/jackdawspur/standins/_worker_types.py
@@ -0,0 +1,66 @@
+"""Settings, faults and counters of the stand-in upstream."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+__all__ = ["RackSettings", "WorkerCounters", "WorkerFaults", "WorkerSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerSettings:
+    """Size one worker; times in milliseconds, counts bound what it remembers."""
+
+    slots: int = 8
+    cpus: int = 32
+    memory_mb: int = 131072
+    accelerators: int = 8
+    default_run_ms: float = 100.0
+    usage_lag_ms: float = 1000.0
+    results_per_reply: int = 512
+    results_kept: int = 10000
+    holders_kept: int = 256
+    outcomes_kept: int = 10000
+    seals_kept: int = 100000
+    starts_remembered: int = 1000000
+    usage_kept: int = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class RackSettings:
+    """Say where a process serves its workers, one on each address ``IP:port``."""
+
+    addresses: tuple[str, ...]
+    worker: WorkerSettings = field(default_factory=WorkerSettings)
+    seed: int = 1
+
+
+class WorkerFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say how a worker misbehaves; a post replaces all faults set before.
+
+    `lose_starts`, `lose_results` and `lose_status` count replies that are dropped
+    after their effect; `hold_replies` keeps replies back until it is unset;
+    `frozen_ms` stops the whole worker for that long; `die` drops all tasks.
+    """
+
+    slow_factor: float = 1.0
+    straggler_fraction: float = 0.0
+    straggler_factor: float = 10.0
+    fail_all: bool = False
+    lose_starts: int = 0
+    lose_results: int = 0
+    lose_status: int = 0
+    hold_replies: bool = False
+    die: bool = False
+    leaving: bool = False
+    frozen_ms: float = 0.0
+
+
+class WorkerCounters(msgspec.Struct, frozen=True):
+    """Report what a worker counted, over all its incarnations."""
+
+    starts: int = 0
+    started_twice: int = 0
+    refusals: dict[str, int] = {}
+    busy: int = 0
+    requests: dict[str, int] = {}
