--- /dev/null
+++ b/jackdawspur/cli/_check.py
@@ -0,0 +1,61 @@
+"""The command that checks settings and configuration files."""
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from absl import flags
+
+from jackdawspur.cli._exit import ExitCode, UsageError
+from jackdawspur.configuration import InvalidConfiguration, load_configuration
+from jackdawspur.settings import (
+    EntrySettings,
+    HostListStandin,
+    LogStandin,
+    RackStandin,
+    load_settings,
+)
+
+__all__ = ["define", "run"]
+
+CONFIGURATION = "configuration"
+KINDS = {
+    "entry": EntrySettings,
+    "rack": RackStandin,
+    "log": LogStandin,
+    "hostlist": HostListStandin,
+}
+
+
+def define(values: flags.FlagValues) -> None:
+    """Define the flags of ``check-settings``."""
+    flags.DEFINE_enum(
+        "kind",
+        "entry",
+        [*KINDS, CONFIGURATION],
+        "What the files are.",
+        flag_values=values,
+    )
+
+
+def run(values: flags.FlagValues, rest: Sequence[str]) -> ExitCode:
+    """Check each file and print its verdict."""
+    if not rest:
+        raise UsageError("expected at least one file")
+    for path in rest:
+        if values.kind == CONFIGURATION:
+            _check_configuration(path)
+        else:
+            load_settings(KINDS[values.kind], path)
+        sys.stdout.write(f"{path}: good\n")
+    return ExitCode.OK
+
+
+def _check_configuration(path: str) -> None:
+    try:
+        load_configuration(Path(path).read_text())
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    except InvalidConfiguration as error:
+        faults = "; ".join(f"{e.path}: {e.message}" for e in error.errors)
+        raise UsageError(f"{path}: {faults}") from error
--- /dev/null
+++ b/jackdawspur/cli/_exit.py
@@ -0,0 +1,39 @@
+"""Exit statuses and errors of the command line."""
+
+import enum
+
+from jackdawspur.exceptions import JackdawspurError
+
+__all__ = ["ExitCode", "UsageError"]
+
+
+class ExitCode(enum.IntEnum):
+    """Say how a command ended."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    REFUSED = 3
+    UNREACHABLE = 4
+    BROKEN = 5
+    INTERRUPTED = 130
+
+    @property
+    def meaning(self) -> str:
+        """Return the status in words."""
+        return _MEANINGS[self]
+
+
+_MEANINGS = {
+    ExitCode.OK: "done",
+    ExitCode.FAILED: "a job failed or its outcome is unknown",
+    ExitCode.USAGE: "a wrong flag, argument or settings file",
+    ExitCode.REFUSED: "refused; of a job nothing was run if its body says so",
+    ExitCode.UNREACHABLE: "the entry host did not answer",
+    ExitCode.BROKEN: "an invariant was broken",
+    ExitCode.INTERRUPTED: "interrupted",
+}
+
+
+class UsageError(JackdawspurError):
+    """Raise when a command is called with the wrong arguments."""
--- /dev/null
+++ b/jackdawspur/cli/_load.py
@@ -0,0 +1,96 @@
+"""The command that puts load on a deployment."""
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+from absl import flags
+
+from jackdawspur.cli._exit import ExitCode, UsageError
+from jackdawspur.configuration import (
+    Configuration,
+    InvalidConfiguration,
+    load_configuration,
+)
+
+__all__ = ["define", "run"]
+
+
+def define(values: flags.FlagValues) -> None:
+    """Define the flags of ``load``."""
+    flags.DEFINE_string(
+        "deployment", None, "Configuration file of the deployment.", flag_values=values
+    )
+    flags.DEFINE_string("mix", "ramdenee", "Mix of jobs.", flag_values=values)
+    flags.DEFINE_string(
+        "token", "example-roster-token", "Customer's token.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "seconds", 20.0, "How long to submit.", 0.1, 3600.0, flag_values=values
+    )
+    flags.DEFINE_float(
+        "load", 0.5, "Part of all slots to keep busy.", 0.001, 5.0, flag_values=values
+    )
+    flags.DEFINE_integer("seed", 1, "Seed of the arrivals.", flag_values=values)
+    flags.mark_flag_as_required("deployment", flag_values=values)
+
+
+def run(values: flags.FlagValues, _rest: Sequence[str]) -> ExitCode:
+    """Submit jobs and print progress, then one JSON line."""
+    from jackdawspur.load import DEPLOYMENT_MIXES, LoadPlan
+
+    configuration = _read(values.deployment)
+    mix = DEPLOYMENT_MIXES.get(values.mix)
+    if mix is None:
+        raise UsageError(f"--mix: expected one of {', '.join(DEPLOYMENT_MIXES)}")
+    slots = sum(upstream.slots for upstream in configuration.upstreams)
+    plan = LoadPlan(
+        deployment=values.mix,
+        mix=mix,
+        token=values.token,
+        entry_hosts=tuple(host.http for host in configuration.entry_hosts),
+        upstreams=tuple(upstream.address for upstream in configuration.upstreams),
+        rate=values.load * slots / mix.slot_seconds(),
+        seconds=values.seconds,
+        seed=values.seed,
+    )
+    return _drive(plan)
+
+
+def _read(path: str) -> Configuration:
+    try:
+        return load_configuration(Path(path).read_text())
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    except InvalidConfiguration as error:
+        raise UsageError(f"{path}: {error}") from error
+
+
+def _drive(plan) -> ExitCode:
+    from circuits import Component
+    from circuits.core.pollers import EPoll
+
+    from jackdawspur.adapters import Deadlines
+    from jackdawspur.load import LoadDriver, Tally
+
+    root = Component()
+    EPoll().register(root)
+    reports = []
+
+    def finished(tally: Tally, upstreams, open_jobs: int) -> None:
+        reports.append(tally.report(plan.deployment, upstreams, open_jobs))
+        root.stop()
+
+    deadlines = Deadlines().register(root)
+    LoadDriver(plan, deadlines, _say, finished).register(root)
+    root.run()
+    if not reports:
+        return ExitCode.INTERRUPTED
+    sys.stdout.write(msgspec.json.encode(reports[0]).decode() + "\n")
+    return ExitCode.OK if reports[0].sound else ExitCode.BROKEN
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(text + "\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/jackdawspur/cli/_main.py
@@ -0,0 +1,162 @@
+"""One program with subcommands, on absl.flags."""
+
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from absl import flags
+
+from jackdawspur import __version__
+from jackdawspur.cli import _caller, _check, _entry, _load, _operator, _standin
+from jackdawspur.cli._exit import ExitCode, UsageError
+from jackdawspur.settings import SettingsError
+
+__all__ = ["main"]
+
+PROGRAM = "jackdawspur"
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """Describe a subcommand; `examples` follow the program's name."""
+
+    name: str
+    summary: str
+    define: Callable[[flags.FlagValues], None]
+    run: Callable[[flags.FlagValues, Sequence[str]], ExitCode]
+    examples: tuple[str, ...]
+
+
+COMMANDS = (
+    Command(
+        "entry",
+        "Run an entry host.",
+        _entry.define,
+        _entry.run,
+        ("entry --settings=examples/ramdenee/north-a-e1.json",),
+    ),
+    Command(
+        "submit",
+        "Submit a job and print its answer.",
+        _caller.define_submit,
+        _caller.run_submit,
+        (
+            "submit --host=127.0.0.1:18001 --token=example-roster-token job.json",
+            "submit --host=127.0.0.1:18001 --token=example-roster-token --key=order-17 -",
+        ),
+    ),
+    Command(
+        "cancel",
+        "Cancel a submission.",
+        _caller.define_common,
+        _caller.run_cancel,
+        ("cancel --host=127.0.0.1:18001 --token=example-roster-token SUBMISSION",),
+    ),
+    Command(
+        "status",
+        "Show an entry host as its operators see it.",
+        _operator.define,
+        _operator.run_status,
+        ("status --host=127.0.0.1:18001 --token=example-ann-token",),
+    ),
+    Command(
+        "plan",
+        "Plan a change of the configuration; nothing takes effect.",
+        _operator.define,
+        _operator.run_plan,
+        ("plan --host=127.0.0.1:18001 --token=example-ann-token intent.json",),
+    ),
+    Command(
+        "confirm",
+        "Confirm a plan.",
+        _operator.define,
+        _operator.run_confirm,
+        ("confirm --host=127.0.0.1:18001 --token=example-ann-token PLAN",),
+    ),
+    Command(
+        "history",
+        "Show who changed the configuration, when and why.",
+        _operator.define,
+        _operator.run_history,
+        ("history --host=127.0.0.1:18001 --token=example-ann-token",),
+    ),
+    Command(
+        "load",
+        "Put load on a deployment and check its invariants.",
+        _load.define,
+        _load.run,
+        ("load --deployment=examples/ramdenee.json --seconds=20 --load=0.5",),
+    ),
+    Command(
+        "check-settings",
+        "Check settings and configuration files.",
+        _check.define,
+        _check.run,
+        ("check-settings --kind=entry examples/ramdenee/north-a-e1.json",),
+    ),
+    Command(
+        "standin",
+        "Run a stand-in of the platform: worker, log or hostlist.",
+        _standin.define,
+        _standin.run,
+        ("standin worker --settings=examples/ramdenee/rack-north-a.json",),
+    ),
+)
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run a subcommand and return the exit status."""
+    arguments = list(argv[1:])
+    if not arguments or arguments[0] in ("--help", "-h", "help"):
+        sys.stdout.write(_overview())
+        return ExitCode.OK
+    if arguments[0] == "--version":
+        sys.stdout.write(f"{PROGRAM} {__version__}\n")
+        return ExitCode.OK
+    command = next((c for c in COMMANDS if c.name == arguments[0]), None)
+    if command is None:
+        names = ", ".join(c.name for c in COMMANDS)
+        return _complain(f"no command {arguments[0]!r}; expected one of {names}")
+    return _run(command, arguments[1:])
+
+
+def _run(command: Command, arguments: list[str]) -> int:
+    values = flags.FlagValues()
+    command.define(values)
+    if "--help" in arguments or "-h" in arguments:
+        sys.stdout.write(_help(command, values))
+        return ExitCode.OK
+    try:
+        rest = values([command.name, *arguments])[1:]
+        return int(command.run(values, rest))
+    except flags.Error as error:
+        return _complain(f"{command.name}: {error}")
+    except (UsageError, SettingsError) as error:
+        return _complain(f"{command.name}: {error}")
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+
+
+def _complain(text: str) -> int:
+    sys.stderr.write(f"{PROGRAM}: {' '.join(text.split())}\n")
+    return ExitCode.USAGE
+
+
+def _overview() -> str:
+    width = max(len(c.name) for c in COMMANDS)
+    lines = [f"Usage: {PROGRAM} COMMAND [FLAGS]", "", "Commands:"]
+    lines += [f"  {c.name.ljust(width)}  {c.summary}" for c in COMMANDS]
+    lines += ["", "Exit status:"]
+    lines += [f"  {code.value}  {code.meaning}" for code in ExitCode]
+    lines += ["", f"{PROGRAM} COMMAND --help shows flags and examples."]
+    return "\n".join(lines) + "\n"
+
+
+def _help(command: Command, values: flags.FlagValues) -> str:
+    lines = [command.summary, "", "Flags:"]
+    for name in sorted(values):
+        flag = values[name]
+        lines.append(f"  --{name}: {flag.help} (default: {flag.default!r})")
+    lines += ["", "Examples:"]
+    lines += [f"  {PROGRAM} {example}" for example in command.examples]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/jackdawspur/cli/_standin.py
@@ -0,0 +1,69 @@
+"""The command that runs a stand-in of the platform."""
+
+from collections.abc import Sequence
+
+from absl import flags
+
+from jackdawspur.cli._exit import ExitCode, UsageError
+from jackdawspur.settings import (
+    HostListStandin,
+    LogStandin,
+    RackStandin,
+    load_settings,
+)
+
+__all__ = ["define", "run"]
+
+
+def define(values: flags.FlagValues) -> None:
+    """Define the flags of ``standin``."""
+    flags.DEFINE_string("settings", None, "Settings file.", flag_values=values)
+    flags.mark_flag_as_required("settings", flag_values=values)
+
+
+def run(values: flags.FlagValues, rest: Sequence[str]) -> ExitCode:
+    """Run one kind of stand-in until told to stop."""
+    runners = {"worker": _worker, "log": _log, "hostlist": _hostlist}
+    if len(rest) != 1 or rest[0] not in runners:
+        raise UsageError(f"expected one of {', '.join(runners)}")
+    runners[rest[0]](values.settings)
+    return ExitCode.OK
+
+
+def _worker(path: str) -> None:
+    from jackdawspur.standins import RackSettings, WorkerSettings, run_worker
+
+    settings = load_settings(RackStandin, path)
+    worker = WorkerSettings(
+        slots=settings.slots,
+        cpus=settings.cpus,
+        memory_mb=settings.memory_mb,
+        accelerators=settings.accelerators,
+        usage_lag_ms=settings.usage_lag_ms,
+    )
+    run_worker(RackSettings(settings.addresses, worker, settings.seed))
+
+
+def _log(path: str) -> None:
+    from jackdawspur.standins import LogSettings, run_log
+
+    settings = load_settings(LogStandin, path)
+    run_log(
+        LogSettings(
+            settings.address,
+            settings.append_delay_ms,
+            settings.appends_per_s,
+            settings.records_kept,
+            settings.seconds_kept,
+        )
+    )
+
+
+def _hostlist(path: str) -> None:
+    from jackdawspur.platform import HostRole
+    from jackdawspur.standins import HostListSettings, run_hostlist
+    from jackdawspur.wire import HostBody
+
+    settings = load_settings(HostListStandin, path)
+    hosts = tuple(HostBody(h.zone, h.name, HostRole(h.role)) for h in settings.hosts)
+    run_hostlist(HostListSettings(settings.address, settings.lag_ms, hosts))
--- a/jackdawspur/dispatch/_ends.py
+++ b/jackdawspur/dispatch/_ends.py
@@ -71,5 +71,3 @@
     else:
         state.health.cancelled(upstream)
     state.queue.task_ended(job.queued, flight.index, run_ms)
-
-
--- a/jackdawspur/dispatch/_forward.py
+++ b/jackdawspur/dispatch/_forward.py
@@ -1,7 +1,5 @@
 """Passing calls on to the owner of their submission."""
 
-from dataclasses import dataclass
-
 from jackdawspur.dispatch._answers import answer_call
 from jackdawspur.dispatch._effects import SendPeer
 from jackdawspur.dispatch._events import CancelAsked, Polled, Submitted
--- a/jackdawspur/dispatch/_job.py
+++ b/jackdawspur/dispatch/_job.py
@@ -81,7 +81,9 @@
     @property
     def unsure(self) -> bool:
         """Tell whether some task's start or end is not known here."""
-        return self.delegate is not None or any(p.phase is not TaskPhase.DONE for p in self.placements.values())
+        return self.delegate is not None or any(
+            p.phase is not TaskPhase.DONE for p in self.placements.values()
+        )
 
     def task(self, index: int) -> TaskId:
         """Return the id of a task."""
--- a/jackdawspur/dispatch/_run.py
+++ b/jackdawspur/dispatch/_run.py
@@ -75,9 +75,7 @@
     return request.idempotent and len(request.tasks) <= MAX_PROBE_TASKS
 
 
-def _next(
-    state: State, open_slots: list[UpstreamId], now: float
-) -> NextTask | None:
+def _next(state: State, open_slots: list[UpstreamId], now: float) -> NextTask | None:
     return state.queue.next_task(
         now,
         lambda spec: state.room.first_fit(open_slots, spec) is not None,
@@ -85,9 +83,7 @@
     )
 
 
-def _send(
-    state: State, found: NextTask, upstream: UpstreamId, now: float
-) -> TaskStart:
+def _send(state: State, found: NextTask, upstream: UpstreamId, now: float) -> TaskStart:
     """Commit to one start of a task; from here on it may have run."""
     job = state.jobs[found.job.submission]
     launch(state, job, found.index, upstream, now)
@@ -173,5 +169,3 @@
         flight = state.flights.get(outcome.task)
         if flight is not None:
             end_task(state, outcome, flight, now)
-
-
--- a/jackdawspur/dispatch/_submit.py
+++ b/jackdawspur/dispatch/_submit.py
@@ -9,6 +9,7 @@
     pending,
     refusal,
 )
+from jackdawspur.dispatch._delegate import cancel_delegated
 from jackdawspur.dispatch._door import refuse_at_door
 from jackdawspur.dispatch._effects import AppendClaim, IssueIds
 from jackdawspur.dispatch._events import (
@@ -21,7 +22,6 @@
     Polled,
     Submitted,
 )
-from jackdawspur.dispatch._delegate import cancel_delegated
 from jackdawspur.dispatch._forward import forward_cancel, forward_poll, forward_request
 from jackdawspur.dispatch._job import Job, Stage
 from jackdawspur.dispatch._place import enqueue
--- /dev/null
+++ b/jackdawspur/dispatch/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions of one entry host."""
--- /dev/null
+++ b/jackdawspur/dispatch/tests/conftest.py
@@ -0,0 +1,146 @@
+"""A host under test whose adapters are the test itself."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from jackdawspur.dispatch import (
+    AnswerCall,
+    EntryCore,
+    PeerReceived,
+    ResultsReplied,
+    SendPeer,
+    StartsReplied,
+    StartTasks,
+    Submitted,
+    Tick,
+    WorldSet,
+)
+from jackdawspur.messages import Heartbeat
+from jackdawspur.model import (
+    Answer,
+    Customer,
+    EntryHost,
+    HostId,
+    JobRequest,
+    TaskId,
+    TaskOutcome,
+    TaskSpec,
+    TaskState,
+    Upstream,
+    UpstreamId,
+    World,
+)
+from jackdawspur.platform import StartVerdict, UpstreamReply
+
+OWN = HostId("north", "e1", 100)
+SIBLING = HostId("north", "e2", 200)
+FIRST_RUN = 7
+SECOND_RUN = 8
+UPSTREAMS = tuple(
+    Upstream(UpstreamId("north", f"w{n}"), f"127.0.0.1:1820{n}", rack=f"r{n % 2}")
+    for n in range(2)
+)
+WORLD = World(
+    version=1,
+    customers=(
+        Customer("roster", quota_slots=64),
+        Customer("maps", quota_slots=64),
+    ),
+    entry_hosts=(EntryHost("north", "e1", "127.0.0.1:1", "127.0.0.1:2"),),
+    upstreams=UPSTREAMS,
+)
+
+
+def make_request(tasks: int = 2, **changes) -> JobRequest:
+    """Return a request of equal tasks."""
+    fields = {"customer": "roster", "job_class": "confirm", "deadline_ms": 5000.0}
+    specs = tuple(TaskSpec(f"{n}", 100.0) for n in range(tasks))
+    return JobRequest(tasks=specs, **(fields | changes))
+
+
+@dataclass
+class Bench:
+    """Drive one core by hand and keep everything it asks for."""
+
+    core: EntryCore
+    now: float = 0.0
+    effects: list = field(default_factory=list)
+
+    def do(self, event) -> list:
+        """Let an event happen now."""
+        effects = self.core.handle(event, self.now)
+        self.effects += effects
+        return effects
+
+    def wait(self, seconds: float, step: float = 0.05) -> list:
+        """Let time pass in ticks."""
+        effects = []
+        until = self.now + seconds
+        while self.now < until - 1e-9:
+            self.now = min(until, self.now + step)
+            effects += self.do(Tick())
+        return effects
+
+    def submit(self, request: JobRequest, call: int = 1) -> list[StartTasks]:
+        """Submit a job and return the starts it led to."""
+        return starts_in(self.do(Submitted(call, request)))
+
+    def verdicts(self, start: StartTasks, refusal=None, run: int = FIRST_RUN) -> list:
+        """Let an upstream answer a batch of starts."""
+        verdicts = tuple(StartVerdict(s.task, refusal) for s in start.starts)
+        return self.do(StartsReplied(UpstreamReply(start.upstream, run, verdicts)))
+
+    def results(
+        self, start: StartTasks, state=TaskState.DONE, run: int = FIRST_RUN
+    ) -> list:
+        """Let an upstream report the end of a batch."""
+        outcomes = tuple(
+            TaskOutcome(s.task, state, f"out-{s.payload}") for s in start.starts
+        )
+        reply = UpstreamReply(start.upstream, run, outcomes=outcomes)
+        return self.do(ResultsReplied(reply))
+
+    def hear(self, host: HostId, **changes) -> list:
+        """Let a heartbeat of a peer arrive."""
+        fields = {
+            "sequence": int(self.now * 1000) + 1,
+            "ready": True,
+            "draining": False,
+            "version": 1,
+            "free_slots": 0,
+            "waiting_tasks": 0,
+            "backlog_ms": 0.0,
+        }
+        return self.do(PeerReceived(host, Heartbeat(host, **(fields | changes))))
+
+    @property
+    def started(self) -> list[TaskId]:
+        """Return every task of every start sent so far, repeats included."""
+        return [s.task for e in starts_in(self.effects) for s in e.starts]
+
+
+def starts_in(effects) -> list[StartTasks]:
+    """Return the starts among effects."""
+    return [e for e in effects if isinstance(e, StartTasks)]
+
+
+def answers_in(effects) -> list[Answer]:
+    """Return the answers among effects."""
+    return [e.answer for e in effects if isinstance(e, AnswerCall)]
+
+
+def messages_in(effects, kind) -> list:
+    """Return the messages of one kind among effects."""
+    sent = [e.message for e in effects if isinstance(e, SendPeer)]
+    return [message for message in sent if isinstance(message, kind)]
+
+
+@pytest.fixture
+def bench() -> Bench:
+    """Return a host with a world of two upstreams, alone in its zone."""
+    bench = Bench(EntryCore(OWN, random.Random(1), 0.0))
+    bench.do(WorldSet(WORLD))
+    bench.wait(1.0)
+    return bench
--- /dev/null
+++ b/jackdawspur/dispatch/tests/test_at_most_once.py
@@ -0,0 +1,179 @@
+"""No task starts twice, and "not run" is only said when it is true."""
+
+import pytest
+
+from jackdawspur.dispatch import (
+    AskStatus,
+    CancelAsked,
+    StartsLost,
+    StatusLost,
+    StatusReplied,
+    StopTasks,
+)
+from jackdawspur.dispatch.tests.conftest import (
+    FIRST_RUN,
+    SECOND_RUN,
+    answers_in,
+    make_request,
+    starts_in,
+)
+from jackdawspur.model import FailureCode, JobState, TaskOutcome, TaskState
+from jackdawspur.platform import RefusalReason, UpstreamReply
+
+
+def lose(bench, start, left):
+    tasks = tuple(s.task for s in start.starts)
+    return bench.do(StartsLost(start.upstream, tasks, left))
+
+
+def status(bench, start, state, run=FIRST_RUN):
+    outcomes = tuple(TaskOutcome(s.task, state, "late") for s in start.starts)
+    reply = UpstreamReply(start.upstream, run, outcomes=outcomes)
+    return bench.do(StatusReplied(reply))
+
+
+def test_whole_job_is_answered_in_order(bench):
+    starts = bench.submit(make_request(5))
+    for start in reversed(starts):
+        bench.verdicts(start)
+    effects = [e for start in reversed(starts) for e in bench.results(start)]
+    (answer,) = answers_in(effects)
+    assert answer.state is JobState.COMPLETE
+    assert answer.outputs == tuple(f"out-{n}" for n in range(5))
+
+
+def test_lost_reply_is_asked_after_and_not_sent_again(bench):
+    """A crew is sent out twice.
+
+    The upstream takes the start, its reply is lost, the entry host takes the silence
+    for a failure and sends the start again.
+    """
+    (start,) = bench.submit(make_request(1))
+    effects = lose(bench, start, left=True)
+    assert not starts_in(effects)
+    assert [type(e) for e in effects] == [AskStatus]
+    bench.wait(1.0)
+    effects = status(bench, start, TaskState.DONE)
+    assert answers_in(effects)[0].outputs == ("late",)
+    assert len(bench.started) == 1
+
+
+def test_start_that_never_left_is_sent_again(bench):
+    (start,) = bench.submit(make_request(1))
+    lose(bench, start, left=False)
+    bench.wait(0.5)
+    assert len(bench.started) == 2
+
+
+def test_barred_start_of_the_same_run_is_sent_again(bench):
+    (first,) = bench.submit(make_request(1), call=1)
+    bench.verdicts(first)
+    bench.results(first)
+    others = bench.submit(make_request(2), call=2)
+    known = next(s for s in others if s.upstream == first.upstream)
+    lose(bench, known, left=True)
+    effects = status(bench, known, TaskState.SEALED)
+    effects += bench.wait(0.5)
+    assert [s.task for e in starts_in(effects) for s in e.starts] == [
+        s.task for s in known.starts
+    ]
+
+
+@pytest.mark.parametrize("state", [TaskState.SEALED, TaskState.UNKNOWN])
+def test_restarted_upstream_proves_nothing(bench, state):
+    """A map order is billed twice.
+
+    The upstream starts it, dies and restarts; its reply is lost. Asked, the new run
+    knows nothing of the task. Cause: "no trace" is taken for "never started".
+    """
+    (start,) = bench.submit(make_request(1))
+    bench.verdicts(start)
+    (second,) = bench.submit(make_request(1), call=2)
+    lose(bench, second, left=True)
+    effects = status(bench, second, state, run=SECOND_RUN)
+    effects += bench.wait(1.0)
+    codes = {a.code for a in answers_in(bench.effects)}
+    assert FailureCode.OUTCOME_UNKNOWN in codes
+    assert not any(a.not_run for a in answers_in(bench.effects))
+    assert len(bench.started) == 2
+
+
+def test_unanswered_status_ends_as_unknown(bench):
+    """A dispatcher is told "not run" for a reassignment that did run.
+
+    The reply to the start is lost and the upstream stays silent to the deadline.
+    """
+    (start,) = bench.submit(make_request(1, deadline_ms=2000.0))
+    lose(bench, start, left=True)
+    tasks = tuple(s.task for s in start.starts)
+    for _ in range(3):
+        bench.do(StatusLost(start.upstream, tasks))
+        bench.wait(0.5)
+    effects = bench.wait(1.0)
+    (answer,) = answers_in(effects) or answers_in(bench.effects)
+    assert answer.code is FailureCode.OUTCOME_UNKNOWN
+    assert not answer.not_run
+    assert len(bench.started) == 1
+
+
+def test_refused_everywhere_is_not_run(bench):
+    starts = bench.submit(make_request(1, deadline_ms=300.0))
+    for _ in range(20):
+        again = [e for s in starts for e in bench.verdicts(s, RefusalReason.FULL)]
+        starts = starts_in(again + bench.wait(0.05))
+    (answer,) = answers_in(bench.effects)
+    assert answer.not_run
+    assert answer.state is JobState.REFUSED
+
+
+def test_failed_task_fails_the_whole_job_at_once(bench):
+    """A skipper gets 359 of 360 tiles and takes the overlay for complete.
+
+    One task fails; the others are stopped, and the answer is one clear failure.
+    """
+    starts = bench.submit(make_request(4))
+    for start in starts:
+        bench.verdicts(start)
+    effects = bench.results(starts[0], TaskState.FAILED)
+    (answer,) = answers_in(effects)
+    assert answer.code is FailureCode.TASK_FAILED
+    assert answer.outputs == ()
+    assert any(isinstance(e, StopTasks) for e in effects)
+    assert not answers_in(bench.results(starts[1]))
+
+
+def test_cancelled_before_its_start_never_starts(bench):
+    """A client cancels, is told "not run", and the task runs after all."""
+    bench.submit(make_request(16), call=1)
+    assert not bench.submit(make_request(4), call=2)
+    waiting = [j for j in bench.core.state.jobs.values() if j.untouched]
+    effects = bench.do(CancelAsked(3, "roster", waiting[0].submission))
+    assert all(a.not_run for a in answers_in(effects))
+    assert len(answers_in(effects)) == 2
+    bench.wait(3.0)
+    assert all(t.submission != waiting[0].submission for t in bench.started)
+
+
+def test_cancelled_while_a_start_is_on_its_way_is_not_called_not_run(bench):
+    starts = bench.submit(make_request(1))
+    submission = starts[0].starts[0].task.submission
+    effects = bench.do(CancelAsked(2, "roster", submission))
+    assert not any(a.not_run for a in answers_in(effects))
+
+
+def test_pause_past_the_deadline_starts_nothing(bench):
+    """A reassignment runs although its dispatcher was told that it failed.
+
+    The host is paused with the job in its queue and wakes after the deadline. Cause:
+    it goes on with what it believed before the pause.
+    """
+    bench.submit(make_request(16), call=1)
+    bench.submit(make_request(2, deadline_ms=3000.0), call=2)
+    before = len(bench.started)
+    bench.now += 20.0
+    effects = bench.wait(0.1)
+    assert len(bench.started) == before
+    assert {a.code for a in answers_in(effects)} == {
+        FailureCode.OUTCOME_UNKNOWN,
+        FailureCode.DEADLINE,
+    }
--- /dev/null
+++ b/jackdawspur/dispatch/tests/test_ownership.py
@@ -0,0 +1,275 @@
+"""One owner a submission: ids, keys, forwards and delegations."""
+
+import random
+
+import pytest
+
+from jackdawspur.dispatch import (
+    AppendClaim,
+    CancelAsked,
+    Claim,
+    ClaimEnded,
+    ClaimsRead,
+    EntryCore,
+    IdsAsked,
+    IssueIds,
+    PeerReceived,
+    Polled,
+    SendPeer,
+    Submitted,
+    WorldSet,
+)
+from jackdawspur.dispatch.tests.conftest import (
+    OWN,
+    SIBLING,
+    WORLD,
+    Bench,
+    answers_in,
+    make_request,
+    messages_in,
+    starts_in,
+)
+from jackdawspur.messages import Delegate, DelegateAnswer, Forward, ForwardAnswer
+from jackdawspur.model import (
+    Answer,
+    FailureCode,
+    HostId,
+    JobState,
+    SubmissionId,
+)
+
+KEYED = make_request(1, key="order-17", idempotent=False)
+
+
+def issue(bench) -> SubmissionId:
+    (effect,) = [
+        e for e in bench.do(IdsAsked(90, "roster", 1)) if isinstance(e, IssueIds)
+    ]
+    return effect.ids[0]
+
+
+def claim_of(effects) -> Claim:
+    (effect,) = [e for e in effects if isinstance(e, AppendClaim)]
+    return effect.claim
+
+
+def restarted() -> Bench:
+    """Return a bench with the next run of the same host."""
+    host = HostId(OWN.zone, OWN.name, OWN.incarnation + 1)
+    bench = Bench(EntryCore(host, random.Random(2), 0.0))
+    bench.do(WorldSet(WORLD))
+    bench.wait(1.0)
+    return bench
+
+
+def test_issued_id_runs_once_however_often_it_is_submitted(bench):
+    """A supervisor's app repeats a confirmation whose answer it never saw."""
+    request = make_request(1, submission=issue(bench), idempotent=False)
+    (start,) = bench.submit(request, call=1)
+    assert not bench.submit(request, call=2)
+    bench.verdicts(start)
+    bench.results(start)
+    assert not bench.submit(request, call=3)
+    states = [a.state for a in answers_in(bench.effects)]
+    assert states == [JobState.COMPLETE] * 3
+    assert len(bench.started) == 1
+
+
+def test_issued_id_of_an_earlier_run_is_never_run_again(bench):
+    """A cooperative is billed twice after an entry host restarted.
+
+    The order ran, the host died, the caller repeats it at the restarted host, which
+    remembers nothing.
+    """
+    submission = issue(bench)
+    again = restarted()
+    request = make_request(1, submission=submission, idempotent=False)
+    assert not again.submit(request, call=5)
+    again.wait(1.0)
+    (answer,) = answers_in(again.effects)
+    assert answer.code is FailureCode.OWNER_LOST
+    assert not answer.not_run
+
+
+def test_spent_id_that_is_forgotten_does_not_run(bench):
+    request = make_request(1, submission=issue(bench), idempotent=False)
+    (start,) = bench.submit(request, call=1)
+    bench.verdicts(start)
+    bench.results(start)
+    bench.wait(700.0, step=0.4)
+    assert not bench.submit(request, call=2)
+    assert not answers_in(bench.effects)[-1].not_run
+
+
+def test_id_of_another_customer_is_not_found(bench):
+    submission = issue(bench)
+    foreign = make_request(1, submission=submission, customer="maps")
+    assert not bench.submit(foreign)
+    effects = bench.do(Polled(7, "maps", submission))
+    assert {a.code for a in answers_in(effects)} == {FailureCode.NOT_FOUND}
+
+
+def test_refused_attempt_may_be_repeated_under_its_id(bench):
+    submission = issue(bench)
+    huge = make_request(1, submission=submission)
+    bench.submit(make_request(16), call=1)
+    bench.submit(huge, call=2)
+    bench.do(CancelAsked(3, "roster", submission))
+    effects = bench.do(Submitted(4, huge))
+    assert not answers_in(effects)
+    assert bench.core.state.latest_attempt(submission) != submission
+
+
+def test_same_id_with_other_work_is_a_conflict(bench):
+    submission = issue(bench)
+    bench.submit(make_request(1, submission=submission), call=1)
+    bench.submit(make_request(2, submission=submission), call=2)
+    assert answers_in(bench.effects)[-1].code is FailureCode.CONFLICT
+
+
+def test_key_starts_nothing_before_its_claim_is_read_back(bench):
+    claim = claim_of(bench.do(Submitted(1, KEYED)))
+    assert not bench.do(ClaimEnded(claim, True))
+    assert len(starts_in(bench.do(ClaimsRead((claim,))))) == 1
+
+
+def test_key_claimed_first_by_another_host_runs_there(bench):
+    """A reassignment sent to two hosts at once sends two crews.
+
+    Both hosts claim its key. The log orders the other host's claim first.
+    """
+    bench.hear(SIBLING)
+    claim = claim_of(bench.do(Submitted(1, KEYED)))
+    theirs = Claim("roster", "order-17", SubmissionId(SIBLING, 4))
+    effects = bench.do(ClaimsRead((theirs, claim)))
+    assert not starts_in(effects)
+    (forward,) = messages_in(effects, Forward)
+    assert forward.submission == theirs.submission
+    done = Answer(JobState.COMPLETE, theirs.submission, ("x",))
+    effects = bench.do(PeerReceived(SIBLING, ForwardAnswer(forward.call, done)))
+    assert answers_in(effects) == [done]
+
+
+def test_paused_claimer_that_lost_the_key_starts_nothing(bench):
+    """The first of two hosts is paused after its claim and wakes 20 s later."""
+    claim = claim_of(bench.do(Submitted(1, KEYED)))
+    bench.now += 20.0
+    bench.wait(0.1)
+    effects = bench.do(ClaimsRead((claim,)))
+    assert not starts_in(effects)
+    assert not answers_in(bench.effects)[0].not_run
+
+
+def test_key_while_the_log_is_down_is_not_called_not_run(bench):
+    """A dispatcher repeats a reassignment at another host while the log is down.
+
+    The first attempt ran, but its claim never reached this host. "Not run" would
+    make the dispatcher send a second crew.
+    """
+    claim = claim_of(bench.do(Submitted(1, KEYED)))
+    bench.do(ClaimEnded(claim, False))
+    bench.do(Submitted(2, KEYED))
+    answers = answers_in(bench.effects)
+    assert [a.code for a in answers] == [FailureCode.LOG_UNAVAILABLE] * 2
+    assert not any(a.not_run for a in answers)
+    assert all(a.retry_after_ms for a in answers)
+    assert not bench.started
+
+
+def test_key_given_up_runs_on_repeat_once_its_claim_shows(bench):
+    claim = claim_of(bench.do(Submitted(1, KEYED)))
+    bench.do(ClaimEnded(claim, None))
+    bench.wait(2.0)
+    bench.do(ClaimsRead((claim,)))
+    assert len(bench.submit(KEYED, call=2)) == 1
+
+
+def test_idempotent_key_runs_while_the_log_is_down(bench):
+    request = make_request(1, key="ask-1")
+    claim = claim_of(bench.do(Submitted(1, request)))
+    assert len(starts_in(bench.do(ClaimEnded(claim, False)))) == 1
+
+
+def test_claims_trimmed_unread_bar_new_keys(bench):
+    bench.do(ClaimsRead((), gap=True))
+    assert not bench.submit(KEYED)
+    assert answers_in(bench.effects)[-1].code is FailureCode.LOG_UNAVAILABLE
+
+
+def test_forward_to_a_host_that_restarts_ends_as_unknown(bench):
+    bench.hear(SIBLING)
+    bench.do(Polled(1, "roster", SubmissionId(SIBLING, 9), wait=True))
+    bench.hear(HostId(SIBLING.zone, SIBLING.name, SIBLING.incarnation + 1))
+    bench.wait(1.0)
+    (answer,) = answers_in(bench.effects)
+    assert answer.code is FailureCode.OWNER_LOST
+    assert not answer.not_run
+
+
+def delegated(bench, tasks=4):
+    """Let the own slots be full and a sibling idle, and submit one more job."""
+    bench.hear(SIBLING, free_slots=8)
+    bench.submit(make_request(60, deadline_ms=60_000.0), call=1)
+    bench.hear(SIBLING, free_slots=8)
+    effects = bench.do(Submitted(2, make_request(tasks)))
+    return effects, messages_in(effects, Delegate)
+
+
+def test_delegate_that_dies_ends_as_unknown(bench):
+    """A job is handed to a sibling that dies; its caller must not hear "not run"."""
+    _, sent = delegated(bench)
+    (message,) = sent
+    bench.hear(HostId(SIBLING.zone, SIBLING.name, SIBLING.incarnation + 1))
+    bench.wait(1.0)
+    answer = answers_in(bench.effects)[-1]
+    assert answer.submission == message.submission
+    assert answer.code is FailureCode.OUTCOME_UNKNOWN
+
+
+def test_job_that_the_delegate_refused_waits_here(bench):
+    _, (message,) = delegated(bench)
+    code = FailureCode.OVERLOADED
+    no = Answer(JobState.REFUSED, message.submission, code=code, not_run=True)
+    effects = bench.do(PeerReceived(SIBLING, DelegateAnswer(message.submission, no)))
+    assert not messages_in(effects, Delegate)
+    assert bench.core.state.jobs[message.submission].delegate is None
+
+
+def test_repeated_delegation_runs_once(bench):
+    request = make_request(1)
+    message = Delegate(SubmissionId(SIBLING, 3), request, 4000.0)
+    first = starts_in(bench.do(PeerReceived(SIBLING, message)))
+    assert len(first) == 1
+    assert not starts_in(bench.do(PeerReceived(SIBLING, message)))
+    bench.verdicts(first[0])
+    effects = bench.results(first[0])
+    effects += bench.do(PeerReceived(SIBLING, message))
+    answers = messages_in(effects, DelegateAnswer)
+    assert [a.answer.state for a in answers] == [JobState.COMPLETE] * 2
+    assert len(bench.started) == 1
+
+
+def test_delegation_refused_once_stays_refused(bench):
+    """The owner took the job back; a delayed copy of the message comes in later."""
+    bench.core.state.draining = True
+    message = Delegate(SubmissionId(SIBLING, 3), make_request(1), 4000.0)
+    bench.do(PeerReceived(SIBLING, message))
+    bench.core.state.draining = False
+    effects = bench.do(PeerReceived(SIBLING, message))
+    assert not starts_in(effects)
+    assert messages_in(effects, DelegateAnswer)[0].answer.not_run
+
+
+@pytest.mark.parametrize("wait", [True, False])
+def test_forwarded_call_is_answered_through_its_host(bench, wait):
+    request = make_request(1, submission=issue(bench))
+    message = Forward(31, "roster", request.submission, wait, request)
+    effects = bench.do(PeerReceived(SIBLING, message))
+    (start,) = starts_in(effects)
+    bench.verdicts(start)
+    effects += bench.results(start)
+    (answer,) = messages_in(effects, ForwardAnswer)
+    assert answer.call == 31
+    expected = JobState.COMPLETE if wait else JobState.PENDING
+    assert answer.answer.state is expected
+    assert all(e.to == SIBLING for e in effects if isinstance(e, SendPeer))
--- a/jackdawspur/entry/_claims.py
+++ b/jackdawspur/entry/_claims.py
@@ -84,9 +84,7 @@
             return
         batch, self._waiting = self._waiting, []
         self._appending = True
-        bodies = tuple(
-            _ClaimBody(c.customer, c.key, str(c.submission)) for c in batch
-        )
+        bodies = tuple(_ClaimBody(c.customer, c.key, str(c.submission)) for c in batch)
         record = msgspec.json.encode(_ClaimsRecord(SCHEMA, bodies)).decode()
         self._log.append(
             Stream.CLAIMS, record, lambda done: self._appended(batch, done)
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -56,7 +56,7 @@
 from jackdawspur.entry._status import HostStatus, status_of
 from jackdawspur.entry._upstreams import UpstreamDriver
 from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
-from jackdawspur.model import EntryHost, HostId, TaskId
+from jackdawspur.model import EntryHost, HostId
 from jackdawspur.settings import EntrySettings
 
 __all__ = ["EntryHostProcess", "run_entry"]
--- /dev/null
+++ b/jackdawspur/load/_mix.py
@@ -0,0 +1,112 @@
+"""What callers submit: kinds of jobs and their sizes."""
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+__all__ = ["DEPLOYMENT_MIXES", "JobKind", "Mix", "PlannedJob", "plan_job"]
+
+# One task in this many takes several seconds, as the users say of theirs.
+LONG_TASK_EVERY = 400
+LONG_TASK_MS = (2000.0, 4000.0)
+
+
+@dataclass(frozen=True, slots=True)
+class JobKind:
+    """Describe one kind of request; run times in milliseconds."""
+
+    job_class: str
+    weight: float
+    tasks: tuple[int, int]
+    run_ms: tuple[float, float]
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """Hold the kinds of one customer."""
+
+    customer: str
+    kinds: tuple[JobKind, ...]
+
+    def slot_seconds(self) -> float:
+        """Return the mean slot time of a job, long tasks included."""
+        total = sum(kind.weight for kind in self.kinds)
+        return sum(k.weight * _slot_seconds(k) for k in self.kinds) / total
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedJob:
+    """Hold one job to submit and the outputs it must bring."""
+
+    kind: JobKind
+    body: bytes
+    outputs: tuple[str, ...]
+    ideal_ms: float
+
+
+DEPLOYMENT_MIXES = {
+    "ramdenee": Mix(
+        "roster",
+        (
+            JobKind("confirm-arrival", 5, (1, 4), (50.0, 250.0)),
+            JobKind("dispatch-reassign", 2, (4, 16), (100.0, 1000.0), False),
+            JobKind("ask-booked", 3, (1, 6), (50.0, 400.0)),
+        ),
+    ),
+    "derinsu": Mix(
+        "maps",
+        (
+            JobKind("fronts", 4, (1, 8), (50.0, 500.0)),
+            JobKind("overlay", 1, (12, 36), (100.0, 800.0)),
+            JobKind("spot", 4, (1, 2), (50.0, 200.0)),
+            JobKind("map-order", 1, (2, 8), (100.0, 1000.0), False),
+        ),
+    ),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Payload:
+    run_ms: float
+    output: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Task:
+    payload: str
+    run_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Job:
+    job_class: str
+    tasks: tuple[_Task, ...]
+    idempotent: bool
+
+
+def plan_job(mix: Mix, number: int, rng: random.Random) -> PlannedJob:
+    """Return the next job of a mix."""
+    kind = rng.choices(mix.kinds, [k.weight for k in mix.kinds])[0]
+    count = rng.randint(*kind.tasks)
+    times = [_run_ms(kind, rng) for _ in range(count)]
+    outputs = tuple(f"{number}/{index}" for index in range(count))
+    tasks = tuple(
+        _Task(msgspec.json.encode(_Payload(run_ms, output)).decode(), run_ms)
+        for run_ms, output in zip(times, outputs, strict=True)
+    )
+    body = msgspec.json.encode(_Job(kind.job_class, tasks, kind.idempotent))
+    return PlannedJob(kind, body, outputs, max(times))
+
+
+def _run_ms(kind: JobKind, rng: random.Random) -> float:
+    bounds = LONG_TASK_MS if rng.randrange(LONG_TASK_EVERY) == 0 else kind.run_ms
+    return round(rng.uniform(*bounds), 1)
+
+
+def _slot_seconds(kind: JobKind) -> float:
+    usual = sum(kind.run_ms) / 2
+    long = sum(LONG_TASK_MS) / 2
+    mean_ms = usual + (long - usual) / LONG_TASK_EVERY
+    return sum(kind.tasks) / 2 * mean_ms / 1000.0
--- /dev/null
+++ b/jackdawspur/load/_report.py
@@ -0,0 +1,125 @@
+"""What a load run found, told by callers and upstreams, not by the dispatcher."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from jackdawspur.metrics import ClassName, Histograms
+
+__all__ = ["Latencies", "LoadReport", "Tally", "UpstreamCounts"]
+
+# The histogram holds whole numbers; ratios are kept in thousandths.
+RATIO_SCALE = 1000
+ALL_JOBS = ClassName("all", "all")
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCounts:
+    """Add up what the upstreams counted themselves."""
+
+    starts: int = 0
+    started_twice: int = 0
+    refused: int = 0
+    status_queries: int = 0
+    stops: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Latencies:
+    """Give response times over the ideal, as ratios."""
+
+    p50: float
+    p99: float
+    p999: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Give the result of a run, as the last line that it prints."""
+
+    deployment: str
+    jobs: int
+    complete: int
+    failed: int
+    refused: int
+    unanswered: int
+    partial: int
+    wrong: int
+    task_starts: int
+    tasks_started_twice: int
+    not_run_but_started: int
+    wasted_messages_per_job: float
+    response_over_ideal: Latencies
+    codes: dict[str, int]
+
+    @property
+    def sound(self) -> bool:
+        """Tell whether every invariant held."""
+        broken = (
+            self.partial,
+            self.wrong,
+            self.tasks_started_twice,
+            self.not_run_but_started,
+            self.unanswered,
+        )
+        return not any(broken)
+
+
+class Tally:
+    """Count answers as they come."""
+
+    def __init__(self) -> None:
+        self.jobs = 0
+        self.complete = 0
+        self.failed = 0
+        self.refused = 0
+        self.partial = 0
+        self.wrong = 0
+        self.codes: Counter[str] = Counter()
+        self.tasks_complete = 0
+        self.tasks_not_run = 0
+        self.tasks_submitted = 0
+        self._ratios = Histograms()
+
+    @property
+    def ended(self) -> int:
+        """Return the number of jobs that have their answer."""
+        return self.complete + self.failed + self.refused
+
+    def completed(self, tasks: int, ratio: float) -> None:
+        """Count a whole answer and its response time over the ideal."""
+        self.complete += 1
+        self.tasks_complete += tasks
+        self._ratios.record(ALL_JOBS, ratio * RATIO_SCALE)
+
+    def report(
+        self, deployment: str, upstreams: UpstreamCounts, unanswered: int
+    ) -> LoadReport:
+        """Return the result of the run."""
+        possible = self.tasks_submitted - self.tasks_not_run
+        wasted = upstreams.refused + upstreams.status_queries + upstreams.stops
+        return LoadReport(
+            deployment=deployment,
+            jobs=self.jobs,
+            complete=self.complete,
+            failed=self.failed,
+            refused=self.refused,
+            unanswered=unanswered,
+            partial=self.partial,
+            wrong=self.wrong,
+            task_starts=upstreams.starts,
+            tasks_started_twice=upstreams.started_twice,
+            # More starts than tasks that may have run: some "not run" was false.
+            not_run_but_started=max(0, upstreams.starts - possible),
+            wasted_messages_per_job=round(wasted / max(1, self.jobs), 5),
+            response_over_ideal=self._latencies(),
+            codes=dict(self.codes),
+        )
+
+    def _latencies(self) -> Latencies:
+        found: Iterable = self._ratios.summarize()
+        for one in found:
+            return Latencies(
+                one.p50 / RATIO_SCALE, one.p99 / RATIO_SCALE, one.p999 / RATIO_SCALE
+            )
+        return Latencies(0.0, 0.0, 0.0)
--- a/jackdawspur/ownership/_ids.py
+++ b/jackdawspur/ownership/_ids.py
@@ -37,9 +37,7 @@
         self._next += 1
         return submission
 
-    def issue(
-        self, customer: str, count: int, now: float
-    ) -> tuple[SubmissionId, ...]:
+    def issue(self, customer: str, count: int, now: float) -> tuple[SubmissionId, ...]:
         """Return ids that the customer may use later, from any entry host."""
         self._drop_expired(now)
         ids = tuple(self.fresh() for _ in range(count))
