--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -1,14 +1,22 @@
 """Adapters between the decisions and everything that talks."""
 
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
+from jackdawspur.adapters._hostlist_http import HttpHostList
 from jackdawspur.adapters._http_client import HttpClient, HttpLimits, Replied
 from jackdawspur.adapters._http_connection import HttpReply
+from jackdawspur.adapters._log_http import HttpLog, LogTimeouts
+from jackdawspur.adapters._upstream_http import HttpUpstream, UpstreamTimeouts
 
 __all__ = [
     "Deadline",
     "Deadlines",
     "HttpClient",
+    "HttpHostList",
     "HttpLimits",
+    "HttpLog",
     "HttpReply",
+    "HttpUpstream",
+    "LogTimeouts",
     "Replied",
+    "UpstreamTimeouts",
 ]
--- /dev/null
+++ b/jackdawspur/adapters/_hostlist_http.py
@@ -0,0 +1,44 @@
+"""Read the platform's host list over HTTP/JSON."""
+
+from collections.abc import Callable
+
+import msgspec
+from result import Result
+
+from jackdawspur.adapters._http_client import HttpClient
+from jackdawspur.adapters._http_connection import HttpReply
+from jackdawspur.adapters._json_reply import MS, reading, success
+from jackdawspur.platform import HostList, ListedHost, PlatformError
+from jackdawspur.wire import HostsBody
+
+__all__ = ["HttpHostList"]
+
+DEFAULT_TIMEOUT_MS = 2000.0
+
+
+class HttpHostList(HostList):
+    """Ask for the whole list; `timeout_ms` bounds the wait."""
+
+    def __init__(
+        self, client: HttpClient, timeout_ms: float = DEFAULT_TIMEOUT_MS
+    ) -> None:
+        self._client = client
+        self._timeout_s = timeout_ms / MS
+
+    def fetch(
+        self, done: Callable[[Result[tuple[ListedHost, ...], PlatformError]], None]
+    ) -> None:
+        """Report the hosts that the platform believes live or leaving."""
+        receive = reading("the host list", _read_hosts, done)
+        self._client.request("GET", "/v1/hosts", b"", self._timeout_s, receive)
+
+    def close(self) -> None:
+        """Drop all connections."""
+        self._client.close()
+
+
+def _read_hosts(reply: HttpReply) -> tuple[ListedHost, ...]:
+    read = msgspec.json.decode(success(reply), type=HostsBody)
+    return tuple(
+        ListedHost(each.zone, each.name, each.role, each.leaving) for each in read.hosts
+    )
--- a/jackdawspur/adapters/_http_connection.py
+++ b/jackdawspur/adapters/_http_connection.py
@@ -1,7 +1,7 @@
 """One kept-alive HTTP connection that carries one request at a time."""
 
-from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Protocol
 
 from circuits import handler
@@ -11,11 +11,12 @@
 
 __all__ = ["ConnectionOwner", "HttpConnection", "HttpReply"]
 
-from dataclasses import dataclass
-
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 65536
 RESPONSES_ONLY = 1
+END_OF_HEAD = b"\r\n\r\n"
+MAX_HEAD_BYTES = 65536
+FOREIGN = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +67,7 @@
         self._connecting = False
         self._parser = HttpParser(RESPONSES_ONLY)
         self._received = 0
+        self._head: bytes | None = b""
 
     @property
     def idle(self) -> bool:
@@ -95,6 +97,7 @@
         self._in_flight = True
         self._left = False
         self._received = 0
+        self._head = b""
         self._parser = HttpParser(RESPONSES_ONLY)
         self._write(request)
         if self._buffer and not self._poller.isWriting(self._sock):
@@ -102,7 +105,6 @@
 
     def abandon(self) -> None:
         """Close at once, so that a late reply can reach no other request."""
-        self._in_flight = False
         self._close()
 
     def _write(self, data: bytes) -> None:
@@ -136,7 +138,7 @@
 
     def _take(self, data: bytes) -> None:
         self._received += len(data)
-        reply = _parse(self._parser, data)
+        reply = self._parse(data)
         if reply is not None:
             reusable = self._parser.should_keep_alive()
             self._in_flight = False
@@ -146,9 +148,22 @@
         elif self._parser.errno is not None or self._received > MAX_REPLY_BYTES:
             self._close()
 
+    def _parse(self, data: bytes) -> HttpReply | None:
+        # The parser never ends a first line whose CR and LF come in two reads: the
+        # reply would look lost. So it is fed only once the head is complete.
+        if self._head is not None:
+            self._head += data
+            if END_OF_HEAD not in self._head:
+                if len(self._head) > MAX_HEAD_BYTES:
+                    self._parser.errno = FOREIGN
+                return None
+            data, self._head = self._head, None
+        return _parse(self._parser, data)
+
     def _close(self) -> None:
         stood = self._connected
         super()._close()
+        self._in_flight = False
         if stood:
             self._owner.connection_lost(self)
 
@@ -170,11 +185,13 @@
     except Exception:
         # On foreign bytes the parser raises whatever its regular expressions,
         # decoders and sums run into; any of them means that this isn't HTTP.
-        parser.errno = -1
+        parser.errno = FOREIGN
         return None
     if parser.errno is not None or not parser.is_message_complete():
         return None
-    return HttpReply(parser.get_status_code(), parser.recv_body())
-
-
-Finished = Callable[[HttpReply], None]
+    body = parser.recv_body()
+    if parser.get_headers().get("Content-Length", str(len(body))) != str(len(body)):
+        # More came than was declared, and the parser took all of it for the body.
+        parser.errno = FOREIGN
+        return None
+    return HttpReply(parser.get_status_code(), body)
--- a/jackdawspur/adapters/_json_reply.py
+++ b/jackdawspur/adapters/_json_reply.py
@@ -1,23 +1,56 @@
-"""Check the status of a reply before its body is read."""
+"""Turn HTTP replies into typed results; nonsense becomes an error, never more."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
 
 from jackdawspur.adapters._http_connection import HttpReply
-from jackdawspur.platform import PlatformError
+from jackdawspur.model import InvalidId
+from jackdawspur.platform import OutcomeUnknown, PlatformError
 
-__all__ = ["UnexpectedStatus", "decode_reply"]
+__all__ = ["MS", "ForeignReply", "reading", "success"]
 
+MS = 1000.0
 OK = 200
 
+T = TypeVar("T")
 
-class UnexpectedStatus(PlatformError):
-    """Raise when a reply isn't a success; `status` is its HTTP status."""
 
-    def __init__(self, status: int) -> None:
-        super().__init__(f"HTTP status {status}")
-        self.status = status
+class ForeignReply(PlatformError):
+    """Raise when a reply is not what the interface promises."""
 
 
-def decode_reply(reply: HttpReply) -> bytes:
-    """Return the body of a success; raise `UnexpectedStatus`."""
+def success(reply: HttpReply) -> bytes:
+    """Return the body of a success; raise `ForeignReply`."""
     if reply.status != OK:
-        raise UnexpectedStatus(reply.status)
+        raise ForeignReply(f"HTTP status {reply.status}")
     return reply.body
+
+
+def reading(
+    peer: str,
+    read: Callable[[HttpReply], T],
+    done: Callable[[Result[T, PlatformError]], None],
+) -> Callable[[Result[HttpReply, PlatformError]], None]:
+    """Return a receiver of replies that passes on what `read` makes of them.
+
+    A reply that can't be read proves nothing, so it becomes `OutcomeUnknown`.
+    """
+
+    def receive(replied: Result[HttpReply, PlatformError]) -> None:
+        done(replied.and_then(lambda reply: _read(peer, read, reply)))
+
+    return receive
+
+
+def _read(
+    peer: str, read: Callable[[HttpReply], T], reply: HttpReply
+) -> Result[T, PlatformError]:
+    try:
+        return Ok(read(reply))
+    except (msgspec.MsgspecError, InvalidId, ForeignReply) as error:
+        return Err(OutcomeUnknown(f"{peer} sent a foreign reply: {error}"))
+    except PlatformError as error:
+        return Err(error)
--- a/jackdawspur/adapters/_upstream_http.py
+++ b/jackdawspur/adapters/_upstream_http.py
@@ -1,17 +1,17 @@
 """Speak to one upstream over HTTP/JSON."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
 from jackdawspur.adapters._http_client import HttpClient
 from jackdawspur.adapters._http_connection import HttpReply
-from jackdawspur.adapters._json_reply import decode_reply
-from jackdawspur.model import HostId, InvalidId, TaskId, TaskOutcome, UpstreamId
+from jackdawspur.adapters._json_reply import MS, ForeignReply, reading, success
+from jackdawspur.model import HostId, TaskId, TaskOutcome, UpstreamId
 from jackdawspur.platform import (
-    OutcomeUnknown,
     PlatformError,
     StartVerdict,
     TaskStart,
@@ -20,7 +20,6 @@
     Usage,
 )
 from jackdawspur.wire import (
-    OutcomeBody,
     StartBody,
     StartsReply,
     StartsRequest,
@@ -32,9 +31,6 @@
 
 __all__ = ["HttpUpstream", "UpstreamTimeouts"]
 
-from dataclasses import dataclass
-
-MS = 1000.0
 Done = Callable[[Result[UpstreamReply, PlatformError]], None]
 
 
@@ -74,7 +70,11 @@
         """Start tasks; `Unavailable` means that no byte left this host."""
         bodies = tuple(_start_body(each) for each in starts)
         body = msgspec.json.encode(StartsRequest(self._holder, bodies))
-        self._post("/v1/starts", body, self._timeouts.start_ms, self._started, done)
+
+        def read(reply: HttpReply) -> UpstreamReply:
+            return self._read_verdicts(reply, starts, bodies)
+
+        self._post("/v1/starts", body, self._timeouts.start_ms, read, done)
 
     def results(self, cursor: int, wait_ms: float, done: Done) -> None:
         """Wait for ended tasks of this host after `cursor`."""
@@ -82,77 +82,97 @@
             {"holder": self._holder, "after": cursor, "wait_ms": int(wait_ms)}
         )
         timeout_s = (wait_ms + self._timeouts.poll_ms) / MS
-        self._polls.request(
-            "GET", f"/v1/results?{query}", b"", timeout_s, self._take(self._ended, done)
-        )
+        receive = reading(str(self._upstream), self._read_results, done)
+        self._polls.request("GET", f"/v1/results?{query}", b"", timeout_s, receive)
 
     def status(self, tasks: Sequence[TaskId], seal: bool, done: Done) -> None:
         """Ask how far tasks are; with `seal`, bar those not yet started for good."""
-        body = msgspec.json.encode(StatusRequest(_texts(tasks), seal))
-        self._post("/v1/status", body, self._timeouts.status_ms, self._ended, done)
+        texts = _texts(tasks)
+        body = msgspec.json.encode(StatusRequest(texts, seal))
+        self._ask_outcomes("/v1/status", body, tasks, texts, done)
 
     def stop(self, tasks: Sequence[TaskId], done: Done) -> None:
         """Stop tasks that run and bar those not yet started."""
-        body = msgspec.json.encode(StopRequest(_texts(tasks)))
-        self._post("/v1/stop", body, self._timeouts.status_ms, self._ended, done)
+        texts = _texts(tasks)
+        body = msgspec.json.encode(StopRequest(texts))
+        self._ask_outcomes("/v1/stop", body, tasks, texts, done)
 
     def usage(self, done: Done) -> None:
         """Ask for the load, which may be seconds old."""
+        receive = reading(str(self._upstream), self._read_usage, done)
         timeout_s = self._timeouts.status_ms / MS
-        take = self._take(self._used, done)
-        self._requests.request("GET", "/v1/usage", b"", timeout_s, take)
+        self._requests.request("GET", "/v1/usage", b"", timeout_s, receive)
 
     def close(self) -> None:
         """Drop all connections."""
         self._requests.close()
         self._polls.close()
 
+    def _ask_outcomes(
+        self,
+        path: str,
+        body: bytes,
+        tasks: Sequence[TaskId],
+        texts: tuple[str, ...],
+        done: Done,
+    ) -> None:
+        def read(reply: HttpReply) -> UpstreamReply:
+            return self._read_outcomes(reply, tasks, texts)
+
+        self._post(path, body, self._timeouts.status_ms, read, done)
+
     def _post(
         self,
         path: str,
         body: bytes,
         timeout_ms: float,
-        read: Callable[[bytes], UpstreamReply],
+        read: Callable[[HttpReply], UpstreamReply],
         done: Done,
     ) -> None:
-        take = self._take(read, done)
-        self._requests.request("POST", path, body, timeout_ms / MS, take)
-
-    def _take(
-        self, read: Callable[[bytes], UpstreamReply], done: Done
-    ) -> Callable[[Result[HttpReply, PlatformError]], None]:
-        def take(replied: Result[HttpReply, PlatformError]) -> None:
-            done(replied.and_then(lambda reply: self._read(reply, read)))
-
-        return take
-
-    def _read(
-        self, reply: HttpReply, read: Callable[[bytes], UpstreamReply]
-    ) -> Result[UpstreamReply, PlatformError]:
-        try:
-            return Ok(read(decode_reply(reply)))
-        except (msgspec.MsgspecError, InvalidId, PlatformError) as error:
-            return Err(OutcomeUnknown(f"{self._upstream} spoke nonsense: {error}"))
-
-    def _started(self, body: bytes) -> UpstreamReply:
-        reply = msgspec.json.decode(body, type=StartsReply)
+        receive = reading(str(self._upstream), read, done)
+        self._requests.request("POST", path, body, timeout_ms / MS, receive)
+
+    def _read_verdicts(
+        self,
+        reply: HttpReply,
+        starts: Sequence[TaskStart],
+        bodies: tuple[StartBody, ...],
+    ) -> UpstreamReply:
+        read = msgspec.json.decode(success(reply), type=StartsReply)
+        _check_order(
+            [each.task for each in read.verdicts], [each.task for each in bodies]
+        )
         verdicts = tuple(
-            StartVerdict(TaskId.parse(each.task), each.refusal)
-            for each in reply.verdicts
+            StartVerdict(start.task, each.refusal)
+            for start, each in zip(starts, read.verdicts, strict=True)
+        )
+        return UpstreamReply(self._upstream, read.incarnation, verdicts)
+
+    def _read_outcomes(
+        self, reply: HttpReply, tasks: Sequence[TaskId], texts: tuple[str, ...]
+    ) -> UpstreamReply:
+        read = msgspec.json.decode(success(reply), type=StatusReply)
+        _check_order([each.task for each in read.outcomes], list(texts))
+        outcomes = tuple(
+            TaskOutcome(task, each.state, each.output, each.error)
+            for task, each in zip(tasks, read.outcomes, strict=True)
         )
-        return UpstreamReply(self._upstream, reply.incarnation, verdicts)
+        return UpstreamReply(self._upstream, read.incarnation, outcomes=outcomes)
 
-    def _ended(self, body: bytes) -> UpstreamReply:
-        reply = msgspec.json.decode(body, type=StatusReply)
-        outcomes = tuple(_outcome(each) for each in reply.outcomes)
+    def _read_results(self, reply: HttpReply) -> UpstreamReply:
+        read = msgspec.json.decode(success(reply), type=StatusReply)
+        outcomes = tuple(
+            TaskOutcome(TaskId.parse(each.task), each.state, each.output, each.error)
+            for each in read.outcomes
+        )
         return UpstreamReply(
-            self._upstream, reply.incarnation, outcomes=outcomes, cursor=reply.cursor
+            self._upstream, read.incarnation, outcomes=outcomes, cursor=read.cursor
         )
 
-    def _used(self, body: bytes) -> UpstreamReply:
-        reply = msgspec.json.decode(body, type=UsageReply)
-        usage = Usage(reply.slots, reply.busy, reply.leaving)
-        return UpstreamReply(self._upstream, reply.incarnation, usage=usage)
+    def _read_usage(self, reply: HttpReply) -> UpstreamReply:
+        read = msgspec.json.decode(success(reply), type=UsageReply)
+        usage = Usage(read.slots, read.busy, read.leaving)
+        return UpstreamReply(self._upstream, read.incarnation, usage=usage)
 
 
 def _start_body(start: TaskStart) -> StartBody:
@@ -166,9 +186,10 @@
     )
 
 
-def _outcome(body: OutcomeBody) -> TaskOutcome:
-    return TaskOutcome(TaskId.parse(body.task), body.state, body.output, body.error)
-
-
 def _texts(tasks: Sequence[TaskId]) -> tuple[str, ...]:
     return tuple(str(task) for task in tasks)
+
+
+def _check_order(answered: list[str], asked: list[str]) -> None:
+    if answered != asked:
+        raise ForeignReply("it answers for other tasks than were asked")
--- /dev/null
+++ b/jackdawspur/adapters/tests/conftest.py
@@ -0,0 +1,130 @@
+"""A loop with real loopback sockets and a clock that the tests move."""
+
+from collections.abc import Callable
+
+import msgspec
+import pytest
+from circuits import Manager, handler
+from circuits.core.pollers import EPoll
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+
+from jackdawspur.adapters import Deadlines, HttpClient, HttpLimits, HttpUpstream
+from jackdawspur.model import HostId, SubmissionId, TaskId, UpstreamId
+from jackdawspur.platform import TaskStart
+from jackdawspur.standins import RackSettings, make_rack
+
+ANY_PORT = "127.0.0.1:0"
+HOLDER = HostId("z1", "e1", 1)
+MAX_TICKS = 300
+TICK_S = 0.01
+
+
+class Loop:
+    """Drive one circuits manager tick by tick."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.root = Manager()
+        # Only a running manager polls; run() would never give the test its turn.
+        self.root._running = True
+        self.poller = EPoll().register(self.root)
+        self.deadlines = Deadlines(clock=lambda: self.now).register(self.root)
+
+    def until(self, condition: Callable[[], object]) -> None:
+        for _ in range(MAX_TICKS):
+            if condition():
+                return
+            self.root.tick(TICK_S)
+        raise AssertionError(f"not within {MAX_TICKS} ticks")
+
+    def settle(self, ticks: int = 20) -> None:
+        for _ in range(ticks):
+            self.root.tick(0.0)
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        self.settle()
+
+    def client(self, address, **limits) -> HttpClient:
+        client = HttpClient(address, self.deadlines, HttpLimits(**limits))
+        return client.register(self.root)
+
+    def ask(self, call, *args):
+        """Make a call that takes `done` last, and return its one result."""
+        results = []
+        call(*args, results.append)
+        self.until(lambda: results)
+        assert len(results) == 1
+        return results[0]
+
+    def post(self, address, path: str, body) -> None:
+        """Post a body as an operator or a test would, and wait for the reply."""
+        client = self.client(address)
+        encoded = msgspec.json.encode(body)
+        reply = self.ask(client.request, "POST", path, encoded, 1.0)
+        assert reply.unwrap().status == 200
+        client.close()
+
+
+class RawPeer(TCPServer):
+    """Accept connections, count requests, and answer with the bytes it is given."""
+
+    channel = "raw-peer"
+
+    def __init__(self) -> None:
+        super().__init__(("127.0.0.1", 0), channel=self.channel)
+        self.requests: list[bytes] = []
+        self.socks = []
+        self.answers: list[list[bytes]] = []
+
+    @handler("read")
+    def _on_data(self, sock, data) -> None:
+        self.requests.append(data)
+        self.socks.append(sock)
+        if self.answers:
+            for part in self.answers.pop(0):
+                self.fire(write(sock, part))
+
+    def say(self, sock, data: bytes) -> None:
+        self.fire(write(sock, data))
+
+    def hang_up(self, sock) -> None:
+        self.fire(close(sock))
+
+
+@pytest.fixture
+def loop():
+    loop = Loop()
+    yield loop
+    loop.root.stop()
+
+
+@pytest.fixture
+def peer(loop):
+    peer = RawPeer().register(loop.root)
+    loop.settle()
+    return peer
+
+
+@pytest.fixture
+def worker(loop):
+    (service,) = make_rack(RackSettings((ANY_PORT,)), loop.root, loop.deadlines)
+    loop.settle()
+    return service
+
+
+@pytest.fixture
+def upstream(loop, worker):
+    requests = loop.client(worker.address, connections=1)
+    polls = loop.client(worker.address, connections=1)
+    return HttpUpstream(UpstreamId("z1", "w1"), HOLDER, requests, polls)
+
+
+def task(index: int) -> TaskId:
+    return TaskId(SubmissionId(HOLDER, 7), index)
+
+
+def start(index: int, run_ms: float = 100.0, lease_ms: float = 5000.0) -> TaskStart:
+    payload = f'{{"run_ms":{run_ms},"output":"out {index}"}}'
+    return TaskStart(task(index), payload, lease_ms)
--- /dev/null
+++ b/jackdawspur/adapters/tests/test_http_client.py
@@ -0,0 +1,153 @@
+"""Each request is sent at most once and gets its own reply or an exact error."""
+
+import socket
+
+import pytest
+
+from jackdawspur.platform import OutcomeUnknown, Unavailable
+
+OK_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nA1"
+
+
+def get(client, timeout_s=1.0):
+    results = []
+    client.request("GET", "/", b"", timeout_s, results.append)
+    return results
+
+
+def address(peer):
+    return peer.host, peer.port
+
+
+def test_refused_connect_is_unavailable(loop):
+    """An upstream's process is gone and its host answers the connect with a reset.
+
+    Nothing left this host, so the dispatcher may place the task elsewhere.
+    """
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        client = loop.client(free.getsockname())
+    results = get(client)
+    loop.until(lambda: results)
+    assert isinstance(results[0].unwrap_err(), Unavailable)
+    assert client.waiting == client.in_flight == 0
+
+
+def test_late_reply_reaches_no_other_request(loop, peer):
+    """A slow upstream answers a request after the entry host gave it up.
+
+    The next request to the same upstream must not get the late reply: a caller
+    would see another job's output. The connection is closed at the timeout.
+    """
+    client = loop.client(address(peer), connections=1)
+    first = get(client)
+    loop.until(lambda: peer.requests)
+    loop.pass_time(1.1)
+    assert isinstance(first[0].unwrap_err(), OutcomeUnknown)
+    second = get(client)
+    peer.say(peer.socks[0], OK_REPLY)
+    loop.until(lambda: len(peer.requests) == 2)
+    assert not second
+    peer.say(peer.socks[1], OK_REPLY.replace(b"A1", b"B2"))
+    loop.until(lambda: second)
+    assert second[0].unwrap().body == b"B2"
+    assert len(first) == 1
+
+
+def test_connection_closed_while_idle_is_replaced(loop, peer):
+    peer.answers = [[OK_REPLY], [OK_REPLY]]
+    client = loop.client(address(peer), connections=1)
+    first = get(client)
+    loop.until(lambda: first)
+    peer.hang_up(peer.socks[0])
+    loop.settle()
+    second = get(client)
+    loop.until(lambda: second)
+    assert second[0].is_ok()
+    assert len(peer.requests) == 2
+
+
+def test_close_that_crosses_a_request_is_never_sent_again(loop, peer):
+    """A task runs twice: the upstream closes a kept-alive connection just when a
+    start is written to it, the client takes the close for "not sent" and repeats.
+
+    The bytes were handed to the kernel, so the outcome is unknown.
+    """
+    peer.answers = [[OK_REPLY]]
+    client = loop.client(address(peer), connections=1)
+    first = get(client)
+    loop.until(lambda: first)
+    peer.socks[0].shutdown(socket.SHUT_RDWR)
+    second = get(client)
+    loop.until(lambda: second)
+    loop.settle()
+    assert isinstance(second[0].unwrap_err(), OutcomeUnknown)
+    assert len(peer.requests) == 1
+
+
+def test_request_that_waits_too_long_is_unavailable_and_never_sent(loop, peer):
+    client = loop.client(address(peer), connections=1, waiting=2)
+    results = [get(client, 5.0)]
+    loop.until(lambda: peer.requests)
+    results += [get(client, timeout_s) for timeout_s in (1.0, 5.0, 5.0)]
+    loop.settle()
+    overflow = results[3]
+    assert isinstance(overflow[0].unwrap_err(), Unavailable)
+    loop.pass_time(1.1)
+    assert isinstance(results[1][0].unwrap_err(), Unavailable)
+    peer.answers = [[OK_REPLY]]
+    peer.say(peer.socks[0], OK_REPLY)
+    loop.until(lambda: results[2])
+    assert results[0][0].is_ok() and results[2][0].is_ok()
+    assert len(peer.requests) == 2
+
+
+def test_reply_in_single_bytes_is_read_whole(loop, peer):
+    peer.answers = [[OK_REPLY[place : place + 1] for place in range(len(OK_REPLY))]]
+    results = get(loop.client(address(peer)))
+    loop.until(lambda: results)
+    assert results[0].unwrap().body == b"A1"
+
+
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        b"SSH-2.0-OpenSSH\r\n\r\n",
+        b"HTTP/1.1 abc OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\nA1",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nA1",
+        b"HTTP/1.1 200 OK\r\nbad header\r\n\r\nA1",
+        b"HTTP/1.1 200 \\xZZ\r\nContent-Length: 2\r\n\r\nA1",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nA1",
+        OK_REPLY + OK_REPLY,
+    ],
+)
+def test_foreign_bytes_end_in_outcome_unknown(loop, peer, nonsense):
+    peer.answers = [[nonsense]]
+    client = loop.client(address(peer), connections=1)
+    results = get(client)
+    loop.until(lambda: results)
+    assert isinstance(results[0].unwrap_err(), OutcomeUnknown)
+    peer.answers = [[OK_REPLY]]
+    after = get(client)
+    loop.until(lambda: after)
+    assert after[0].unwrap().body == b"A1"
+
+
+def test_endless_reply_is_cut_off(loop, peer):
+    peer.answers = [[b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"]]
+    results = get(loop.client(address(peer)))
+    loop.until(lambda: peer.socks)
+    for _ in range(10):
+        peer.say(peer.socks[0], b"x" * 1024 * 1024)
+    loop.until(lambda: results)
+    assert isinstance(results[0].unwrap_err(), OutcomeUnknown)
+
+
+def test_close_ends_every_request(loop, peer):
+    client = loop.client(address(peer), connections=1)
+    results = [get(client), get(client)]
+    loop.until(lambda: peer.requests)
+    client.close()
+    assert isinstance(results[0][0].unwrap_err(), OutcomeUnknown)
+    assert isinstance(results[1][0].unwrap_err(), Unavailable)
--- /dev/null
+++ b/jackdawspur/adapters/tests/test_log_and_list_http.py
@@ -0,0 +1,133 @@
+"""The log and the host list over HTTP, against their stand-ins."""
+
+import pytest
+
+from jackdawspur.adapters import HttpHostList, HttpLog
+from jackdawspur.adapters.tests.conftest import ANY_PORT
+from jackdawspur.platform import (
+    HostRole,
+    LogRecord,
+    LogTrimmed,
+    OutcomeUnknown,
+    Stream,
+    Unavailable,
+)
+from jackdawspur.standins import (
+    HostListFaults,
+    HostListSettings,
+    LogFaults,
+    LogSettings,
+    make_hostlist,
+    make_log,
+)
+from jackdawspur.wire import HostBody, HostsBody
+
+DELAY_S = 0.005
+WAIT_MS = 1000.0
+
+
+@pytest.fixture
+def service(loop):
+    service = make_log(LogSettings(ANY_PORT), loop.root, loop.deadlines)
+    loop.settle()
+    return service
+
+
+@pytest.fixture
+def log(loop, service):
+    return HttpLog(loop.client(service.address), loop.client(service.address))
+
+
+@pytest.fixture
+def fault(loop, service):
+    def post(**faults):
+        loop.post(service.address, "/faults", LogFaults(**faults))
+
+    return post
+
+
+def append(loop, log, body):
+    results = []
+    log.append(Stream.CLAIMS, body, results.append)
+    loop.settle()
+    loop.pass_time(DELAY_S)
+    loop.until(lambda: results)
+    return results[0]
+
+
+def read(loop, log, offset, wait_ms=0.0):
+    return loop.ask(log.read, Stream.CLAIMS, offset, wait_ms)
+
+
+def test_a_reader_that_waits_gets_the_record_appended(loop, log):
+    waiting = []
+    log.read(Stream.CLAIMS, 0, WAIT_MS, waiting.append)
+    loop.settle()
+    assert append(loop, log, '{"ä": 1}').unwrap() == 0
+    loop.until(lambda: waiting)
+    assert waiting[0].unwrap() == (LogRecord(0, '{"ä": 1}'),)
+    assert append(loop, log, "{}").unwrap() == 1
+    assert read(loop, log, 1).unwrap() == (LogRecord(1, "{}"),)
+    assert loop.ask(log.read, Stream.CONFIGURATION, 0, 0.0).unwrap() == ()
+
+
+def test_append_with_a_lost_reply_stands_in_the_log(loop, log, fault):
+    """An operator's confirm gets no answer, and yet it is in force everywhere.
+
+    The log appended it, then its reply was lost; the reader sees the record.
+    """
+    fault(lose_appends=1)
+    assert isinstance(append(loop, log, "a").unwrap_err(), OutcomeUnknown)
+    assert read(loop, log, 0).unwrap() == (LogRecord(0, "a"),)
+
+
+def test_trimmed_offsets_tell_where_the_log_starts(loop, log, fault):
+    for body in "abcd":
+        append(loop, log, body)
+    fault(records_kept=2)
+    error = read(loop, log, 0).unwrap_err()
+    assert isinstance(error, LogTrimmed) and error.first == 2
+    assert [each.body for each in read(loop, log, 2).unwrap()] == ["c", "d"]
+    fault(seconds_kept=60.0)
+    loop.pass_time(61.0)
+    assert read(loop, log, 2).unwrap_err().first == 4
+
+
+def test_outage_takes_nothing_and_ends(loop, log, fault):
+    fault(outage=True)
+    assert isinstance(append(loop, log, "a").unwrap_err(), OutcomeUnknown)
+    fault(silent=True)
+    silent = []
+    log.append(Stream.CLAIMS, "b", silent.append)
+    loop.settle()
+    loop.pass_time(2.1)
+    assert isinstance(silent[0].unwrap_err(), OutcomeUnknown)
+    fault()
+    assert append(loop, log, "c").unwrap() == 0
+
+
+def test_rate_limit_says_that_nothing_was_taken(loop, log, fault):
+    fault(appends_per_s=2.0)
+    outcomes = [append(loop, log, str(place)) for place in range(3)]
+    assert [each.is_ok() for each in outcomes] == [True, True, False]
+    assert isinstance(outcomes[2].unwrap_err(), Unavailable)
+    loop.pass_time(1.0)
+    assert append(loop, log, "3").unwrap() == 2
+
+
+def test_list_shows_a_leaving_host_one_lag_late(loop):
+    """A worker was told to leave, and the list still calls it live for seconds."""
+    live = HostBody("z1", "w1", HostRole.UPSTREAM)
+    settings = HostListSettings(ANY_PORT, lag_ms=5000.0, hosts=(live,))
+    service = make_hostlist(settings, loop.root, loop.deadlines)
+    loop.settle()
+    hosts = HttpHostList(loop.client(service.address))
+    leaving = HostBody("z1", "w1", HostRole.UPSTREAM, leaving=True)
+    loop.post(service.address, "/v1/host", leaving)
+    assert [each.leaving for each in loop.ask(hosts.fetch).unwrap()] == [False]
+    loop.pass_time(5.0)
+    assert [each.leaving for each in loop.ask(hosts.fetch).unwrap()] == [True]
+    loop.post(service.address, "/v1/hosts", HostsBody(()))
+    loop.post(service.address, "/faults", HostListFaults(lag_ms=0.0, lose_replies=1))
+    assert isinstance(loop.ask(hosts.fetch).unwrap_err(), OutcomeUnknown)
+    assert loop.ask(hosts.fetch).unwrap() == ()
--- /dev/null
+++ b/jackdawspur/adapters/tests/test_upstream_http.py
@@ -0,0 +1,138 @@
+"""The upstream interface over HTTP, against the worker stand-in."""
+
+import pytest
+
+from jackdawspur.adapters.tests.conftest import start, task
+from jackdawspur.model import TaskState
+from jackdawspur.platform import OutcomeUnknown, RefusalReason
+from jackdawspur.standins import WorkerFaults
+
+WAIT_MS = 1000.0
+
+
+@pytest.fixture
+def fault(loop, worker):
+    def post(**faults):
+        loop.post(worker.address, "/faults", WorkerFaults(**faults))
+
+    return post
+
+
+def refusals(reply):
+    return [each.refusal for each in reply.unwrap().verdicts]
+
+
+def states(reply):
+    return [each.state for each in reply.unwrap().outcomes]
+
+
+def test_a_full_worker_refuses_and_returns_results_to_their_holder(loop, upstream):
+    reply = loop.ask(upstream.start, [start(place) for place in range(9)])
+    assert refusals(reply) == [None] * 8 + [RefusalReason.FULL]
+    poll = []
+    upstream.results(0, WAIT_MS, poll.append)
+    loop.settle()
+    assert not poll
+    loop.pass_time(0.1)
+    loop.until(lambda: poll)
+    outputs = {each.task: each.output for each in poll[0].unwrap().outcomes}
+    assert outputs == {task(place): f"out {place}" for place in range(8)}
+
+
+def test_start_with_a_lost_reply_ran_once_and_status_tells(
+    loop, worker, upstream, fault
+):
+    """The upstream starts a task, and its reply is lost on the way back.
+
+    A caller would see the work done twice if the start were sent again; the
+    status query tells that it runs, and the worker counts one start.
+    """
+    fault(lose_starts=1)
+    reply = loop.ask(upstream.start, [start(0)])
+    assert isinstance(reply.unwrap_err(), OutcomeUnknown)
+    assert states(loop.ask(upstream.status, [task(0)], True)) == [TaskState.RUNNING]
+    counters = worker.worker.counters()
+    assert (counters.starts, counters.started_twice) == (1, 0)
+
+
+def test_results_of_a_lost_reply_come_again(loop, upstream, fault):
+    """A whole job's last output is in a poll's reply that is lost.
+
+    The worker keeps results until a poll acknowledges them by a larger cursor.
+    """
+    fault(lose_results=1)
+    loop.ask(upstream.start, [start(0), start(1, run_ms=200)])
+    lost, again, then = [], [], []
+    upstream.results(0, WAIT_MS, lost.append)
+    loop.pass_time(0.1)
+    loop.until(lambda: lost)
+    assert isinstance(lost[0].unwrap_err(), OutcomeUnknown)
+    upstream.results(0, WAIT_MS, again.append)
+    loop.until(lambda: again)
+    assert [each.task for each in again[0].unwrap().outcomes] == [task(0)]
+    upstream.results(again[0].unwrap().cursor, WAIT_MS, then.append)
+    loop.pass_time(0.1)
+    loop.until(lambda: then)
+    assert [each.task for each in then[0].unwrap().outcomes] == [task(1)]
+
+
+def test_poll_without_results_ends_in_time_and_blocks_no_start(loop, upstream):
+    poll = []
+    upstream.results(0, WAIT_MS, poll.append)
+    loop.settle()
+    assert refusals(loop.ask(upstream.start, [start(0, run_ms=9000)])) == [None]
+    assert not poll
+    loop.pass_time(1.0)
+    loop.until(lambda: poll)
+    assert poll[0].unwrap().outcomes == ()
+
+
+def test_sealed_task_is_refused_when_its_start_comes_late(loop, upstream):
+    """A start is held up in the network, its status is asked and it is placed
+    elsewhere; then the late start arrives. Sealing keeps it from running twice.
+    """
+    sealed = loop.ask(upstream.status, [task(0)], True)
+    assert states(sealed) == [TaskState.SEALED]
+    late = loop.ask(upstream.start, [start(0), start(1)])
+    assert refusals(late) == [RefusalReason.SEALED, None]
+
+
+def test_frozen_worker_answers_after_it_thaws(loop, worker, upstream, fault):
+    """A worker's host is suspended for longer than the lease of its task.
+
+    On waking it stops the task, whose holder may long have given it up.
+    """
+    loop.ask(upstream.start, [start(0, run_ms=4000, lease_ms=3000)])
+    fault(frozen_ms=6000)
+    asked = []
+    upstream.status([task(0)], False, asked.append)
+    loop.settle()
+    assert not asked
+    loop.pass_time(6.1)
+    loop.until(lambda: asked)
+    assert isinstance(asked[0].unwrap_err(), OutcomeUnknown)
+    reply = loop.ask(upstream.status, [task(0)], False)
+    assert states(reply) == [TaskState.STOPPED]
+
+
+def test_stop_and_usage(loop, upstream):
+    loop.ask(upstream.start, [start(0), start(1)])
+    stopped = loop.ask(upstream.stop, [task(0), task(9)])
+    assert states(stopped) == [TaskState.STOPPED, TaskState.SEALED]
+    loop.pass_time(1.1)
+    usage = loop.ask(upstream.usage).unwrap().usage
+    assert (usage.slots, usage.busy, usage.leaving) == (8, 0, False)
+
+
+def test_reply_for_other_tasks_is_foreign(loop, worker, upstream, monkeypatch):
+    answer = worker.worker.start
+    wrong = [start(5)]
+
+    def mixed_up(request, now):
+        reply = answer(request, now)
+        verdicts = tuple(type(v)(str(wrong[0].task)) for v in reply.verdicts)
+        return type(reply)(reply.incarnation, verdicts)
+
+    monkeypatch.setattr(worker.worker, "start", mixed_up)
+    reply = loop.ask(upstream.start, [start(0)])
+    assert isinstance(reply.unwrap_err(), OutcomeUnknown)
--- a/jackdawspur/standins/__init__.py
+++ b/jackdawspur/standins/__init__.py
@@ -1,5 +1,14 @@
 """Small stand-ins of the platform: upstreams, log and host list."""
 
+from jackdawspur.standins._hostlist import HostListFaults, HostListSettings
+from jackdawspur.standins._hostlist_service import (
+    HostListService,
+    make_hostlist,
+    run_hostlist,
+)
+from jackdawspur.standins._log import LogFaults, LogSettings
+from jackdawspur.standins._log_service import LogService, make_log, run_log
+from jackdawspur.standins._worker import Worker
 from jackdawspur.standins._worker_service import (
     WorkerService,
     make_rack,
@@ -13,11 +22,22 @@
 )
 
 __all__ = [
+    "HostListFaults",
+    "HostListService",
+    "HostListSettings",
+    "LogFaults",
+    "LogService",
+    "LogSettings",
     "RackSettings",
+    "Worker",
     "WorkerCounters",
     "WorkerFaults",
     "WorkerService",
     "WorkerSettings",
+    "make_hostlist",
+    "make_log",
     "make_rack",
+    "run_hostlist",
+    "run_log",
     "run_worker",
 ]
--- /dev/null
+++ b/jackdawspur/standins/_hostlist_service.py
@@ -0,0 +1,91 @@
+"""Serve the stand-in host list over HTTP."""
+
+from http import HTTPMethod, HTTPStatus
+
+import msgspec
+from circuits import Manager
+
+from jackdawspur.adapters import Deadlines
+from jackdawspur.standins._hostlist import (
+    HostListFaults,
+    HostListSettings,
+    LaggingList,
+)
+from jackdawspur.standins._http_service import (
+    ErrorBody,
+    Exchange,
+    HttpService,
+    not_found,
+    serve_until_stopped,
+    split_address,
+)
+from jackdawspur.wire import HostBody, HostsBody
+
+__all__ = ["HostListService", "make_hostlist", "run_hostlist"]
+
+FAULTS = "/faults"
+HOSTS = "/v1/hosts"
+HOST = "/v1/host"
+
+
+class HostListService(HttpService):
+    """Put one list behind HTTP: GET shows it late, POST sets the truth."""
+
+    def __init__(self, settings: HostListSettings, deadlines: Deadlines) -> None:
+        super().__init__(split_address(settings.address), channel="hostlist")
+        self._list = LaggingList(settings, deadlines.now)
+        self._deadlines = deadlines
+        self._to_lose = 0
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        if exchange.path == FAULTS:
+            self._set_faults(exchange)
+        elif exchange.path == HOSTS and exchange.method == HTTPMethod.GET:
+            self._show(exchange)
+        elif exchange.path == HOSTS:
+            hosts = msgspec.json.decode(exchange.body, type=HostsBody)
+            self._list.replace(hosts, self._deadlines.now)
+            exchange.reply(hosts)
+        elif exchange.path == HOST:
+            self._change(exchange)
+        else:
+            not_found(exchange)
+
+    def _change(self, exchange: Exchange) -> None:
+        host = msgspec.json.decode(exchange.body, type=HostBody)
+        if exchange.method == HTTPMethod.DELETE:
+            self._list.remove(host, self._deadlines.now)
+        else:
+            self._list.change(host, self._deadlines.now)
+        exchange.reply(host)
+
+    def _show(self, exchange: Exchange) -> None:
+        if self._list.faults.outage:
+            body = ErrorBody("the host list is down")
+            exchange.reply(body, HTTPStatus.SERVICE_UNAVAILABLE)
+        elif self._to_lose > 0:
+            self._to_lose -= 1
+            exchange.drop()
+        else:
+            exchange.reply(self._list.shown(self._deadlines.now))
+
+    def _set_faults(self, exchange: Exchange) -> None:
+        faults = msgspec.json.decode(exchange.body, type=HostListFaults)
+        self._list.set_faults(faults)
+        self._to_lose = faults.lose_replies
+        exchange.reply(faults)
+
+
+def make_hostlist(
+    settings: HostListSettings, root: Manager, deadlines: Deadlines
+) -> HostListService:
+    """Register a host list at a loop."""
+    return HostListService(settings, deadlines).register(root)
+
+
+def run_hostlist(settings: HostListSettings) -> None:
+    """Serve the host list until the process is told to stop."""
+    serve_until_stopped(
+        lambda root, deadlines: make_hostlist(settings, root, deadlines)
+    )
--- a/jackdawspur/standins/_http_service.py
+++ b/jackdawspur/standins/_http_service.py
@@ -1,21 +1,30 @@
 """Serve a stand-in over HTTP with circuits.web, with replies that may come late."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from urllib.parse import parse_qs
 
 import msgspec
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Manager, handler
+from circuits.core.pollers import EPoll
 from circuits.net.events import close
 from circuits.web import BaseServer
 from circuits.web.events import response
 
+from jackdawspur.adapters import Deadlines
 from jackdawspur.exceptions import JackdawspurError
 
-__all__ = ["Exchange", "HttpService", "StandinError", "split_address"]
+__all__ = [
+    "BadQuery",
+    "ErrorBody",
+    "Exchange",
+    "HttpService",
+    "StandinError",
+    "not_found",
+    "serve_until_stopped",
+    "split_address",
+]
 
-OK = 200
-BAD_REQUEST = 400
-NOT_FOUND = 404
 JSON_TYPE = "application/json"
 
 
@@ -30,7 +39,7 @@
 class Exchange:
     """Hold one request until its reply is sent or dropped."""
 
-    __slots__ = ("_query", "body", "fields", "method", "path", "_service", "_res")
+    __slots__ = ("_query", "_res", "_service", "body", "method", "path")
 
     def __init__(self, service: "HttpService", req, res) -> None:
         self.method = req.method
@@ -66,13 +75,22 @@
         except ValueError as error:
             raise BadQuery(f"not a whole number: {name}") from error
 
-    def reply(self, body, status: int = OK) -> None:
-        """Send a reply, encoded as JSON."""
-        self._res.status = status
+    def reply(self, body, status: int = HTTPStatus.OK) -> None:
+        """Send a reply, encoded as JSON, if the connection still stands."""
+        if self.sock.fileno() < 0:
+            return
+        self._res.status = int(status)
         self._res.headers["Content-Type"] = JSON_TYPE
         self._res.body = msgspec.json.encode(body)
         self._service.fire(response(self._res))
 
+    def guard(self, answer: "Answer") -> None:
+        """Let `answer` answer, and turn a bad request into its reply."""
+        try:
+            answer(self)
+        except (msgspec.MsgspecError, StandinError) as error:
+            self.reply(ErrorBody(str(error)), HTTPStatus.BAD_REQUEST)
+
     def drop(self) -> None:
         """Close the connection without a reply."""
         self._service.fire(close(self.sock))
@@ -109,11 +127,7 @@
 
     @handler("request")
     def _on_request(self, req, res) -> bool:
-        exchange = Exchange(self, req, res)
-        try:
-            self.serve(exchange)
-        except (msgspec.MsgspecError, StandinError) as error:
-            exchange.reply(ErrorBody(str(error)), BAD_REQUEST)
+        Exchange(self, req, res).guard(self.serve)
         # True tells circuits.web that the reply comes by an event of its own.
         return True
 
@@ -127,13 +141,29 @@
     def _on_ready(self, server, bind) -> None:
         """Print nothing: the terminal belongs to whoever runs the stand-in."""
 
+    @handler("signal", override=True)
+    def _on_signal(self, *_) -> None:
+        """Stop at once, where circuits.web would linger for three seconds."""
+        self.root.stop()
+
 
 def not_found(exchange: Exchange) -> None:
     """Answer that there is nothing at this path."""
-    exchange.reply(ErrorBody(f"nothing at {exchange.path}"), NOT_FOUND)
+    exchange.reply(ErrorBody(f"nothing at {exchange.path}"), HTTPStatus.NOT_FOUND)
 
 
 def split_address(text: str) -> tuple[str, int]:
     """Return host and port of ``IP:port``."""
     host, _, port = text.rpartition(":")
     return host, int(port)
+
+
+def serve_until_stopped(make: Callable[[Manager, Deadlines], object]) -> None:
+    """Run a loop with what `make` registers at it.
+
+    circuits' default poller is select, which fails beyond 1,024 connections.
+    """
+    root = Manager()
+    EPoll().register(root)
+    make(root, Deadlines().register(root))
+    root.run()
--- /dev/null
+++ b/jackdawspur/standins/_log_service.py
@@ -0,0 +1,153 @@
+"""Serve the stand-in log over HTTP."""
+
+from collections import Counter
+from http import HTTPMethod, HTTPStatus
+from urllib.parse import unquote
+
+import msgspec
+from circuits import Manager
+
+from jackdawspur.adapters import Deadline, Deadlines
+from jackdawspur.standins._http_service import (
+    BadQuery,
+    ErrorBody,
+    Exchange,
+    HttpService,
+    not_found,
+    serve_until_stopped,
+    split_address,
+)
+from jackdawspur.standins._log import LogFaults, LogSettings, LogStore
+from jackdawspur.wire import AppendReply, ReadReply, TrimmedReply
+
+__all__ = ["LogService", "make_log", "run_log"]
+
+MS = 1000.0
+FAULTS = "/faults"
+STREAMS = "/v1/streams/"
+
+
+class _Poll:
+    """Hold a read that waits for a record, until its time is up."""
+
+    __slots__ = ("deadline", "exchange", "offset", "stream")
+
+    def __init__(self, exchange: Exchange, stream: str, offset: int) -> None:
+        self.exchange = exchange
+        self.stream = stream
+        self.offset = offset
+        self.deadline: Deadline | None = None
+
+
+class LogService(HttpService):
+    """Put one log behind HTTP and misbehave as told."""
+
+    def __init__(self, store: LogStore, deadlines: Deadlines) -> None:
+        super().__init__(split_address(store.settings.address), channel="log")
+        self._store = store
+        self._deadlines = deadlines
+        self._polls: list[_Poll] = []
+        self._to_lose: Counter[HTTPMethod] = Counter()
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request, unless there is an outage."""
+        if exchange.path == FAULTS:
+            self._set_faults(exchange)
+        elif self._store.faults.silent:
+            return
+        elif self._store.faults.outage:
+            body = ErrorBody("the log is down")
+            exchange.reply(body, HTTPStatus.SERVICE_UNAVAILABLE)
+        elif not exchange.path.startswith(STREAMS):
+            not_found(exchange)
+        elif exchange.method == HTTPMethod.POST:
+            self._append(exchange, unquote(exchange.path[len(STREAMS) :]))
+        else:
+            self._read(exchange, unquote(exchange.path[len(STREAMS) :]))
+
+    def gone(self, sock) -> None:
+        """Forget the reads of a closed connection."""
+        for poll in [each for each in self._polls if each.exchange.sock is sock]:
+            self._drop_poll(poll)
+
+    def _append(self, exchange: Exchange, stream: str) -> None:
+        if len(exchange.body) > self._store.settings.record_bytes:
+            body = ErrorBody("the record is too large")
+            exchange.reply(body, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif not self._store.admit(stream, self._deadlines.now):
+            body = ErrorBody("too many appends, or too many streams")
+            exchange.reply(body, HTTPStatus.TOO_MANY_REQUESTS)
+        else:
+            delay_ms = self._store.settings.append_delay_ms
+            delay_s = delay_ms * self._store.faults.slow_factor / MS
+            text = _text(exchange.body)
+            self._deadlines.call_after(
+                delay_s, lambda: self._appended(exchange, stream, text)
+            )
+
+    def _appended(self, exchange: Exchange, stream: str, text: str) -> None:
+        offset = self._store.append(stream, text, self._deadlines.now)
+        self._reply(exchange, AppendReply(offset))
+        for poll in [each for each in self._polls if each.stream == stream]:
+            self._drop_poll(poll)
+            self._answer(poll, final=True)
+
+    def _read(self, exchange: Exchange, stream: str) -> None:
+        poll = _Poll(exchange, stream, exchange.whole("from"))
+        wait_ms = exchange.number("wait_ms")
+        if not self._answer(poll, final=wait_ms <= 0):
+            self._polls.append(poll)
+            poll.deadline = self._deadlines.call_after(
+                wait_ms / MS, lambda: self._late(poll)
+            )
+
+    def _late(self, poll: _Poll) -> None:
+        self._drop_poll(poll)
+        self._answer(poll, final=True)
+
+    def _drop_poll(self, poll: _Poll) -> None:
+        self._polls.remove(poll)
+        poll.deadline.cancel()
+
+    def _answer(self, poll: _Poll, final: bool) -> bool:
+        now = self._deadlines.now
+        first = self._store.first(poll.stream, now)
+        if poll.offset < first:
+            poll.exchange.reply(TrimmedReply(first), HTTPStatus.GONE)
+            return True
+        records = self._store.read(poll.stream, poll.offset, now)
+        if records or final:
+            self._reply(poll.exchange, ReadReply(records))
+            return True
+        return False
+
+    def _reply(self, exchange: Exchange, body) -> None:
+        if self._to_lose[exchange.method] > 0:
+            self._to_lose[exchange.method] -= 1
+            exchange.drop()
+        else:
+            exchange.reply(body)
+
+    def _set_faults(self, exchange: Exchange) -> None:
+        faults = msgspec.json.decode(exchange.body, type=LogFaults)
+        self._store.set_faults(faults)
+        self._to_lose[HTTPMethod.POST] = faults.lose_appends
+        self._to_lose[HTTPMethod.GET] = faults.lose_reads
+        exchange.reply(faults)
+
+
+def make_log(settings: LogSettings, root: Manager, deadlines: Deadlines) -> LogService:
+    """Register a log at a loop."""
+    return LogService(LogStore(settings), deadlines).register(root)
+
+
+def run_log(settings: LogSettings) -> None:
+    """Serve the log until the process is told to stop."""
+    serve_until_stopped(lambda root, deadlines: make_log(settings, root, deadlines))
+
+
+def _text(body: bytes) -> str:
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise BadQuery("the record isn't UTF-8") from error
--- a/jackdawspur/standins/_worker.py
+++ b/jackdawspur/standins/_worker.py
@@ -29,7 +29,6 @@
 # A cursor starts above any that an earlier run of this worker can have handed out:
 # a run makes fewer than this many results in each millisecond of its life.
 CURSORS_PER_INCARNATION = 1000
-UNKNOWN_HOLDER = ""
 
 
 class Payload(msgspec.Struct, frozen=True):
@@ -61,7 +60,8 @@
         self._faults = WorkerFaults()
         self._running: dict[str, _Running] = {}
         self._ended: OrderedDict[str, OutcomeBody] = OrderedDict()
-        self._sealed: OrderedDict[str, float] = OrderedDict()
+        self._forgotten: OrderedDict[str, None] = OrderedDict()
+        self._sealed: OrderedDict[str, None] = OrderedDict()
         self._results: dict[str, deque[tuple[int, OutcomeBody]]] = {}
         self._starts_of: OrderedDict[str, int] = OrderedDict()
         self._refusals: Counter[str] = Counter()
@@ -109,14 +109,13 @@
             for name, task in self._running.items()
             if min(task.ends, task.lapses) <= now
         ]
-        for _, _, name in sorted(due):
+        for when, _, name in sorted(due):
             task = self._running.pop(name)
             if task.lapses < task.ends:
-                self._end(task.holder, _stopped(name, "its lease lapsed"))
+                self._end(task.holder, _stopped(task, "its lease lapsed"))
             else:
                 self._end(task.holder, task.outcome)
-        if due:
-            self._note_usage(now)
+            self._note_usage(when)
         return bool(due)
 
     def start(self, request: StartsRequest, now: float) -> StartsReply:
@@ -147,7 +146,7 @@
     def status(self, tasks: tuple[str, ...], seal: bool, now: float) -> StatusReply:
         """Tell how far tasks are; with `seal`, bar those that never started."""
         self.advance(now)
-        outcomes = tuple(self._status(task, seal, now) for task in tasks)
+        outcomes = tuple(self._status(task, seal) for task in tasks)
         return StatusReply(self._incarnation, outcomes)
 
     def stop(self, tasks: tuple[str, ...], now: float) -> StatusReply:
@@ -156,7 +155,7 @@
         for name in tasks:
             task = self._running.pop(name, None)
             if task is not None:
-                self._end(task.holder, _stopped(name, "it was stopped"))
+                self._end(task.holder, _stopped(task, "it was stopped"))
         self._note_usage(now)
         return self.status(tasks, True, now)
 
@@ -250,13 +249,15 @@
             order=self._started,
         )
 
-    def _status(self, task: str, seal: bool, now: float) -> OutcomeBody:
+    def _status(self, task: str, seal: bool) -> OutcomeBody:
         if task in self._running:
             return OutcomeBody(task, TaskState.RUNNING)
         if task in self._ended:
             return self._ended[task]
+        if task in self._forgotten:
+            return OutcomeBody(task, TaskState.UNKNOWN)
         if seal:
-            self._sealed[task] = now
+            self._sealed[task] = None
             _bound(self._sealed, self._settings.seals_kept)
         if task in self._sealed:
             return OutcomeBody(task, TaskState.SEALED)
@@ -269,12 +270,16 @@
         if len(kept) > self._settings.results_kept:
             kept.popleft()
         self._ended[outcome.task] = outcome
-        _bound(self._ended, self._settings.outcomes_kept)
+        while len(self._ended) > self._settings.outcomes_kept:
+            # It did run here, so a later status query must not call it sealed.
+            self._forgotten[self._ended.popitem(last=False)[0]] = None
+        _bound(self._forgotten, self._settings.starts_remembered)
 
     def _die(self) -> None:
         self._incarnation += 1
         self._running.clear()
         self._ended.clear()
+        self._forgotten.clear()
         self._sealed.clear()
         self._results.clear()
 
@@ -284,8 +289,8 @@
             self._usage_seen.popleft()
 
 
-def _stopped(task: str, why: str) -> OutcomeBody:
-    return OutcomeBody(task, TaskState.STOPPED, error=why)
+def _stopped(task: _Running, why: str) -> OutcomeBody:
+    return OutcomeBody(task.outcome.task, TaskState.STOPPED, error=why)
 
 
 def _payload(text: str) -> Payload:
--- a/jackdawspur/standins/_worker_service.py
+++ b/jackdawspur/standins/_worker_service.py
@@ -6,13 +6,13 @@
 
 import msgspec
 from circuits import Manager
-from circuits.core.pollers import EPoll
 
 from jackdawspur.adapters import Deadline, Deadlines
 from jackdawspur.standins._http_service import (
     Exchange,
     HttpService,
     not_found,
+    serve_until_stopped,
     split_address,
 )
 from jackdawspur.standins._worker import Worker
@@ -60,7 +60,7 @@
         self._wake: Deadline | None = None
         self._wake_at: float | None = None
         self._frozen_until = 0.0
-        self._arrived: deque[Exchange] = deque()
+        self._after_thaw: deque[Callable[[], None]] = deque()
         self._held: deque[Callable[[], None]] = deque()
         self._requests: Counter[str] = Counter()
         self._to_lose: Counter[str] = Counter()
@@ -86,11 +86,9 @@
             counters = self._worker.counters()
             requests = dict(self._requests)
             exchange.reply(msgspec.structs.replace(counters, requests=requests))
-        elif self._deadlines.now < self._frozen_until:
-            self._arrived.append(exchange)
         else:
-            self._answers.get(exchange.path, not_found)(exchange)
-            self._set_wake()
+            answer = self._answers.get(exchange.path, not_found)
+            self._unless_frozen(lambda: exchange.guard(answer))
 
     def gone(self, sock) -> None:
         """Forget the polls of a closed connection."""
@@ -98,6 +96,13 @@
             poll.deadline.cancel()
             self._polls.remove(poll)
 
+    def _unless_frozen(self, act: Callable[[], None]) -> None:
+        if self._deadlines.now < self._frozen_until:
+            self._after_thaw.append(act)
+            return
+        act()
+        self._set_wake()
+
     def _starts(self, exchange: Exchange) -> None:
         request = msgspec.json.decode(exchange.body, type=StartsRequest)
         self._reply(exchange, self._worker.start(request, self._deadlines.now))
@@ -109,7 +114,8 @@
         if not self._answer_poll(poll, final=wait_ms <= 0):
             self._polls.append(poll)
             poll.deadline = self._deadlines.call_after(
-                wait_ms / MS, lambda: self._poll_late(poll)
+                wait_ms / MS,
+                lambda: self._unless_frozen(lambda: self._poll_late(poll)),
             )
 
     def _status(self, exchange: Exchange) -> None:
@@ -126,8 +132,9 @@
         self._reply(exchange, self._worker.usage(self._deadlines.now))
 
     def _poll_late(self, poll: _Poll) -> None:
-        self._polls.remove(poll)
-        self._answer_poll(poll, final=True)
+        if poll in self._polls:
+            self._polls.remove(poll)
+            self._answer_poll(poll, final=True)
 
     def _answer_polls(self) -> None:
         for poll in list(self._polls):
@@ -168,8 +175,8 @@
         if self._deadlines.now < self._frozen_until:
             return
         self._advance()
-        while self._arrived:
-            self.serve(self._arrived.popleft())
+        while self._after_thaw:
+            self._after_thaw.popleft()()
 
     def _advance(self) -> None:
         self._wake_at = None
@@ -190,9 +197,10 @@
         self._wake = self._deadlines.call_after(delay, self._advance)
 
 
-def make_rack(settings: RackSettings, root: Manager) -> tuple[WorkerService, ...]:
+def make_rack(
+    settings: RackSettings, root: Manager, deadlines: Deadlines
+) -> tuple[WorkerService, ...]:
     """Register the workers of one process at its loop."""
-    deadlines = Deadlines().register(root)
     incarnation = int(time.time() * MS)
     return tuple(
         _make_service(settings, place, text, deadlines, incarnation).register(root)
@@ -202,10 +210,7 @@
 
 def run_worker(settings: RackSettings) -> None:
     """Serve the workers until the process is told to stop."""
-    root = Manager()
-    EPoll().register(root)
-    make_rack(settings, root)
-    root.run()
+    serve_until_stopped(lambda root, deadlines: make_rack(settings, root, deadlines))
 
 
 def _make_service(
--- a/jackdawspur/wire/__init__.py
+++ b/jackdawspur/wire/__init__.py
@@ -1,5 +1,7 @@
 """Bodies of the HTTP/JSON interfaces of upstreams, log and host list."""
 
+from jackdawspur.wire._hostlist import HostBody, HostsBody
+from jackdawspur.wire._log import AppendReply, ReadReply, RecordBody, TrimmedReply
 from jackdawspur.wire._upstream import (
     OutcomeBody,
     StartBody,
@@ -13,13 +15,19 @@
 )
 
 __all__ = [
+    "AppendReply",
+    "HostBody",
+    "HostsBody",
     "OutcomeBody",
+    "ReadReply",
+    "RecordBody",
     "StartBody",
     "StartsReply",
     "StartsRequest",
     "StatusReply",
     "StatusRequest",
     "StopRequest",
+    "TrimmedReply",
     "UsageReply",
     "VerdictBody",
 ]
