Wake the loop when a deadline fires events; bound holders by forgetting idle ones

On an idle stand-in a long poll was answered only when the next byte arrived: circuits does not shorten the poller's wait for events fired in the same thread.

--- a/jackdawspur/adapters/_deadlines.py
+++ b/jackdawspur/adapters/_deadlines.py
@@ -66,6 +66,11 @@
         now = self._clock()
         heap = self._heap
         while heap and (heap[0][0] <= now or not heap[0][2].pending):
-            heapq.heappop(heap)[2].expire()
+            deadline = heapq.heappop(heap)[2]
+            if deadline.pending:
+                # Events that the callback fires are only queued. Were the poller
+                # to wait now, they would sit there until the next byte arrives.
+                event.reduce_time_left(0)
+            deadline.expire()
         if heap:
             event.reduce_time_left(max(0.0, heap[0][0] - now))
--- a/jackdawspur/standins/_worker.py
+++ b/jackdawspur/standins/_worker.py
@@ -98,8 +98,8 @@
             self._die()
         self._note_usage(now)
 
-    def advance(self, now: float) -> bool:
-        """End what is due; tell whether anything ended.
+    def advance(self, now: float) -> None:
+        """End what is due.
 
         A task whose lease lapsed first is stopped, also when both happened while
         the worker was frozen.
@@ -116,7 +116,6 @@
             else:
                 self._end(task.holder, task.outcome)
             self._note_usage(when)
-        return bool(due)
 
     def start(self, request: StartsRequest, now: float) -> StartsReply:
         """Start what fits."""
@@ -207,13 +206,21 @@
             or start.accelerators > settings.accelerators
         ):
             return RefusalReason.TOO_LARGE
-        crowded = holder not in self._results and (
-            len(self._results) >= settings.holders_kept
-        )
-        if len(self._running) >= settings.slots or crowded:
+        if len(self._running) >= settings.slots or not self._has_room(holder):
             return RefusalReason.FULL
         return None
 
+    def _has_room(self, holder: str) -> bool:
+        """Make room for one more holder; a restarted host is a new one each time."""
+        if holder in self._results or len(self._results) < self._settings.holders_kept:
+            return True
+        busy = {task.holder for task in self._running.values()}
+        idle = next((each for each in self._results if each not in busy), None)
+        if idle is None:
+            return False
+        del self._results[idle]
+        return True
+
     def _count_start(self, task: str) -> int:
         earlier = self._starts_of.get(task, 0)
         self._started += 1
--- a/jackdawspur/standins/_worker_service.py
+++ b/jackdawspur/standins/_worker_service.py
@@ -101,12 +101,13 @@
             self._after_thaw.append(act)
             return
         act()
+        # Whatever was asked may have ended tasks that were due.
+        self._answer_polls()
         self._set_wake()
 
     def _starts(self, exchange: Exchange) -> None:
         request = msgspec.json.decode(exchange.body, type=StartsRequest)
         self._reply(exchange, self._worker.start(request, self._deadlines.now))
-        self._answer_polls()
 
     def _results(self, exchange: Exchange) -> None:
         poll = _Poll(exchange, exchange.text("holder"), exchange.whole("after"))
@@ -126,7 +127,6 @@
     def _stop(self, exchange: Exchange) -> None:
         request = msgspec.json.decode(exchange.body, type=StopRequest)
         self._reply(exchange, self._worker.stop(request.tasks, self._deadlines.now))
-        self._answer_polls()
 
     def _usage(self, exchange: Exchange) -> None:
         self._reply(exchange, self._worker.usage(self._deadlines.now))
@@ -182,8 +182,8 @@
         self._wake_at = None
         if self._deadlines.now < self._frozen_until:
             return
-        if self._worker.advance(self._deadlines.now):
-            self._answer_polls()
+        self._worker.advance(self._deadlines.now)
+        self._answer_polls()
         self._set_wake()
 
     def _set_wake(self) -> None:
--- a/jackdawspur/standins/tests/test_worker.py
+++ b/jackdawspur/standins/tests/test_worker.py
@@ -98,3 +98,13 @@
     assert worker.usage(11.1).leaving is False
     assert worker.usage(11.1).busy == 2
     assert worker.usage(11.2).leaving is True
+
+
+def test_holders_of_hosts_that_restart_are_bounded():
+    worker = Worker(WorkerSettings(holders_kept=2), incarnation=5, seed=1)
+    for place in range(20):
+        task = StartBody(f"s/{place}", "{}", 50.0)
+        reply = worker.start(StartsRequest(f"h{place}", (task,)), float(place))
+        assert reply.verdicts[0].refusal is None
+    assert states(worker.results("h17", 0, 30.0)) == []
+    assert states(worker.results("h19", 0, 30.0)) == [TaskState.STOPPED]
