--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 test: lint
 	$(BIN)/python -m pytest
+
+demo: install
+	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -4,8 +4,8 @@
 from jackdawspur.adapters._hostlist_http import HttpHostList
 from jackdawspur.adapters._http_client import HttpClient, HttpLimits, Replied
 from jackdawspur.adapters._http_connection import HttpReply
-from jackdawspur.adapters._log_http import HttpLog, LogTimeouts
 from jackdawspur.adapters._links import Links
+from jackdawspur.adapters._log_http import HttpLog, LogTimeouts
 from jackdawspur.adapters._upstream_http import HttpUpstream, UpstreamTimeouts
 from jackdawspur.adapters._web import Call, WebServer, WebService
 
--- a/jackdawspur/adapters/_http_client.py
+++ b/jackdawspur/adapters/_http_client.py
@@ -13,6 +13,7 @@
 
 __all__ = ["HttpClient", "HttpLimits", "Replied"]
 
+Headers = tuple[tuple[str, str], ...]
 Replied = Callable[[Result[HttpReply, PlatformError]], None]
 
 
@@ -68,13 +69,19 @@
         return len(self._in_flight)
 
     def request(
-        self, method: str, path: str, body: bytes, timeout_s: float, done: Replied
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        done: Replied,
+        headers: Headers = (),
     ) -> None:
         """Send one request; `done` is called once, never before this returns.
 
         Errors: `Unavailable`, `OutcomeUnknown`.
         """
-        call = _Call(self._encode(method, path, body), done)
+        call = _Call(self._encode(method, path, body, headers), done)
         if self._closed or len(self._waiting) >= self._limits.waiting:
             refusal = Unavailable(f"no room to ask {self._host}")
             self._deadlines.call_after(0.0, lambda: done(Err(refusal)))
@@ -122,9 +129,10 @@
         self._pump()
         self._end(call, Ok(reply))
 
-    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+    def _encode(self, method: str, path: str, body: bytes, headers: Headers) -> bytes:
+        extra = "".join(f"{name}: {value}\r\n" for name, value in headers)
         head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {self._host}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {self._host}\r\n{extra}"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         return head.encode() + body
--- a/jackdawspur/cli/_main.py
+++ b/jackdawspur/cli/_main.py
@@ -42,7 +42,7 @@
         _caller.run_submit,
         (
             "submit --host=127.0.0.1:18001 --token=example-roster-token job.json",
-            "submit --host=127.0.0.1:18001 --token=example-roster-token --key=order-17 -",
+            "submit --token=example-roster-token --key=order-17 -",
         ),
     ),
     Command(
@@ -62,7 +62,7 @@
     Command(
         "plan",
         "Plan a change of the configuration; nothing takes effect.",
-        _operator.define,
+        _operator.define_plan,
         _operator.run_plan,
         ("plan --host=127.0.0.1:18001 --token=example-ann-token intent.json",),
     ),
--- a/jackdawspur/cli/_operator.py
+++ b/jackdawspur/cli/_operator.py
@@ -3,12 +3,27 @@
 from collections.abc import Sequence
 
 from absl import flags
+from pydantic import TypeAdapter
 
 from jackdawspur.cli._caller import define_common
-from jackdawspur.cli._exit import ExitCode
+from jackdawspur.cli._exit import ExitCode, UsageError
 from jackdawspur.cli._http import ask, one_argument, print_reply, read_input
-
-__all__ = ["define", "run_confirm", "run_history", "run_plan", "run_status"]
+from jackdawspur.configuration import (
+    Configuration,
+    Intent,
+    InvalidConfiguration,
+    changes_between,
+    load_configuration,
+)
+
+__all__ = [
+    "define",
+    "define_plan",
+    "run_confirm",
+    "run_history",
+    "run_plan",
+    "run_status",
+]
 
 
 def define(values: flags.FlagValues) -> None:
@@ -29,12 +44,38 @@
     return _ask(values, "GET", "/admin/v1/history")
 
 
+def define_plan(values: flags.FlagValues) -> None:
+    """Define the flags of ``plan``."""
+    define(values)
+    flags.DEFINE_boolean(
+        "first",
+        False,
+        "The file is a whole configuration, to be the first in force.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "reason", "first configuration", "Reason, with --first.", flag_values=values
+    )
+
+
 def run_plan(values: flags.FlagValues, rest: Sequence[str]) -> ExitCode:
     """Plan the intent in a file."""
     intent = read_input(one_argument(list(rest), "an intent file or -"))
+    if values.first:
+        intent = _first_intent(intent, values.reason)
     return _ask(values, "POST", "/admin/v1/plans", intent)
 
 
+def _first_intent(document: bytes, reason: str) -> bytes:
+    """Return the intent that leads from nothing to a whole configuration."""
+    try:
+        wanted = load_configuration(document.decode())
+    except InvalidConfiguration as error:
+        raise UsageError(str(error)) from error
+    changes = changes_between(Configuration(), wanted)
+    return TypeAdapter(Intent).dump_json(Intent(reason=reason, changes=changes))
+
+
 def run_confirm(values: flags.FlagValues, rest: Sequence[str]) -> ExitCode:
     """Confirm a plan by its id."""
     plan = one_argument(list(rest), "a plan id")
--- a/jackdawspur/dispatch/_job.py
+++ b/jackdawspur/dispatch/_job.py
@@ -80,10 +80,10 @@
 
     @property
     def unsure(self) -> bool:
-        """Tell whether some task's start or end is not known here."""
-        return self.delegate is not None or any(
-            p.phase is not TaskPhase.DONE for p in self.placements.values()
-        )
+        """Tell whether it is not known here if some task ever started."""
+        doubtful = (TaskPhase.SENT, TaskPhase.UNSURE)
+        placed = self.placements.values()
+        return self.delegate is not None or any(p.phase in doubtful for p in placed)
 
     def task(self, index: int) -> TaskId:
         """Return the id of a task."""
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -90,6 +90,7 @@
         self._flushing = False
         self._wake_at: float | None = None
         self._draining = False
+        self._exiting = False
         self._meter = Meter(settings.statsd, str(self._own))
         self._deadlines = Deadlines().register(self)
         self._routes = Routes(self)
@@ -275,7 +276,10 @@
 
     def _exit_when_drained(self) -> None:
         """Stop once every caller has its answer and the bytes had time to leave."""
-        if self._draining and self._core.drained and not self._web.open_calls:
+        if self._exiting or not self._draining:
+            return
+        if self._core.drained and not self._web.open_calls:
+            self._exiting = True
             log.info("drained")
             self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
 
--- a/jackdawspur/load/_mix.py
+++ b/jackdawspur/load/_mix.py
@@ -10,6 +10,8 @@
 # One task in this many takes several seconds, as the users say of theirs.
 LONG_TASK_EVERY = 400
 LONG_TASK_MS = (2000.0, 4000.0)
+# Long enough that no deadline hides how long a job really waited.
+DEADLINE_MS = 20_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,7 @@
     job_class: str
     tasks: tuple[_Task, ...]
     idempotent: bool
+    deadline_ms: float
 
 
 def plan_job(mix: Mix, number: int, rng: random.Random) -> PlannedJob:
@@ -96,7 +99,9 @@
         _Task(msgspec.json.encode(_Payload(run_ms, output)).decode(), run_ms)
         for run_ms, output in zip(times, outputs, strict=True)
     )
-    body = msgspec.json.encode(_Job(kind.job_class, tasks, kind.idempotent))
+    body = msgspec.json.encode(
+        _Job(kind.job_class, tasks, kind.idempotent, DEADLINE_MS)
+    )
     return PlannedJob(kind, body, outputs, max(times))
 
 
