--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -1,6 +1,7 @@
 """A bounded HTTP server on circuits.web whose replies may come later."""
 
 import abc
+import logging
 from collections import defaultdict
 from dataclasses import dataclass
 from time import monotonic
@@ -25,6 +26,8 @@
 SWEEP_INTERVAL_S = 1.0
 CLIENT_ERROR_FLOOR = 400
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
@@ -177,11 +180,12 @@
         self._respond(res, reply_refusal(FailureCode.INVALID, text))
 
     @handler("exception", channel="*")
-    def _on_exception(self, _type, error, _trace, handler=None, fevent=None) -> None:
-        """Answer a request that made circuits' own parsing fail.
+    def _on_exception(self, _type, error, trace, handler=None, fevent=None) -> None:
+        """Log what a handler raised, and answer a request that can't be read.
 
-        Without this its caller would wait: circuits only reports the exception.
+        circuits drops exceptions in silence; the caller of such a request would wait.
         """
+        log.error("handler failed", extra={"event": repr(fevent), "trace": trace})
         if isinstance(fevent, read) and self.channel in fevent.channels:
             sock = fevent.args[0]
             self._server.http._buffers.pop(sock, None)
--- a/jackdawspur/dispatch/_peers.py
+++ b/jackdawspur/dispatch/_peers.py
@@ -154,7 +154,7 @@
     """Tell the peers whose turn it is that this host lives and how busy it is."""
     state.heartbeats += 1
     for addressed in state.view.heartbeats_due(_own_heartbeat(state, now), now):
-        state.emit(SendPeer(addressed.to, addressed.heartbeat))
+        state.emit(SendPeer(addressed.to, addressed.message))
 
 
 def _own_heartbeat(state: State, now: float) -> Heartbeat:
--- a/jackdawspur/dispatch/tests/conftest.py
+++ b/jackdawspur/dispatch/tests/conftest.py
@@ -48,7 +48,11 @@
         Customer("roster", quota_slots=64),
         Customer("maps", quota_slots=64),
     ),
-    entry_hosts=(EntryHost("north", "e1", "127.0.0.1:1", "127.0.0.1:2"),),
+    entry_hosts=(
+        EntryHost("north", "e1", "127.0.0.1:1", "127.0.0.1:2"),
+        EntryHost("north", "e2", "127.0.0.1:3", "127.0.0.1:4"),
+        EntryHost("south", "e1", "127.0.0.1:5", "127.0.0.1:6"),
+    ),
     upstreams=UPSTREAMS,
 )
 
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -38,6 +38,7 @@
     AppendClaim,
     AskStatus,
     DrainAsked,
+    Effect,
     EntryCore,
     Event,
     HostsListed,
@@ -46,6 +47,7 @@
     SendPeer,
     StartTasks,
     StopTasks,
+    Submitted,
     Tick,
     WorldSet,
 )
@@ -56,7 +58,7 @@
 from jackdawspur.entry._status import HostStatus, status_of
 from jackdawspur.entry._upstreams import UpstreamDriver
 from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
-from jackdawspur.model import EntryHost, HostId
+from jackdawspur.model import Answer, EntryHost, FailureCode, HostId, JobState
 from jackdawspur.settings import EntrySettings
 
 __all__ = ["EntryHostProcess", "run_entry"]
@@ -168,12 +170,27 @@
     def _on_flush(self) -> None:
         self._flushing = False
         events, self._events = self._events, []
-        effects = self._core.handle_all(tuple(events), monotonic())
-        for effect in effects:
+        for effect in self._decide(tuple(events)):
             _ACTIONS[type(effect)](self, effect)
         self._set_wake()
         self._exit_when_drained()
 
+    def _decide(self, events: tuple[Event, ...]) -> list[Effect]:
+        """Return the effects of events; a fault in them ends only their own calls.
+
+        Without this circuits would swallow the exception and the callers whose
+        requests came in the same pass would wait to their time limit.
+        """
+        try:
+            return self._core.handle_all(events, monotonic())
+        except Exception:
+            log.exception("decisions failed", extra={"events": repr(events)[:2000]})
+            text = "an internal error; whether the job ran is unknown"
+            code = FailureCode.OUTCOME_UNKNOWN
+            failed = Answer(JobState.FAILED, code=code, message=text)
+            calls = [event.call for event in events if isinstance(event, Submitted)]
+            return [AnswerCall(call, failed) for call in calls]
+
     def _set_wake(self) -> None:
         """Wake for the decisions' next timer, if no tick comes before it."""
         wake = self._core.next_wake()
