--- a/jackdawspur/sharing/_limits.py
+++ b/jackdawspur/sharing/_limits.py
@@ -8,6 +8,7 @@
     "LEND_TERM",
     "LONGEST_BACK_OFF",
     "LONGEST_HOLD",
+    "REQUEST_LIFE",
 ]
 
 # A borrower starts tasks on lent slots for this long after it asked.
@@ -18,7 +19,10 @@
 # longer on a lent slot may then meet a refusal, never a second start.
 LONGEST_HOLD = 30.0
 # A sibling that did not grant is not asked again before this.
-ASK_AGAIN = 0.1
+ASK_AGAIN = 0.25
+# A lender that has nothing idle keeps a request so long, less than the time above,
+# as the borrower sends back what answers an older request.
+REQUEST_LIFE = 0.2
 # Lent slots are kept this long without use, so one loan serves several tasks.
 IDLE_BEFORE_RETURN = 0.1
 FIRST_BACK_OFF = 0.05
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -59,6 +59,10 @@
         """Return the tasks of this host that occupy slots."""
         return self._running.total()
 
+    def running(self) -> Mapping[UpstreamId, int]:
+        """Return the tasks of this host on each upstream."""
+        return dict(+self._running)
+
     def free(self, now: float) -> int:
         """Return the slots on which starts may be sent now."""
         return self._free(now).total()
