Keep a request that found no idle slot for a short while

A borrower asked in vain and waited for its next try while the lender's slots fell idle. The lender now answers late, within the time in which the borrower accepts.

--- a/jackdawspur/sharing/__init__.py
+++ b/jackdawspur/sharing/__init__.py
@@ -6,7 +6,7 @@
     LEND_TERM,
     LONGEST_HOLD,
 )
-from jackdawspur.sharing._loans import Ask, GiveBack
+from jackdawspur.sharing._loans import Ask, GiveBack, Lend
 from jackdawspur.sharing._table import SlotTable
 
 __all__ = [
@@ -15,6 +15,7 @@
     "LEND_MARGIN",
     "LEND_TERM",
     "LONGEST_HOLD",
+    "Lend",
     "SlotTable",
     "divide",
 ]
--- a/jackdawspur/sharing/_loans.py
+++ b/jackdawspur/sharing/_loans.py
@@ -14,7 +14,7 @@
     LONGEST_HOLD,
 )
 
-__all__ = ["Ask", "Borrowing", "GiveBack", "Lending", "refusal"]
+__all__ = ["Ask", "Borrowing", "GiveBack", "Lend", "Lending", "refusal"]
 
 MS = 1000.0
 
@@ -27,6 +27,14 @@
     request: SlotRequest
 
 
+@dataclass(frozen=True, slots=True)
+class Lend:
+    """Address a grant of slots."""
+
+    to: HostId
+    grant: SlotGrant
+
+
 @dataclass(frozen=True, slots=True)
 class GiveBack:
     """Address a return of slots."""
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -8,8 +8,8 @@
 from jackdawspur.messages import SlotGrant, SlotRequest, SlotReturn
 from jackdawspur.model import HostId, Upstream, UpstreamId, rendezvous
 from jackdawspur.sharing._division import divide
-from jackdawspur.sharing._limits import FIRST_BACK_OFF, LONGEST_BACK_OFF
-from jackdawspur.sharing._loans import Ask, Borrowing, GiveBack, Lending, refusal
+from jackdawspur.sharing._limits import FIRST_BACK_OFF, LONGEST_BACK_OFF, REQUEST_LIFE
+from jackdawspur.sharing._loans import Ask, Borrowing, GiveBack, Lend, Lending, refusal
 
 __all__ = ["SlotTable"]
 
@@ -23,6 +23,12 @@
     length: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Unmet:
+    request: SlotRequest
+    until: float
+
+
 class SlotTable:
     """Count the slots of the own zone's upstreams that this host holds and uses."""
 
@@ -35,6 +41,7 @@
         self._rack_running: Counter[str] = Counter()
         self._racks: dict[UpstreamId, str] = {}
         self._back_offs: dict[UpstreamId, _BackOff] = {}
+        self._unmet: dict[HostId, _Unmet] = {}
         self._lending = Lending()
         self._borrowing = Borrowing()
 
@@ -135,15 +142,37 @@
     def lend(
         self, sender: HostId, request: SlotRequest, waiting_own: int, now: float
     ) -> SlotGrant | None:
-        """Grant a sibling idle slots, half of them at most; None when none is idle."""
+        """Grant a sibling idle slots, half of them at most; None when none is idle.
+
+        A request that got nothing is kept for a short while, see `lend_late`.
+        """
+        if sender not in self._members:
+            return None
         spare = self._lendable(now)
         count = min(request.wanted, (spare.total() - waiting_own + 1) // 2)
-        if count <= 0 or sender not in self._members:
+        if count <= 0:
+            self._unmet[sender] = _Unmet(request, now + REQUEST_LIFE)
             return None
-        open_slots = {name: slots for name, slots in spare.items() if slots > 0}
-        chosen = Counter(self._spread(count, open_slots))
+        self._unmet.pop(sender, None)
+        chosen = Counter(self._spread(count, spare))
         return self._lending.grant(sender, request, chosen, now)
 
+    def lend_late(self, waiting_own: int, now: float) -> tuple[Lend, ...]:
+        """Grant idle slots to siblings whose recent request got none."""
+        lends = []
+        for sender, unmet in list(self._unmet.items()):
+            grant = None
+            if now < unmet.until:
+                grant = self.lend(sender, unmet.request, waiting_own, now)
+            if grant:
+                lends.append(Lend(sender, grant))
+            elif now < unmet.until:
+                # A request that stays unmet must not live longer for each try.
+                self._unmet[sender] = unmet
+            else:
+                del self._unmet[sender]
+        return tuple(lends)
+
     def borrow(
         self, sender: HostId, grant: SlotGrant, now: float
     ) -> tuple[GiveBack, ...]:
--- a/jackdawspur/sharing/tests/test_lending.py
+++ b/jackdawspur/sharing/tests/test_lending.py
@@ -40,6 +40,11 @@
         for ask in self.tables[host].ask(8, {other: 4}, self.now):
             self.flights.append((host, ask.to, ask.request))
 
+    def lend_late(self):
+        for host, table in self.tables.items():
+            for lend in table.lend_late(0, self.now):
+                self.flights.append((host, lend.to, lend.grant))
+
     def give_back(self, host):
         self.tables[host].expire(self.now)
         for back in self.tables[host].give_back(0, self.now):
@@ -100,6 +105,7 @@
     for name, *args in steps:
         if name == "wait":
             pair.now = min(pair.now + args[0], LONGEST_HOLD - 0.1)
+            pair.lend_late()
         elif name == "lose":
             if pair.flights:
                 del pair.flights[args[0] % len(pair.flights)]
