Shrink the frame of link messages; send pulses between heartbeats

Frame and heartbeat were maps with field names: 395 bytes a short heartbeat with its frame, 230 for a pulse. With an array frame and whole ids a pulse has 157.

The test of a newer schema patched the bytes of the old frame; it now patches the version byte of the new one. The core handles pulses and late loans.

--- a/jackdawspur/adapters/_links.py
+++ b/jackdawspur/adapters/_links.py
@@ -9,7 +9,7 @@
 from circuits.core.pollers import BasePoller
 
 from jackdawspur.links import Envelope, LinkError, StaleFilter, decode, encode
-from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
+from jackdawspur.messages import Heartbeat, Message, Pulse, RecordsPassed, RecordsWanted
 from jackdawspur.model import EntryHost, HostId
 
 __all__ = ["Links"]
@@ -21,7 +21,7 @@
 RECONNECT_MAX_MS = 1000
 MESSAGES_A_PASS = 200
 # These concern any run of the host; all others are for the one run they name.
-FOR_ANY_RUN = (Heartbeat, RecordsWanted, RecordsPassed)
+FOR_ANY_RUN = (Heartbeat, Pulse, RecordsWanted, RecordsPassed)
 
 log = logging.getLogger(__name__)
 
--- a/jackdawspur/dispatch/_peers.py
+++ b/jackdawspur/dispatch/_peers.py
@@ -20,6 +20,7 @@
     Forward,
     ForwardAnswer,
     Heartbeat,
+    Pulse,
     SlotGrant,
     SlotRequest,
     SlotReturn,
@@ -48,6 +49,11 @@
     note_loads(state, now)
 
 
+def _pulse(state: State, sender: HostId, pulse: Pulse, now: float) -> None:
+    state.view.pulsed(sender, pulse, now)
+    note_loads(state, now)
+
+
 def _forward(state: State, sender: HostId, message: Forward, now: float) -> None:
     """Treat a forwarded call as one of our own that is answered through its host."""
     call = open_remote_call(state, sender, message.call)
@@ -127,6 +133,7 @@
 
 _HANDLERS = {
     Heartbeat: _heartbeat,
+    Pulse: _pulse,
     Forward: _forward,
     CancelForward: _forwarded_cancel,
     ForwardAnswer: _forward_answer,
@@ -146,6 +153,8 @@
         for ask in state.slots.ask(waiting, spare, now):
             state.counters.loans_asked += 1
             state.emit(SendPeer(ask.to, ask.request))
+    for lend in state.slots.lend_late(waiting, now):
+        state.emit(SendPeer(lend.to, lend.grant))
     for back in state.slots.give_back(waiting, now):
         state.emit(SendPeer(back.to, back.message))
 
@@ -154,7 +163,7 @@
     """Tell the peers whose turn it is that this host lives and how busy it is."""
     state.heartbeats += 1
     for addressed in state.view.heartbeats_due(_own_heartbeat(state, now), now):
-        state.emit(SendPeer(addressed.to, addressed.heartbeat))
+        state.emit(SendPeer(addressed.to, addressed.message))
 
 
 def _own_heartbeat(state: State, now: float) -> Heartbeat:
--- a/jackdawspur/links/_codec.py
+++ b/jackdawspur/links/_codec.py
@@ -7,7 +7,7 @@
 
 from jackdawspur.exceptions import JackdawspurError
 from jackdawspur.messages import Message
-from jackdawspur.model import HostId
+from jackdawspur.model import HostId, InvalidId
 
 __all__ = [
     "SCHEMA_VERSION",
@@ -19,7 +19,7 @@
     "encode",
 ]
 
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
 
 
 class LinkError(JackdawspurError):
@@ -44,11 +44,12 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class _Frame:
+# A struct, unlike a data class, encodes without field names; with these and whole ids
+# the frame outweighed the heartbeats it carries.
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
     schema: int
-    sender: HostId
-    to: HostId
+    sender: str
+    to: str
     sent_at: float
     kind: str
     body: msgspec.Raw
@@ -63,9 +64,8 @@
     """Return the bytes of an envelope."""
     body = msgspec.Raw(_ENCODER.encode(envelope.message))
     kind = type(envelope.message).__name__
-    frame = _Frame(
-        SCHEMA_VERSION, envelope.sender, envelope.to, envelope.sent_at, kind, body
-    )
+    sender, to = str(envelope.sender), str(envelope.to)
+    frame = _Frame(SCHEMA_VERSION, sender, to, envelope.sent_at, kind, body)
     return _ENCODER.encode(frame)
 
 
@@ -77,6 +77,10 @@
         raise UnreadableMessage(str(error)) from error
     if frame.schema != SCHEMA_VERSION:
         raise UnknownSchema(f"schema {frame.schema}, this host has {SCHEMA_VERSION}")
+    try:
+        sender, to = HostId.parse(frame.sender), HostId.parse(frame.to)
+    except InvalidId as error:
+        raise UnreadableMessage(str(error)) from error
     decoder = _BODIES.get(frame.kind)
     if decoder is None:
         raise UnreadableMessage(f"no message is called {frame.kind[:40]!r}")
@@ -84,4 +88,4 @@
         message = decoder.decode(frame.body)
     except msgspec.MsgspecError as error:
         raise UnreadableMessage(f"{frame.kind}: {error}") from error
-    return Envelope(frame.sender, frame.to, frame.sent_at, message)
+    return Envelope(sender, to, frame.sent_at, message)
--- a/jackdawspur/links/tests/test_links.py
+++ b/jackdawspur/links/tests/test_links.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings, strategies as st
 
 from jackdawspur.links import (
+    SCHEMA_VERSION,
     Envelope,
     LinkError,
     StaleFilter,
@@ -47,8 +48,10 @@
 
 def test_newer_schema_is_told_apart():
     data = encode(Envelope(ONE, TWO, 0.0, Delegate(SubmissionId(ONE, 4), REQUEST, 1)))
+    # The frame is an array whose first element is the version.
+    newer = data[:1] + bytes([SCHEMA_VERSION + 1]) + data[2:]
     with pytest.raises(UnknownSchema):
-        decode(data.replace(b"\xa6schema\x01", b"\xa6schema\x02"))
+        decode(newer)
 
 
 def test_message_held_up_by_a_cut_is_stale():
--- a/jackdawspur/membership/_pace.py
+++ b/jackdawspur/membership/_pace.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass, replace
 from functools import lru_cache
 
-import msgspec
-
+from jackdawspur.links import Envelope, encode
 from jackdawspur.membership._limits import (
     FASTEST_LINK,
     FASTEST_RELAY,
@@ -28,6 +27,7 @@
 SAMPLE_HOST = HostId("region-1-zone-1", "entry-10", 1_700_000_000_000)
 SAMPLE_BEAT = Heartbeat(SAMPLE_HOST, 100_000, True, False, 100_000, 100, 1000, 99.5)
 SAMPLE_PULSE = Pulse(100_000, 100, 1000, 99.5)
+SAMPLE_SENT_AT = 1_000_000.5
 SAMPLE_USAGE = CustomerUsage("customer-100", 1000, 1000)
 SAMPLE_ZONE = ZoneVersion(SAMPLE_HOST.zone, 100_000, 100, 1000, 10)
 
@@ -140,4 +140,4 @@
 
 
 def _size(message: Heartbeat | Pulse) -> int:
-    return len(msgspec.msgpack.encode(message))
+    return len(encode(Envelope(SAMPLE_HOST, SAMPLE_HOST, SAMPLE_SENT_AT, message)))
--- a/jackdawspur/membership/_zones.py
+++ b/jackdawspur/membership/_zones.py
@@ -89,8 +89,9 @@
     heaviest = (running + waiting).most_common(USAGE_REPORTED)
     return ZoneVersion(
         zone=zone,
-        # In force in the zone means on every live host of it.
-        version=min((beat.version for beat in beats), default=-1),
+        # In force in the zone means on every host of it that starts tasks; one that
+        # is still reading the configuration refuses all work.
+        version=min((beat.version for beat in beats if _starts(beat)), default=-1),
         free_slots=sum(beat.free_slots for beat in beats),
         waiting_tasks=sum(beat.waiting_tasks for beat in beats),
         hosts=len(beats),
@@ -98,3 +99,7 @@
             CustomerUsage(name, running[name], waiting[name]) for name, _ in heaviest
         ),
     )
+
+
+def _starts(beat: Heartbeat) -> bool:
+    return beat.ready or beat.draining
--- a/jackdawspur/membership/tests/conftest.py
+++ b/jackdawspur/membership/tests/conftest.py
@@ -1,11 +1,12 @@
 """A handful of views joined by messages on virtual time."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
-import msgspec
 import pytest
 
-from jackdawspur.membership import View
+from jackdawspur.links import Envelope, encode
+from jackdawspur.membership import Addressed, View
 from jackdawspur.messages import CustomerUsage, Heartbeat, Pulse
 from jackdawspur.model import EntryHost, HostId, World
 
@@ -24,7 +25,8 @@
     paused: set[HostId] = field(default_factory=set)
     bad: dict[HostId, tuple] = field(default_factory=dict)
     usage: tuple[CustomerUsage, ...] = ()
-    sent: dict[HostId, int] = field(default_factory=dict)
+    sent: Counter[HostId] = field(default_factory=Counter)
+    received: Counter[HostId] = field(default_factory=Counter)
     sequence: int = 0
 
     def start(self, host):
@@ -49,8 +51,7 @@
             host, self.sequence, True, False, 7, 4, 2, 1.0, usage=self.usage
         )
         for out in self.views[host].heartbeats_due(state, self.now):
-            size = len(msgspec.msgpack.encode(out.message)) + PACKET
-            self.sent[host] = self.sent.get(host, 0) + size
+            self.sent[host] += _size(host, out)
             yield host, out.to, out.message
 
     def _deliver(self, sender, to, message):
@@ -58,12 +59,17 @@
         for host in self.views.keys() - self.paused:
             if apart or not host.same_machine(to):
                 continue
+            self.received[host] += _size(sender, Addressed(to, message))
             if isinstance(message, Pulse):
                 self.views[host].pulsed(sender, message, self.now)
             else:
                 self.views[host].heard(message, self.now)
 
 
+def _size(sender, out):
+    return len(encode(Envelope(sender, out.to, 1000.5, out.message))) + PACKET
+
+
 def build(zones, hosts):
     """Return a net of zones of equal size, all hosts started."""
     names = [
--- a/jackdawspur/membership/tests/test_view.py
+++ b/jackdawspur/membership/tests/test_view.py
@@ -105,9 +105,15 @@
 
 
 def test_other_zones_stay_known_when_a_linked_host_dies(net, hosts):
+    """One of the two hosts that talk to the other zones dies; its sibling takes over.
+
+    No zone may look cut off, and hosts of other zones forget it within half a minute.
+    """
     net.paused.add(hosts[0])
-    net.run(20)
-    assert net.views[hosts[1]].unreachable_zones(net.now) == ()
+    for _ in range(30):
+        net.run(1)
+        assert net.views[hosts[1]].unreachable_zones(net.now) == ()
+        assert net.views[hosts[5]].unreachable_zones(net.now) == ()
     assert not net.views[hosts[5]].is_live(hosts[0])
 
 
@@ -159,10 +165,10 @@
         view.set_world(net.world, 0.0)
     net.run(10)
     net.sent.clear()
+    net.received.clear()
     net.run(60)
-    rates = [sent / 60 for sent in net.sent.values()]
-    assert 2 * sum(rates) / len(rates) < 9000
-    assert 2 * max(rates) < 2 * 9000
+    rates = [(net.sent[host] + net.received[host]) / 60 for host in net.views]
+    assert max(rates) < 9000
 
 
 @pytest.mark.parametrize("size", [1, 2, 6, 12, 20])
