--- a/jackdawspur/model/__init__.py
+++ b/jackdawspur/model/__init__.py
@@ -15,7 +15,8 @@
     TaskId,
     UpstreamId,
 )
-from jackdawspur.model._job import JobRequest, TaskSpec
+from jackdawspur.model._job import MAX_TASKS, JobRequest, TaskSpec
+from jackdawspur.model._rendezvous import rendezvous
 from jackdawspur.model._world import (
     Contract,
     Customer,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "MAX_TASKS",
     "Answer",
     "Contract",
     "Customer",
@@ -45,4 +47,5 @@
     "Upstream",
     "UpstreamId",
     "World",
+    "rendezvous",
 ]
