Show operators the zones' versions alone

Cause: the heartbeats' report of a zone grew fields about load, which then stood in the status of the configuration. Conclusion: the desk's replies no longer follow the form of messages.

--- a/jackdawspur/configuration/__init__.py
+++ b/jackdawspur/configuration/__init__.py
@@ -94,7 +94,7 @@
     token_hash,
     world_of,
 )
-from jackdawspur.configuration._zones import ZoneDelay, ZoneReports
+from jackdawspur.configuration._zones import ZoneDelay, ZoneInForce, ZoneReports
 
 __all__ = [
     "ActivateWorld",
@@ -166,6 +166,7 @@
     "ZoneCapacity",
     "ZoneDelay",
     "ZoneEntry",
+    "ZoneInForce",
     "ZoneReports",
     "appends_a_day",
     "apply_changes",
--- a/jackdawspur/configuration/_operations.py
+++ b/jackdawspur/configuration/_operations.py
@@ -9,8 +9,7 @@
 from jackdawspur.configuration._planner import Plan
 from jackdawspur.configuration._readiness import LogHealth, Readiness
 from jackdawspur.configuration._reports import Skipped, Void
-from jackdawspur.configuration._zones import ZoneDelay
-from jackdawspur.messages import ZoneVersion
+from jackdawspur.configuration._zones import ZoneDelay, ZoneInForce
 
 __all__ = [
     "AppendCount",
@@ -175,7 +174,7 @@
     contiguous: bool
     readiness: Readiness
     log: LogHealth
-    zones: tuple[ZoneVersion, ...]
+    zones: tuple[ZoneInForce, ...]
     changes: tuple[ChangeStatus, ...]
     skipped: tuple[Skipped, ...]
     delays: tuple[ZoneDelay, ...]
--- a/jackdawspur/configuration/_views.py
+++ b/jackdawspur/configuration/_views.py
@@ -96,7 +96,7 @@
         contiguous=fold.contiguous,
         readiness=keeper.readiness,
         log=keeper.log_health,
-        zones=keeper.zones.reports,
+        zones=keeper.zones.known,
         changes=tuple(change_status(keeper, entry) for entry in recent),
         skipped=fold.skipped,
         delays=keeper.zones.delays,
--- a/jackdawspur/configuration/_zones.py
+++ b/jackdawspur/configuration/_zones.py
@@ -7,11 +7,19 @@
 from jackdawspur.messages import Heartbeat, ZoneVersion
 from jackdawspur.model import HostId
 
-__all__ = ["ZoneDelay", "ZoneReports"]
+__all__ = ["ZoneDelay", "ZoneInForce", "ZoneReports"]
 
 VERSIONS_TIMED = 64
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneInForce:
+    """Tell the newest version that a zone reported in force."""
+
+    zone: str
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneDelay:
     """Tell how long after this host's own reading a zone had a version in force."""
@@ -40,6 +48,11 @@
         """Return what this host's next heartbeat says of all zones."""
         return tuple(ZoneVersion(z, v) for z, v in sorted(self._versions.items()))
 
+    @property
+    def known(self) -> tuple[ZoneInForce, ...]:
+        """Return the newest version of each zone for people."""
+        return tuple(ZoneInForce(z, v) for z, v in sorted(self._versions.items()))
+
     @property
     def delays(self) -> tuple[ZoneDelay, ...]:
         """Return the measured delays of the newest versions."""
