--- a/jackdawspur/configuration/_keeper.py
+++ b/jackdawspur/configuration/_keeper.py
@@ -77,6 +77,7 @@
         self._failures = 0
         self._live: tuple[HostId, ...] = ()
         self._heard: dict[HostId, int] = {}
+        self._zones_heard: dict[str, int] = {}
         self._answered: set[HostId] = set()
         self._behind_since: float | None = None
         self._ask_until = now
@@ -171,6 +172,9 @@
     def _on_heartbeat(self, event: HeartbeatSeen, now: float) -> list[KeeperEffect]:
         heartbeat = event.heartbeat
         self._heard[heartbeat.host] = heartbeat.version
+        for report in heartbeat.zones:
+            known = self._zones_heard.get(report.zone, NOTHING)
+            self._zones_heard[report.zone] = max(known, report.version)
         self.zones.note_heartbeat(heartbeat, now)
         return []
 
@@ -230,7 +234,9 @@
             self._heard.get(host, NOTHING) > self.fold.version for host in self._live
         ):
             return ReadinessReason.BEHIND_PEERS
-        unheard = set(self._live) - self._heard.keys() - self._answered
+        # Far hosts aren't all heard directly; siblings and relays tell of their zones.
+        siblings = {host for host in self._live if host.zone == self._host.zone}
+        unheard = siblings - self._heard.keys() - self._answered
         return ReadinessReason.ASKING_PEERS if unheard else ReadinessReason.READY
 
     def _nothing_known(self, waited_out: bool) -> ReadinessReason:
@@ -256,7 +262,7 @@
         return [AskRecords(self._rng.choice(wanted), RecordsWanted(after))]
 
     def _wanted_peers(self, now: float) -> list[HostId]:
-        newer = [h for h in self._live if self._heard.get(h, NOTHING) > self._seen]
+        newer = [h for h in self._live if self._heard_of(h) > self._seen]
         log_up = self.log_health is LogHealth.UP
         if not newer:
             self._behind_since = None
@@ -271,6 +277,11 @@
             return [h for h in self._live if h not in self._answered] or newer
         return []
 
+    def _heard_of(self, host: HostId) -> int:
+        # A zone's report counts for each of its hosts: all ready ones have it.
+        of_zone = self._zones_heard.get(host.zone, NOTHING)
+        return max(self._heard.get(host, NOTHING), of_zone)
+
     @property
     def _seen(self) -> int:
         # A version followed but not readable here needs no asking for.
--- a/jackdawspur/configuration/tests/test_checks.py
+++ b/jackdawspur/configuration/tests/test_checks.py
@@ -7,7 +7,9 @@
 
 from jackdawspur.configuration import (
     Configuration,
+    DeskCode,
     InvalidConfiguration,
+    ReadinessReason,
     apply_changes,
     changes_between,
     class_of,
@@ -141,3 +143,10 @@
     kinds.append(document.customers[0].classes[0])
     missing = [f.name for k in kinds for f in fields(k) if f"`{f.name}`" not in page]
     assert not missing
+
+
+def test_operators_page_has_a_section_for_every_code():
+    page = (EXAMPLES.parent / "docs" / "operators" / "configuration.md").read_text()
+    codes = {*DeskCode, *ReadinessReason} - {DeskCode.OK, ReadinessReason.READY}
+    headings = {code.replace("_", " ") for code in codes}
+    assert not [name for name in headings if f"### {name}\n" not in page]
--- a/jackdawspur/configuration/tests/test_keeper.py
+++ b/jackdawspur/configuration/tests/test_keeper.py
@@ -68,6 +68,24 @@
     assert activated == [version]
 
 
+def test_far_zone_is_asked_when_only_its_relay_tells(keeper):
+    """A zone lost the log; a relay's report says that another zone is ahead.
+
+    No host of that zone is heard directly. The records can be had from any of its
+    hosts, and the far hosts that stay silent must not hold up a cold start.
+    """
+    far = HostId("north-c", "e1", 1)
+    keeper.handle(0.0, LogFailed("down"))
+    keeper.handle(0.1, PeersSeen((SIBLING, far)))
+    ahead = heartbeat(SIBLING, 3, zones=(ZoneVersion("north-c", 9),))
+    effects = keeper.handle(0.7, HeartbeatSeen(ahead))
+    asked = [e.to for e in effects if isinstance(e, AskRecords)]
+    for step in range(20):
+        effects = keeper.handle(1.0 + step, KeeperTick(0.0))
+        asked += [e.to for e in effects if isinstance(e, AskRecords)]
+    assert far in asked
+
+
 def test_returning_host_bridges_a_trimmed_log(cluster, document):
     """A host is cut off while the log is trimmed without a new snapshot.
 
