--- a/jackdawspur/configuration/_keeper.py
+++ b/jackdawspur/configuration/_keeper.py
@@ -230,9 +230,7 @@
             return self._nothing_known(waited_out)
         if waited_out or not self._live:
             return ReadinessReason.READY
-        if any(
-            self._heard.get(host, NOTHING) > self.fold.version for host in self._live
-        ):
+        if max(map(self._heard_of, self._live)) > self.fold.version:
             return ReadinessReason.BEHIND_PEERS
         # Far hosts aren't all heard directly; siblings and relays tell of their zones.
         siblings = {host for host in self._live if host.zone == self._host.zone}
--- a/jackdawspur/configuration/_zones.py
+++ b/jackdawspur/configuration/_zones.py
@@ -39,7 +39,8 @@
     def __init__(self, host: HostId) -> None:
         self._host = host
         self._versions: dict[str, int] = {}
-        self._siblings: dict[HostId, int] = {}
+        # None for a sibling that was heard but takes no new jobs.
+        self._siblings: dict[HostId, int | None] = {}
         self._read_at: OrderedDict[int, float] = OrderedDict()
         self._delays: dict[int, dict[str, float]] = {}
 
@@ -77,9 +78,9 @@
     def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take a peer's own version and what it heard of other zones."""
         if heartbeat.host.zone == self._host.zone:
-            self._siblings.pop(heartbeat.host, None)
-            if heartbeat.ready and not heartbeat.draining:
-                self._siblings[heartbeat.host] = heartbeat.version
+            serving = heartbeat.ready and not heartbeat.draining
+            version = heartbeat.version if serving else None
+            self._siblings[heartbeat.host] = version
         for report in heartbeat.zones:
             # Only hosts of a zone can tell for all of them; for its own zone a host
             # takes no one else's word.
@@ -88,11 +89,12 @@
 
     def settle(self, live: Iterable[HostId], own: int | None, now: float) -> None:
         """Work out this zone's version from its live hosts; `own` None if unready."""
-        alive = set(live)
+        alive = {host for host in live if host.zone == self._host.zone}
         self._siblings = {h: v for h, v in self._siblings.items() if h in alive}
-        versions = [*self._siblings.values()]
-        if own is not None:
-            versions.append(own)
+        if alive - self._siblings.keys():
+            # A sibling that others hear may serve an older version than this host's.
+            return
+        versions = [v for v in (*self._siblings.values(), own) if v is not None]
         if versions:
             self._raise(self._host.zone, min(versions), now)
 
--- a/jackdawspur/configuration/tests/test_keeper.py
+++ b/jackdawspur/configuration/tests/test_keeper.py
@@ -43,20 +43,24 @@
     return Keeper(SELF, random.Random(1), LogBudget(6, 0.0), 0.0)
 
 
-def test_lagging_peers_answer_does_not_make_ready(cluster, document, keeper):
+@pytest.mark.parametrize("relayed", [False, True])
+def test_lagging_peers_answer_does_not_make_ready(cluster, document, keeper, relayed):
     """The log is down at a cold start; a lagging peer's copy arrives first.
 
     Serving it would take this host back behind what its zone already has in force.
-    It waits for the version that it heard of.
+    It waits for the version that it heard of, from a host or in a relay's report.
     """
     old = tuple(cluster.log.records)
     version = cluster.change(
         "north-a.e1", ANN, quota_intent(document, 100)
     ).body.version
     keeper.handle(0.0, LogFailed("down"))
-    keeper.handle(0.1, PeersSeen((SIBLING, OTHER)))
-    keeper.handle(0.1, HeartbeatSeen(heartbeat(OTHER, old[-1].offset)))
-    keeper.handle(0.1, HeartbeatSeen(heartbeat(SIBLING, version)))
+    far = HostId("north-c", "e1", 1)
+    keeper.handle(0.1, PeersSeen((SIBLING, OTHER, far)))
+    zones = (ZoneVersion("north-c", version),) if relayed else ()
+    keeper.handle(0.1, HeartbeatSeen(heartbeat(OTHER, old[-1].offset, zones=zones)))
+    own = old[-1].offset if relayed else version
+    keeper.handle(0.1, HeartbeatSeen(heartbeat(SIBLING, own)))
     effects = keeper.handle(0.2, PeerRecords(OTHER, RecordsPassed(old)))
     assert keeper.readiness.reason is ReadinessReason.BEHIND_PEERS
     assert not any(isinstance(effect, ActivateWorld) for effect in effects)
@@ -142,14 +146,19 @@
 
 
 def test_zone_has_a_version_only_when_all_its_hosts_do():
-    """One of two siblings lags; its zone must not be reported to have the change."""
+    """A sibling is silent or lags; the zone must not be reported to have the change."""
     zones = ZoneReports(SELF)
+    zones.settle([SIBLING, OTHER], 7, 0.0)
+    assert zones.in_force(7) == frozenset()
     zones.note_heartbeat(heartbeat(SIBLING, 4), 0.0)
     zones.settle([SIBLING], 7, 0.0)
     assert zones.in_force(7) == frozenset()
     zones.note_heartbeat(heartbeat(SIBLING, 7), 1.0)
     zones.settle([SIBLING], 7, 1.0)
     assert zones.in_force(7) == {"north-a"}
+    zones.note_heartbeat(heartbeat(SIBLING, -1, ready=False), 2.0)
+    zones.settle([SIBLING], 9, 2.0)
+    assert zones.in_force(9) == {"north-a"}
 
 
 def test_nobody_speaks_for_this_zone_or_takes_a_report_back():
