--- a/jackdawspur/configuration/_operations.py
+++ b/jackdawspur/configuration/_operations.py
@@ -9,8 +9,7 @@
 from jackdawspur.configuration._planner import Plan
 from jackdawspur.configuration._readiness import LogHealth, Readiness
 from jackdawspur.configuration._reports import Skipped, Void
-from jackdawspur.configuration._zones import ZoneDelay
-from jackdawspur.messages import ZoneVersion
+from jackdawspur.configuration._zones import ZoneDelay, ZoneInForce
 
 __all__ = [
     "AppendCount",
@@ -92,6 +91,7 @@
 class ChangeState(enum.StrEnum):
     """Tell how far a change is.
 
+    `PLANNED`: confirmed by nobody; `VOID`: based on a version that is not current.
     `CONFIRMED`: ordered in the log, in force in no zone that reported yet.
     `IN_FORCE`: in force in some zones. `ACCEPTED`: in every zone with entry hosts.
     """
@@ -105,11 +105,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeStatus:
-    """Tell how far one change is and which zones lack it."""
+    """Tell how far one change is and which zones lack it; a plan has no version."""
 
     plan: str
     state: ChangeState
-    version: int
+    version: int | None
     operator: str
     reason: str
     at: float
@@ -147,8 +147,9 @@
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """List changes in force, confirms that lost, and what this host refused."""
+    """List plans, changes in force, confirms that lost, and what was refused here."""
 
+    plans: tuple[ChangeStatus, ...]
     changes: tuple[ChangeStatus, ...]
     void: tuple[Void, ...]
     refused: tuple[AuditEntry, ...]
@@ -173,7 +174,7 @@
     contiguous: bool
     readiness: Readiness
     log: LogHealth
-    zones: tuple[ZoneVersion, ...]
+    zones: tuple[ZoneInForce, ...]
     changes: tuple[ChangeStatus, ...]
     skipped: tuple[Skipped, ...]
     delays: tuple[ZoneDelay, ...]
