--- a/jackdawspur/standins/__init__.py
+++ b/jackdawspur/standins/__init__.py
@@ -8,6 +8,11 @@
 )
 from jackdawspur.standins._log import LogFaults, LogSettings
 from jackdawspur.standins._log_service import LogService, make_log, run_log
+from jackdawspur.standins._slopes import (
+    BatchCost,
+    StartSlopes,
+    measure_start_slopes,
+)
 from jackdawspur.standins._worker import Worker
 from jackdawspur.standins._worker_service import (
     WorkerService,
@@ -22,6 +27,7 @@
 )
 
 __all__ = [
+    "BatchCost",
     "HostListFaults",
     "HostListService",
     "HostListSettings",
@@ -29,6 +35,7 @@
     "LogService",
     "LogSettings",
     "RackSettings",
+    "StartSlopes",
     "Worker",
     "WorkerCounters",
     "WorkerFaults",
@@ -37,6 +44,7 @@
     "make_hostlist",
     "make_log",
     "make_rack",
+    "measure_start_slopes",
     "run_hostlist",
     "run_log",
     "run_worker",
--- /dev/null
+++ b/jackdawspur/standins/_slopes.py
@@ -0,0 +1,144 @@
+"""Measure what a start request and a task in it cost, at a worker that runs."""
+
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from circuits import Event, Manager
+from circuits.core.pollers import EPoll
+from result import Result
+
+from jackdawspur.adapters import Deadlines, HttpClient, HttpUpstream
+from jackdawspur.model import HostId, SubmissionId, TaskId, UpstreamId
+from jackdawspur.platform import PlatformError, TaskStart
+from jackdawspur.standins._http_service import split_address
+from jackdawspur.standins._worker_types import WorkerCounters
+
+__all__ = ["BatchCost", "StartSlopes", "measure_start_slopes"]
+
+HOLDER = HostId("slopes", "client", 1)
+UPSTREAM = UpstreamId("slopes", "worker")
+PAYLOAD = '{"run_ms":0,"output":"x"}'
+LEASE_MS = 60000.0
+TIMEOUT_S = 5.0
+MICRO = 1e6
+MILLI = 1e3
+
+
+@dataclass(frozen=True, slots=True)
+class BatchCost:
+    """Report one size of batch: microseconds of processor time and p50 in ms."""
+
+    tasks: int
+    requests: int
+    client_us: float
+    worker_us: float
+    p50_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class StartSlopes:
+    """Report the processor time, in microseconds, of a request and of each task."""
+
+    client_request_us: float
+    client_task_us: float
+    worker_request_us: float
+    worker_task_us: float
+    small: BatchCost
+    large: BatchCost
+
+
+class answered(Event):
+    """Tell the loop that an answer is there."""
+
+
+class _Bench:
+    def __init__(self, address: str) -> None:
+        self._root = Manager()
+        # Only a running manager polls; here the bench itself gives it its ticks.
+        self._root._running = True
+        EPoll().register(self._root)
+        deadlines = Deadlines().register(self._root)
+        where = split_address(address)
+        self._client = HttpClient(where, deadlines).register(self._root)
+        polls = HttpClient(where, deadlines).register(self._root)
+        self._upstream = HttpUpstream(UPSTREAM, HOLDER, self._client, polls)
+        self._sequence = time.time_ns()
+
+    def close(self) -> None:
+        self._upstream.close()
+        self._root.stop()
+
+    def measure(self, tasks: int, requests: int) -> BatchCost:
+        for _ in range(10):
+            self._start(tasks)
+        worker = self._counters().processor_s
+        client = time.process_time()
+        times = [self._start(tasks) for _ in range(requests)]
+        client = time.process_time() - client
+        worker = self._counters().processor_s - worker
+        return BatchCost(
+            tasks=tasks,
+            requests=requests,
+            client_us=client / requests * MICRO,
+            worker_us=worker / requests * MICRO,
+            p50_ms=statistics.median(times) * MILLI,
+        )
+
+    def _start(self, tasks: int) -> float:
+        self._sequence += 1
+        submission = SubmissionId(HOLDER, self._sequence)
+        starts = [
+            TaskStart(TaskId(submission, place), PAYLOAD, LEASE_MS)
+            for place in range(tasks)
+        ]
+        begun = time.perf_counter()
+        reply = self._ask(lambda done: self._upstream.start(starts, done))
+        took = time.perf_counter() - begun
+        refused = [each for each in reply.unwrap().verdicts if each.refusal]
+        if refused:
+            raise PlatformError(f"the worker refused a start: {refused[0]}")
+        return took
+
+    def _counters(self) -> WorkerCounters:
+        reply = self._ask(
+            lambda done: self._client.request(
+                "GET", "/v1/counters", b"", TIMEOUT_S, done
+            )
+        )
+        return msgspec.json.decode(reply.unwrap().body, type=WorkerCounters)
+
+    def _ask(self, call: Callable[[Callable], None]) -> Result:
+        results: list[Result] = []
+
+        def finish(result: Result) -> None:
+            results.append(result)
+            # A queued event keeps the poller from waiting in this same tick.
+            self._root.fire(answered())
+
+        call(finish)
+        while not results:
+            self._root.tick()
+        return results[0]
+
+
+def measure_start_slopes(
+    address: str, tasks: int = 64, requests: int = 1000
+) -> StartSlopes:
+    """Measure batches of one and of `tasks` at a running worker with slots enough."""
+    bench = _Bench(address)
+    small = bench.measure(1, requests)
+    large = bench.measure(tasks, requests)
+    bench.close()
+    client_task_us = (large.client_us - small.client_us) / (tasks - 1)
+    worker_task_us = (large.worker_us - small.worker_us) / (tasks - 1)
+    return StartSlopes(
+        client_request_us=small.client_us - client_task_us,
+        client_task_us=client_task_us,
+        worker_request_us=small.worker_us - worker_task_us,
+        worker_task_us=worker_task_us,
+        small=small,
+        large=large,
+    )
--- a/jackdawspur/standins/_worker.py
+++ b/jackdawspur/standins/_worker.py
@@ -1,13 +1,10 @@
 """What a stand-in upstream does with starts, polls and faults; the time is passed."""
 
-import random
 from collections import Counter, OrderedDict, deque
-from dataclasses import dataclass
-
-import msgspec
 
 from jackdawspur.model import TaskState
 from jackdawspur.platform import RefusalReason
+from jackdawspur.standins._worker_task import RunningTask, TaskBehaviour
 from jackdawspur.standins._worker_types import (
     WorkerCounters,
     WorkerFaults,
@@ -31,34 +28,17 @@
 CURSORS_PER_INCARNATION = 1000
 
 
-class Payload(msgspec.Struct, frozen=True):
-    """Say how a task of the stand-in behaves."""
-
-    run_ms: float | None = None
-    output: str | None = None
-    fail: str = ""
-
-
-@dataclass(slots=True)
-class _Running:
-    holder: str
-    ends: float
-    lapses: float
-    outcome: OutcomeBody
-    order: int
-
-
 class Worker:
     """Run tasks in slots, and keep each result until its holder has it."""
 
     def __init__(self, settings: WorkerSettings, incarnation: int, seed: int) -> None:
         self._settings = settings
-        self._random = random.Random(seed)
+        self._behaviour = TaskBehaviour(settings.default_run_ms, seed)
         self._incarnation = incarnation
         self._cursor = incarnation * CURSORS_PER_INCARNATION
         self._started = 0
         self._faults = WorkerFaults()
-        self._running: dict[str, _Running] = {}
+        self._running: dict[str, RunningTask] = {}
         self._ended: OrderedDict[str, OutcomeBody] = OrderedDict()
         self._forgotten: OrderedDict[str, None] = OrderedDict()
         self._sealed: OrderedDict[str, None] = OrderedDict()
@@ -94,6 +74,7 @@
         """Behave so from now on; `die` happens once."""
         self.advance(now)
         self._faults = faults
+        self._behaviour.faults = faults
         if faults.die:
             self._die()
         self._note_usage(now)
@@ -189,7 +170,9 @@
             other = self._running.pop(start.task)
             self._running[f"{start.task}#{earlier}"] = other
         self._ended.pop(start.task, None)
-        self._running[start.task] = self._make(holder, start, now)
+        self._results.setdefault(holder, deque())
+        order = self._started
+        self._running[start.task] = self._behaviour.run(holder, start, now, order)
         return None
 
     def _refusal(self, holder: str, start: StartBody) -> RefusalReason | None:
@@ -229,33 +212,6 @@
         _bound(self._starts_of, self._settings.starts_remembered)
         return earlier
 
-    def _make(self, holder: str, start: StartBody, now: float) -> _Running:
-        payload = _payload(start.payload)
-        run_ms = payload.run_ms
-        if run_ms is None:
-            run_ms = self._settings.default_run_ms
-        output = start.payload if payload.output is None else payload.output
-        faults = self._faults
-        failure = "told to fail everything" if faults.fail_all else payload.fail
-        outcome = (
-            OutcomeBody(start.task, TaskState.FAILED, error=failure)
-            if failure
-            else OutcomeBody(start.task, TaskState.DONE, output)
-        )
-        run_ms *= faults.slow_factor
-        if self._random.random() < faults.straggler_fraction:
-            run_ms *= faults.straggler_factor
-        if faults.fail_all:
-            run_ms = 0.0
-        self._results.setdefault(holder, deque())
-        return _Running(
-            holder=holder,
-            ends=now + run_ms / MS,
-            lapses=now + start.lease_ms / MS,
-            outcome=outcome,
-            order=self._started,
-        )
-
     def _status(self, task: str, seal: bool) -> OutcomeBody:
         if task in self._running:
             return OutcomeBody(task, TaskState.RUNNING)
@@ -296,17 +252,10 @@
             self._usage_seen.popleft()
 
 
-def _stopped(task: _Running, why: str) -> OutcomeBody:
+def _stopped(task: RunningTask, why: str) -> OutcomeBody:
     return OutcomeBody(task.outcome.task, TaskState.STOPPED, error=why)
 
 
-def _payload(text: str) -> Payload:
-    try:
-        return msgspec.json.decode(text, type=Payload)
-    except msgspec.MsgspecError:
-        return Payload()
-
-
 def _bound(kept: OrderedDict, limit: int) -> None:
     while len(kept) > limit:
         kept.popitem(last=False)
--- a/jackdawspur/standins/_worker_service.py
+++ b/jackdawspur/standins/_worker_service.py
@@ -18,6 +18,7 @@
 from jackdawspur.standins._worker import Worker
 from jackdawspur.standins._worker_types import (
     RackSettings,
+    WorkerCounters,
     WorkerFaults,
     WorkerSettings,
 )
@@ -83,9 +84,7 @@
         if exchange.path == FAULTS:
             self._set_faults(exchange)
         elif exchange.path == COUNTERS:
-            counters = self._worker.counters()
-            requests = dict(self._requests)
-            exchange.reply(msgspec.structs.replace(counters, requests=requests))
+            exchange.reply(self._counters())
         else:
             answer = self._answers.get(exchange.path, not_found)
             self._unless_frozen(lambda: exchange.guard(answer))
@@ -96,6 +95,13 @@
             poll.deadline.cancel()
             self._polls.remove(poll)
 
+    def _counters(self) -> WorkerCounters:
+        return msgspec.structs.replace(
+            self._worker.counters(),
+            requests=dict(self._requests),
+            processor_s=time.process_time(),
+        )
+
     def _unless_frozen(self, act: Callable[[], None]) -> None:
         if self._deadlines.now < self._frozen_until:
             self._after_thaw.append(act)
--- /dev/null
+++ b/jackdawspur/standins/_worker_task.py
@@ -0,0 +1,76 @@
+"""How one task of the stand-in upstream runs and ends."""
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+from jackdawspur.model import TaskState
+from jackdawspur.standins._worker_types import WorkerFaults
+from jackdawspur.wire import OutcomeBody, StartBody
+
+__all__ = ["RunningTask", "TaskBehaviour"]
+
+MS = 1000.0
+
+
+class Payload(msgspec.Struct, frozen=True):
+    """Say how a task of the stand-in behaves."""
+
+    run_ms: float | None = None
+    output: str | None = None
+    fail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RunningTask:
+    """Hold a task in its slot: when it ends, lapses, and with what."""
+
+    holder: str
+    ends: float
+    lapses: float
+    outcome: OutcomeBody
+    order: int
+
+
+class TaskBehaviour:
+    """Decide from its payload and the faults how a task runs."""
+
+    def __init__(self, default_run_ms: float, seed: int) -> None:
+        self.faults = WorkerFaults()
+        self._default_run_ms = default_run_ms
+        self._random = random.Random(seed)
+
+    def run(self, holder: str, start: StartBody, now: float, order: int) -> RunningTask:
+        """Return the task as it will run from now on."""
+        payload = _payload(start.payload)
+        return RunningTask(
+            holder=holder,
+            ends=now + self._run_ms(payload) / MS,
+            lapses=now + start.lease_ms / MS,
+            outcome=self._outcome(start, payload),
+            order=order,
+        )
+
+    def _run_ms(self, payload: Payload) -> float:
+        faults = self.faults
+        if faults.fail_all:
+            return 0.0
+        run_ms = self._default_run_ms if payload.run_ms is None else payload.run_ms
+        if self._random.random() < faults.straggler_fraction:
+            run_ms *= faults.straggler_factor
+        return run_ms * faults.slow_factor
+
+    def _outcome(self, start: StartBody, payload: Payload) -> OutcomeBody:
+        failure = "told to fail everything" if self.faults.fail_all else payload.fail
+        if failure:
+            return OutcomeBody(start.task, TaskState.FAILED, error=failure)
+        output = start.payload if payload.output is None else payload.output
+        return OutcomeBody(start.task, TaskState.DONE, output)
+
+
+def _payload(text: str) -> Payload:
+    try:
+        return msgspec.json.decode(text, type=Payload)
+    except msgspec.MsgspecError:
+        return Payload()
--- a/jackdawspur/standins/_worker_types.py
+++ b/jackdawspur/standins/_worker_types.py
@@ -57,10 +57,14 @@
 
 
 class WorkerCounters(msgspec.Struct, frozen=True):
-    """Report what a worker counted, over all its incarnations."""
+    """Report what a worker counted, over all its incarnations.
+
+    `processor_s` is the processor time of the whole process, in seconds.
+    """
 
     starts: int = 0
     started_twice: int = 0
     refusals: dict[str, int] = {}
     busy: int = 0
     requests: dict[str, int] = {}
+    processor_s: float = 0.0
