--- a/jackdawspur/adapters/_http_client.py
+++ b/jackdawspur/adapters/_http_client.py
@@ -92,8 +92,6 @@
 
     def connection_ready(self, connection: HttpConnection) -> None:
         """Use a connection that came to stand."""
-        if self._closed:
-            connection.abandon()
         self._pump()
 
     def connection_failed(self, connection: HttpConnection) -> None:
@@ -108,11 +106,9 @@
         send: the kernel then took no byte, so a second send can't be a double.
         """
         call = self._in_flight.pop(connection, None)
-        if call is None:
-            return
-        if connection.left:
+        if call is not None and connection.left:
             self._end(call, Err(OutcomeUnknown(f"{self._host} closed in mid-request")))
-        else:
+        elif call is not None:
             self._waiting.appendleft(call)
         self._pump()
 
@@ -154,7 +150,9 @@
             opening < len(self._waiting)
             and len(self._connections) < self._limits.connections
         ):
-            connection = HttpConnection(self._address, self, self._limits.connect_s)
+            connection = HttpConnection(
+                self._address, self, self._deadlines, self._limits.connect_s
+            )
             self._connections.append(connection.register(self))
             connection.open()
             opening += 1
@@ -170,7 +168,6 @@
                 left = connection.left
                 connection.abandon()
                 self._end(call, Err(_timeout(self._host, left)))
-                self._pump()
                 return
 
     def _fail_waiting(self) -> None:
--- a/jackdawspur/adapters/_http_connection.py
+++ b/jackdawspur/adapters/_http_connection.py
@@ -1,14 +1,18 @@
 """One kept-alive HTTP connection that carries one request at a time."""
 
-from contextlib import suppress
 from dataclasses import dataclass
+from errno import EINPROGRESS
+from socket import SO_ERROR, SOL_SOCKET
 from typing import Protocol
 
 from circuits import handler
-from circuits.net.events import connect
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
 from circuits.net.sockets import TCPClient
 from circuits.web.parsers import HttpParser
 
+from jackdawspur.adapters._deadlines import Deadline, Deadlines
+
 __all__ = ["ConnectionOwner", "HttpConnection", "HttpReply"]
 
 MAX_REPLY_BYTES = 8 * 1024 * 1024
@@ -46,22 +50,30 @@
 class HttpConnection(TCPClient):
     """Send one request at a time and read its reply.
 
-    Three faults of circuits' TCPClient are guarded against here. A reconnect that
-    succeeds at once is reported as unreachable, so each connect gets a new socket.
-    A send that would block loses its data, so `_write` puts it back. An event of
-    the old socket can reach the new one, so `_read` checks the state first.
+    Three faults of circuits' TCPClient are guarded against here. Its connect looks
+    ten times a second whether it stands and sees a refusal only at the time limit,
+    so `open` waits for the poller instead. A send that would block loses its data,
+    so `_write` puts it back. An event of the old socket can reach the new one, so
+    the handlers check the state first.
     """
 
     _made = 0
 
     def __init__(
-        self, address: tuple[str, int], owner: ConnectionOwner, connect_s: float
+        self,
+        address: tuple[str, int],
+        owner: ConnectionOwner,
+        deadlines: Deadlines,
+        connect_s: float,
     ) -> None:
         HttpConnection._made += 1
         channel = f"http-connection-{HttpConnection._made}"
-        super().__init__(channel=channel, bufsize=READ_BYTES, connect_timeout=connect_s)
+        super().__init__(channel=channel, bufsize=READ_BYTES)
         self._address = address
         self._owner = owner
+        self._deadlines = deadlines
+        self._connect_s = connect_s
+        self._connect_limit: Deadline | None = None
         self._in_flight = False
         self._left = False
         self._connecting = False
@@ -85,12 +97,18 @@
         return self._left
 
     def open(self) -> None:
-        """Begin to connect."""
+        """Begin to connect; the owner hears how it ends, never before this returns."""
         self._connecting = True
-        with suppress(OSError):
-            self._sock.close()
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+        self._sock.close()
         self._sock = self._create_socket()
-        self.fire(connect(*self._address), self)
+        limit_s = self._connect_s
+        if self._sock.connect_ex(self._address) in (0, EINPROGRESS):
+            self._poller.addWriter(self, self._sock)
+        else:
+            limit_s = 0.0
+        self._connect_limit = self._deadlines.call_after(limit_s, self._fail)
 
     def send(self, request: bytes) -> None:
         """Send a request; the owner hears of the reply or of the loss."""
@@ -140,11 +158,12 @@
         self._received += len(data)
         reply = self._parse(data)
         if reply is not None:
+            # A connection that is to be closed stays busy, so nothing is sent on it.
             reusable = self._parser.should_keep_alive()
-            self._in_flight = False
+            self._in_flight = not reusable
+            self._owner.replied(self, reply)
             if not reusable:
                 self._close()
-            self._owner.replied(self, reply)
         elif self._parser.errno is not None or self._received > MAX_REPLY_BYTES:
             self._close()
 
@@ -161,21 +180,50 @@
         return _parse(self._parser, data)
 
     def _close(self) -> None:
+        self._stop_connecting()
         stood = self._connected
         super()._close()
         self._in_flight = False
         if stood:
             self._owner.connection_lost(self)
 
-    @handler("connected")
-    def _on_connected(self, host: str, port: int) -> None:
+    def _stop_connecting(self) -> None:
+        if self._connecting:
+            self._connecting = False
+            self._connect_limit.cancel()
+            self._poller.discard(self._sock)
+            self._sock.close()
+
+    def _fail(self) -> None:
+        self._stop_connecting()
+        self._owner.connection_failed(self)
+
+    @handler("_write", priority=2)
+    def _on_writable(self, event, sock) -> None:
+        if sock is not self._sock:
+            event.stop()
+        elif self._connecting:
+            event.stop()
+            self._stand(sock)
+
+    def _stand(self, sock) -> None:
+        if sock.getsockopt(SOL_SOCKET, SO_ERROR):
+            self._fail()
+            return
         self._connecting = False
+        self._connected = True
+        self._connect_limit.cancel()
+        self._poller.removeWriter(sock)
+        self._poller.addReader(self, sock)
         self._owner.connection_ready(self)
 
-    @handler("unreachable")
-    def _on_unreachable(self, host: str, port: int, reason=None) -> None:
-        self._connecting = False
-        self._owner.connection_failed(self)
+    @handler("_disconnect", priority=2)
+    def _on_hang_up(self, event, sock) -> None:
+        if sock is not self._sock:
+            event.stop()
+        elif self._connecting:
+            event.stop()
+            self._fail()
 
 
 def _parse(parser: HttpParser, data: bytes) -> HttpReply | None:
--- a/jackdawspur/adapters/tests/conftest.py
+++ b/jackdawspur/adapters/tests/conftest.py
@@ -18,6 +18,7 @@
 HOLDER = HostId("z1", "e1", 1)
 MAX_TICKS = 300
 TICK_S = 0.01
+READ_BYTES = 65536
 
 
 class Loop:
@@ -73,7 +74,7 @@
     channel = "raw-peer"
 
     def __init__(self) -> None:
-        super().__init__(("127.0.0.1", 0), channel=self.channel)
+        super().__init__(("127.0.0.1", 0), channel=self.channel, bufsize=READ_BYTES)
         self.requests: list[bytes] = []
         self.socks = []
         self.answers: list[list[bytes]] = []
--- a/jackdawspur/adapters/tests/test_http_client.py
+++ b/jackdawspur/adapters/tests/test_http_client.py
@@ -22,7 +22,8 @@
 def test_refused_connect_is_unavailable(loop):
     """An upstream's process is gone and its host answers the connect with a reset.
 
-    Nothing left this host, so the dispatcher may place the task elsewhere.
+    Nothing left this host, so the dispatcher may place the task elsewhere, and it
+    hears so at once: the clock of this test stands still.
     """
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
@@ -33,6 +34,22 @@
     assert client.waiting == client.in_flight == 0
 
 
+def test_connect_that_gets_no_answer_is_unavailable(loop):
+    """An upstream's host is down, so nothing answers the connect at all."""
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        # The queue of a listener that never accepts drops what is beyond its bound.
+        crowd = [loop.client(full.getsockname(), connect_s=0.5) for _ in range(4)]
+        results = [get(each, 9.0) for each in crowd]
+        loop.settle()
+        loop.pass_time(0.6)
+        failed = [each[0] for each in results if each]
+        assert failed and all(
+            isinstance(each.unwrap_err(), Unavailable) for each in failed
+        )
+
+
 def test_late_reply_reaches_no_other_request(loop, peer):
     """A slow upstream answers a request after the entry host gave it up.
 
@@ -102,6 +119,22 @@
     assert len(peer.requests) == 2
 
 
+@pytest.mark.parametrize(
+    "last",
+    [
+        OK_REPLY.replace(b"OK", b"OK\r\nConnection: close"),
+        OK_REPLY.replace(b"1.1", b"1.0"),
+    ],
+)
+def test_reply_that_ends_its_connection_is_taken(loop, peer, last):
+    peer.answers = [[last], [OK_REPLY]]
+    client = loop.client(address(peer), connections=1)
+    both = [get(client), get(client)]
+    loop.until(lambda: all(both))
+    assert [each[0].unwrap().body for each in both] == [b"A1", b"A1"]
+    assert peer.socks[0] is not peer.socks[1]
+
+
 def test_reply_in_single_bytes_is_read_whole(loop, peer):
     peer.answers = [[OK_REPLY[place : place + 1] for place in range(len(OK_REPLY))]]
     results = get(loop.client(address(peer)))
@@ -109,6 +142,17 @@
     assert results[0].unwrap().body == b"A1"
 
 
+def test_large_request_leaves_in_parts(loop, peer):
+    """The kernel takes a part of a big batch; circuits would drop the rest."""
+    results = []
+    client = loop.client(address(peer))
+    client.request("POST", "/", b"x" * 4_000_000, 5.0, results.append)
+    loop.until(lambda: sum(map(len, peer.requests)) > 4_000_000)
+    peer.say(peer.socks[0], OK_REPLY)
+    loop.until(lambda: results)
+    assert results[0].unwrap().body == b"A1"
+
+
 @pytest.mark.parametrize(
     "nonsense",
     [
--- a/jackdawspur/adapters/tests/test_upstream_http.py
+++ b/jackdawspur/adapters/tests/test_upstream_http.py
@@ -76,6 +76,23 @@
     assert [each.task for each in then[0].unwrap().outcomes] == [task(1)]
 
 
+def test_held_reply_that_is_let_go_late_reaches_no_one(loop, worker, upstream, fault):
+    """An upstream hangs on its replies, then answers everything at once.
+
+    The requests were given up; the next one must get its own verdict only.
+    """
+    fault(hold_replies=True)
+    held = []
+    upstream.start([start(0)], held.append)
+    loop.settle()
+    loop.pass_time(1.1)
+    assert isinstance(held[0].unwrap_err(), OutcomeUnknown)
+    fault()
+    reply = loop.ask(upstream.start, [start(1)])
+    assert [each.task for each in reply.unwrap().verdicts] == [task(1)]
+    assert (len(held), worker.worker.counters().starts) == (1, 2)
+
+
 def test_poll_without_results_ends_in_time_and_blocks_no_start(loop, upstream):
     poll = []
     upstream.results(0, WAIT_MS, poll.append)
