--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -10,7 +10,6 @@
 from jackdawspur.adapters._web import Call, WebServer, WebService
 
 __all__ = [
-    "Call",
     "Deadline",
     "Deadlines",
     "HttpClient",
@@ -19,10 +18,11 @@
     "HttpLog",
     "HttpReply",
     "HttpUpstream",
-    "Links",
     "LogTimeouts",
     "Replied",
     "UpstreamTimeouts",
+    "Call",
+    "Links",
     "WebServer",
     "WebService",
 ]
