Test that a connection which speaks unasked is not used again

The test fails on a client without the guard (a trial on a scratch copy). After a first reply with a body the guard on the declared length hides that mutant, so the first reply here is empty.

--- a/jackdawspur/adapters/tests/test_http_client.py
+++ b/jackdawspur/adapters/tests/test_http_client.py
@@ -7,6 +7,7 @@
 from jackdawspur.platform import OutcomeUnknown, Unavailable
 
 OK_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nA1"
+EMPTY_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
 def get(client, timeout_s=1.0):
@@ -76,6 +77,20 @@
     assert len(first) == 1
 
 
+def test_connection_that_speaks_unasked_is_not_used_again(loop, peer):
+    """A reply sent twice by its upstream would answer the request after it."""
+    peer.answers = [[EMPTY_REPLY], [OK_REPLY.replace(b"A1", b"B2")]]
+    client = loop.client(address(peer), connections=1)
+    first = get(client)
+    loop.until(lambda: first)
+    peer.say(peer.socks[0], OK_REPLY)
+    loop.settle()
+    second = get(client)
+    loop.until(lambda: second)
+    assert second[0].unwrap().body == b"B2"
+    assert peer.socks[0] is not peer.socks[1]
+
+
 def test_connection_closed_while_idle_is_replaced(loop, peer):
     peer.answers = [[OK_REPLY], [OK_REPLY]]
     client = loop.client(address(peer), connections=1)
