--- a/jackdawspur/limits/tests/test_quotas.py
+++ b/jackdawspur/limits/tests/test_quotas.py
@@ -156,3 +156,21 @@
 def test_what_others_do_not_need_goes_where_it_is_needed(needs):
     shares = divide(100, needs, [0, 0, 0, 0])
     assert [share > 0 for share in shares] == [need > 0 for need in needs]
+
+
+def test_burst_on_all_hosts_but_the_borrower_is_bounded(make_hosts):
+    """A customer runs more than its quota when five hosts need it back at once.
+
+    One host borrowed all but the kept parts. The others claim their even shares of
+    20, kept parts of 5 in them, before the borrower has heard of their need.
+    """
+    hosts = make_hosts(QUOTA)
+    hosts.hosts[0].wanted = 500
+    hosts.run(5.0)
+    for host in hosts.hosts[1:]:
+        host.wanted = 500
+    hosts.run(1.0)
+    assert hosts.most <= QUOTA + 5 * (20 - 5)
+    hosts.run(3.0)
+    assert hosts.most <= QUOTA
+    assert hosts.running == QUOTA
