Settle needs by time, and tell a cut from dead hosts by silence

Cause: the dispatch core asks for the usage on each tick of 50 ms, so three tellings in a row were 150 ms, less than a heartbeat takes; and while a zone's hosts fell silent or came back one by one, the missing ones were taken for dead and their shares divided.

Conclusion: 18 tests of limits pass, with the fixture asking on each tick.

--- a/jackdawspur/limits/_quotas.py
+++ b/jackdawspur/limits/_quotas.py
@@ -1,5 +1,6 @@
 """Hold a customer's quota over all zones without a coordinator."""
 
+from collections import deque
 from collections.abc import Collection, Iterable, Mapping
 
 from jackdawspur.limits._shares import base_shares, divide
@@ -11,9 +12,11 @@
 # Part of its even share that a host keeps even when others could use it, so that the
 # first tasks of a customer start without waiting for a heartbeat.
 KEPT_PART = 0.25
-# A need above the even share counts here once this many heartbeats in a row told it:
-# by then every other host has heard it, and its own need was heard here.
-SETTLED_AFTER = 3
+# Seconds for which a need above the even share must have been told before it counts
+# here: by then the others have heard it, and their own need was heard here.
+SETTLED_AFTER = 1.0
+# Seconds for which an advertised usage is told again instead of counted anew.
+ADVERTISE_EVERY = 0.1
 # Seconds between two divisions of one customer's quota.
 DIVIDE_EVERY = 0.1
 # Seconds after which a host that sends nothing counts as out of reach.
@@ -33,9 +36,9 @@
         "reports",
         "reachable",
         "running",
-        "sent",
         "share",
         "stale",
+        "told",
     )
 
     def __init__(self) -> None:
@@ -48,7 +51,22 @@
         self.divided_at = float("-inf")
         self.others = 0
         self.reports: dict[Place, CustomerUsage] = {}
-        self.sent = [0] * SETTLED_AFTER
+        # Each need with the time since which at least that much was told, both rising.
+        self.told: deque[tuple[float, int]] = deque([(float("-inf"), 0)])
+
+    def tell(self, need: int, now: float) -> None:
+        """Note the need that other hosts are told."""
+        since = now
+        while self.told and self.told[-1][1] > need:
+            since = self.told.pop()[0]
+        if not self.told or self.told[-1][1] < need:
+            self.told.append((since, need))
+
+    def settled(self, now: float) -> int:
+        """Return the least need that was told for long enough to be known."""
+        while len(self.told) > 1 and self.told[1][0] <= now - SETTLED_AFTER:
+            self.told.popleft()
+        return self.told[0][1]
 
 
 class Quotas:
@@ -66,21 +84,24 @@
         self._members: list[Place] = [self._place]
         self._reachable: list[Place] = [self._place]
         self._heard: dict[Place, float] = {}
+        self._last_heard: dict[Place, float] = {}
         self._zones_since: dict[str, float] = {}
-        self._advertised: set[str] = set()
+        self._advertised: dict[str, CustomerUsage] = {}
+        self._advertised_at = float("-inf")
         self._reported: dict[Place, set[str]] = {}
 
     def set_world(self, world: World) -> None:
         """Take the quotas and the configured entry hosts."""
         places = {(entry.zone, entry.name) for entry in world.entry_hosts}
         self._configured = sorted(places | {self._place})
+        self._last_heard = {p: t for p, t in self._last_heard.items() if p in places}
         quotas = {c.name: c.quota_slots for c in world.customers}
         for name in self._customers.keys() | quotas.keys():
             use = self._use(name)
             use.quota = quotas.get(name, 0)
             use.stale = True
             use.divided_at = float("-inf")
-        self._find_reachable(float("-inf"))
+        self._find_reachable(self._advertised_at)
 
     def set_view(self, live: Collection[HostId]) -> None:
         """Take the hosts that the membership view holds for live."""
@@ -97,6 +118,7 @@
         if place == self._place:
             return
         self._heard[place] = now
+        self._last_heard[place] = now
         self._set_reports(place, {u.customer: u for u in usage})
 
     def advertise(
@@ -105,8 +127,10 @@
         """Return the usage for this host's next heartbeat.
 
         This host divides by what it told the others, so that all divide alike; call
-        it once a heartbeat.
+        it with each heartbeat, or more often.
         """
+        if now - self._advertised_at < ADVERTISE_EVERY:
+            return tuple(self._advertised.values())
         self._drop_unheard(now)
         self._find_reachable(now)
         names = waiting.keys() | {n for n, u in self._customers.items() if u.running}
@@ -114,14 +138,12 @@
             CustomerUsage(name, self._use(name).running, waiting.get(name, 0))
             for name in sorted(names)
         )
-        for name in names | self._advertised:
-            self._use(name).stale = True
-        for name in self._advertised - names:
-            self._use(name).sent = [0] * SETTLED_AFTER
+        for name in self._advertised.keys() - names:
+            self._tell(name, 0, now)
         for item in usage:
-            use = self._use(item.customer)
-            use.sent = [*use.sent[1:], _need(item)]
-        self._advertised = names
+            self._tell(item.customer, _need(item), now)
+        self._advertised = {item.customer: item for item in usage}
+        self._advertised_at = now
         return usage
 
     def may_start(self, customer: str, now: float) -> bool:
@@ -169,13 +191,18 @@
         # A share is looked up when there is need, so the even share is always claimed.
         # A host that took more before its need was heard, and those of others here,
         # would use what they also take: the sum would exceed the quota.
-        claim = max(min(use.sent), base[self._place])
+        claim = max(use.settled(now), base[self._place])
         needs[here] = claim
         use.share = min(claim, divide(use.reachable, needs, floors)[here])
         use.kept = floors[here]
         use.stale = False
         use.divided_at = now
 
+    def _tell(self, name: str, need: int, now: float) -> None:
+        use = self._use(name)
+        use.tell(need, now)
+        use.stale = True
+
     def _set_reports(self, place: Place, usage: dict[str, CustomerUsage]) -> None:
         for name in self._reported.get(place, set()) - usage.keys():
             self._set_report(place, name, None)
@@ -204,22 +231,18 @@
     def _find_reachable(self, now: float) -> None:
         """Tell hosts that are dead from those that may be cut off.
 
-        A host missing from a zone that is heard is dead, and the others divide its
-        share. A zone of which nothing is heard may be cut off and running on its
+        A host that stays silent while its zone is heard is dead, and the others divide
+        its share. A zone of which nothing is heard may be cut off and running on its
         share, so that stays unused; and a host that hears nobody may be the one cut
-        off, and takes only its own. When a zone is heard again, its hosts get as long
-        to be heard as they had to be missed.
+        off, and takes only its own.
         """
         heard = self._heard.keys() & self._live & set(self._configured)
-        zones = {zone for zone, _ in heard}
-        if zones:
-            zones.add(self._place[0])
-        since = {zone: self._zones_since.get(zone, now) for zone in zones}
-        whole = {zone for zone in zones if now - since[zone] > UNHEARD_AFTER}
         heard.add(self._place)
+        for place in self._configured:
+            self._last_heard.setdefault(place, now)
         members = [p for p in self._configured if p in heard]
-        reachable = [p for p in self._configured if p in heard or p[0] in whole]
-        self._zones_since = since
+        dead = self._dead(heard, now)
+        reachable = [p for p in self._configured if p in heard or p in dead]
         if (members, reachable) == (self._members, self._reachable):
             return
         self._members = members
@@ -227,6 +250,26 @@
         for use in self._customers.values():
             use.stale = True
 
+    def _dead(self, heard: set[Place], now: float) -> set[Place]:
+        # A cut silences a zone's hosts within a heartbeat of each other, and after it
+        # they are heard one by one. So a host is dead only when its zone was heard all
+        # the time that it was missed.
+        latest: dict[str, float] = {}
+        for place in heard - {self._place}:
+            time = self._last_heard[place]
+            for zone in {place[0], self._place[0]}:
+                latest[zone] = max(latest.get(zone, time), time)
+        since = {zone: self._zones_since.get(zone, now) for zone in latest}
+        self._zones_since = since
+        return {
+            place
+            for place in self._configured
+            if place not in heard
+            and place[0] in latest
+            and latest[place[0]] - max(self._last_heard[place], since[place[0]])
+            > UNHEARD_AFTER
+        }
+
     def _use(self, customer: str) -> _CustomerUse:
         use = self._customers.get(customer)
         if use is None:
--- a/jackdawspur/limits/tests/conftest.py
+++ b/jackdawspur/limits/tests/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jackdawspur.limits import Quotas
+from jackdawspur.messages import CustomerUsage
 from jackdawspur.model import Customer, EntryHost, HostId, World
 
 STEP = 0.05
@@ -74,18 +75,23 @@
             heapq.heappop(self._mail)[2]()
         for place, host in enumerate(self.hosts):
             host.step(self.now)
+            # The dispatch core asks on each tick, whether a heartbeat is due or not.
+            self._usage(host)
             if host.alive and self.now >= self._heartbeats[place]:
                 self._heartbeats[place] += HEARTBEAT
                 self._send(host)
 
     def _send(self, host: Host) -> None:
-        waiting = host.wanted - host.running
-        usage = host.quotas.advertise({"a": waiting} if waiting > 0 else {}, self.now)
+        usage = self._usage(host)
         for other in self.hosts:
             split = (host.id.zone in self.cut) != (other.id.zone in self.cut)
             if other is not host and not split:
                 self._post(host, other, usage)
 
+    def _usage(self, host: Host) -> tuple[CustomerUsage, ...]:
+        waiting = host.wanted - host.running
+        return host.quotas.advertise({"a": waiting} if waiting > 0 else {}, self.now)
+
     def _post(self, host: Host, other: Host, usage) -> None:
         def deliver() -> None:
             other.quotas.reported(host.id, usage, self.now)
