--- a/jackdawspur/limits/_quotas.py
+++ b/jackdawspur/limits/_quotas.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Collection, Iterable, Mapping
 
+from jackdawspur.limits._reach import Place, Reach
 from jackdawspur.limits._shares import base_shares, divide
 from jackdawspur.messages import CustomerUsage
 from jackdawspur.model import HostId, World
@@ -19,10 +20,6 @@
 ADVERTISE_EVERY = 0.1
 # Seconds between two divisions of one customer's quota.
 DIVIDE_EVERY = 0.1
-# Seconds after which a host that sends nothing counts as out of reach.
-UNHEARD_AFTER = 3.0
-
-Place = tuple[str, str]
 
 
 class _CustomerUse:
@@ -79,36 +76,26 @@
     def __init__(self, host: HostId) -> None:
         self._place: Place = (host.zone, host.name)
         self._customers: dict[str, _CustomerUse] = {}
-        self._configured: list[Place] = [self._place]
-        self._live: set[Place] = {self._place}
-        self._members: list[Place] = [self._place]
-        self._reachable: list[Place] = [self._place]
-        self._heard: dict[Place, float] = {}
-        self._last_heard: dict[Place, float] = {}
-        self._zones_since: dict[str, float] = {}
+        self._reach = Reach(self._place)
         self._advertised: dict[str, CustomerUsage] = {}
         self._advertised_at = float("-inf")
         self._reported: dict[Place, set[str]] = {}
 
     def set_world(self, world: World) -> None:
         """Take the quotas and the configured entry hosts."""
-        places = {(entry.zone, entry.name) for entry in world.entry_hosts}
-        self._configured = sorted(places | {self._place})
-        self._last_heard = {p: t for p, t in self._last_heard.items() if p in places}
+        places = [(entry.zone, entry.name) for entry in world.entry_hosts]
+        self._reach.configure(places, self._advertised_at)
         quotas = {c.name: c.quota_slots for c in world.customers}
         for name in self._customers.keys() | quotas.keys():
             use = self._use(name)
             use.quota = quotas.get(name, 0)
             use.stale = True
             use.divided_at = float("-inf")
-        self._find_reachable(self._advertised_at)
 
     def set_view(self, live: Collection[HostId]) -> None:
         """Take the hosts that the membership view holds for live."""
-        places = {(host.zone, host.name) for host in live} | {self._place}
-        for place in self._live - places:
+        for place in self._reach.set_live([(h.zone, h.name) for h in live]):
             self._forget(place)
-        self._live = places
 
     def reported(
         self, host: HostId, usage: Iterable[CustomerUsage], now: float
@@ -117,8 +104,7 @@
         place = (host.zone, host.name)
         if place == self._place:
             return
-        self._heard[place] = now
-        self._last_heard[place] = now
+        self._reach.hear(place, now)
         self._set_reports(place, {u.customer: u for u in usage})
 
     def advertise(
@@ -131,8 +117,10 @@
         """
         if now - self._advertised_at < ADVERTISE_EVERY:
             return tuple(self._advertised.values())
-        self._drop_unheard(now)
-        self._find_reachable(now)
+        for place in self._reach.drop_unheard(now):
+            self._forget(place)
+        if self._reach.update(now):
+            self._divide_all()
         names = waiting.keys() | {n for n, u in self._customers.items() if u.running}
         usage = tuple(
             CustomerUsage(name, self._use(name).running, waiting.get(name, 0))
@@ -181,13 +169,14 @@
         return use
 
     def _divide(self, customer: str, use: _CustomerUse, now: float) -> None:
-        places = self._configured
+        places = self._reach.configured
         split = base_shares(use.quota, len(places), customer)
         base = dict(zip(places, split, strict=True))
-        use.reachable = sum(base[place] for place in self._reachable)
-        floors = [int(base[place] * KEPT_PART) for place in self._members]
-        needs = [_need(use.reports.get(place)) for place in self._members]
-        here = self._members.index(self._place)
+        members = self._reach.members
+        use.reachable = sum(base[place] for place in self._reach.reachable)
+        floors = [int(base[place] * KEPT_PART) for place in members]
+        needs = [_need(use.reports.get(place)) for place in members]
+        here = members.index(self._place)
         # A share is looked up when there is need, so the even share is always claimed.
         # A host that took more before its need was heard, and those of others here,
         # would use what they also take: the sum would exceed the quota.
@@ -218,58 +207,14 @@
         use.others += (new.running if new else 0) - (old.running if old else 0)
         use.stale = use.stale or _need(old) != _need(new)
 
-    def _drop_unheard(self, now: float) -> None:
-        late = [p for p, heard in self._heard.items() if now - heard > UNHEARD_AFTER]
-        for place in late:
-            self._forget(place)
-
     def _forget(self, place: Place) -> None:
-        self._heard.pop(place, None)
         self._set_reports(place, {})
         del self._reported[place]
 
-    def _find_reachable(self, now: float) -> None:
-        """Tell hosts that are dead from those that may be cut off.
-
-        A host that stays silent while its zone is heard is dead, and the others divide
-        its share. A zone of which nothing is heard may be cut off and running on its
-        share, so that stays unused; and a host that hears nobody may be the one cut
-        off, and takes only its own.
-        """
-        heard = self._heard.keys() & self._live & set(self._configured)
-        heard.add(self._place)
-        for place in self._configured:
-            self._last_heard.setdefault(place, now)
-        members = [p for p in self._configured if p in heard]
-        dead = self._dead(heard, now)
-        reachable = [p for p in self._configured if p in heard or p in dead]
-        if (members, reachable) == (self._members, self._reachable):
-            return
-        self._members = members
-        self._reachable = reachable
+    def _divide_all(self) -> None:
         for use in self._customers.values():
             use.stale = True
 
-    def _dead(self, heard: set[Place], now: float) -> set[Place]:
-        # A cut silences a zone's hosts within a heartbeat of each other, and after it
-        # they are heard one by one. So a host is dead only when its zone was heard all
-        # the time that it was missed.
-        latest: dict[str, float] = {}
-        for place in heard - {self._place}:
-            time = self._last_heard[place]
-            for zone in {place[0], self._place[0]}:
-                latest[zone] = max(latest.get(zone, time), time)
-        since = {zone: self._zones_since.get(zone, now) for zone in latest}
-        self._zones_since = since
-        return {
-            place
-            for place in self._configured
-            if place not in heard
-            and place[0] in latest
-            and latest[place[0]] - max(self._last_heard[place], since[place[0]])
-            > UNHEARD_AFTER
-        }
-
     def _use(self, customer: str) -> _CustomerUse:
         use = self._customers.get(customer)
         if use is None:
--- a/jackdawspur/limits/tests/test_quotas.py
+++ b/jackdawspur/limits/tests/test_quotas.py
@@ -174,3 +174,23 @@
     hosts.run(3.0)
     assert hosts.most <= QUOTA
     assert hosts.running == QUOTA
+
+
+def test_cut_at_the_moment_of_a_burst_ends_within_the_quota(make_hosts):
+    """A customer runs over its quota for as long as a cut lasts.
+
+    Four hosts borrowed what a zone of two did not need. At the moment that the zone is
+    cut off it needs its share, and the borrowers cannot hear of it.
+    """
+    hosts = make_hosts(QUOTA)
+    for host in hosts.hosts[2:]:
+        host.wanted = 500
+    hosts.run(3.0)
+    borrowed = hosts.running - QUOTA * 2 // 3
+    hosts.cut = {"z0"}
+    for host in hosts.hosts[:2]:
+        host.wanted = 500
+    hosts.run(4.5)
+    assert hosts.most <= QUOTA + borrowed
+    hosts.run(5.0)
+    assert hosts.most <= QUOTA
