Try parked and held jobs again each 0.1 s

Cause: a parked job was tried again only when a task ended or the caller said that room came; alone in the queue, with a slot lent meanwhile, it waited for ever.

Conclusion: 100 tests of scheduling and dispatch pass, the new one among them.

--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -20,6 +20,10 @@
 IDLE_CREDIT = 2.0
 # Jobs whose next task fits nowhere that one call sets aside before it gives up.
 LOOKAHEAD = 32
+# Seconds after which tasks that fitted nowhere, and customers held back, are tried
+# again without a word. Else a job alone in the queue would wait for ever when room came
+# by something that its caller doesn't report, as a lent slot or a re-admitted upstream.
+RECHECK_EVERY = 0.1
 # Entries a customer in the order, all but one stale, before they are cleared away.
 STALE_ENTRIES = 4
 
@@ -45,6 +49,7 @@
         self._active: set[CustomerLane] = set()
         self._last_service = 0.0
         self._entries = 0
+        self._rechecked_at = float("-inf")
         self._waiting = 0
         self._backlog_ms = 0.0
 
@@ -107,6 +112,10 @@
         self, now: float, fits: Fits, may_start: MayStart = _always
     ) -> NextTask | None:
         """Take the task to start next, or None when nothing that waits may start."""
+        if now - self._rechecked_at >= RECHECK_EVERY:
+            self._rechecked_at = now
+            self.capacity_changed()
+            self.quotas_changed()
         for parked in self._parking.released(fits):
             self._queue_job(parked, self._lanes[parked.customer])
         tries = LOOKAHEAD
--- a/jackdawspur/scheduling/tests/test_queue.py
+++ b/jackdawspur/scheduling/tests/test_queue.py
@@ -245,3 +245,15 @@
     added = make_job(arrived=2.0)
     queue.add(added)
     assert queue.next_task(2.0, anywhere).job is added
+
+
+def test_parked_job_starts_without_a_word_once_there_is_room(queue, make_job):
+    """The only job that waits never starts although an upstream has room for it.
+
+    It fitted nowhere when it came; then a sibling lent a slot on a larger upstream,
+    and no task ended that would have made the queue try again.
+    """
+    job = make_job(spec=LARGE)
+    queue.add(job)
+    assert queue.next_task(0.0, lambda spec: spec != LARGE) is None
+    assert queue.next_task(0.5, anywhere).job is job
