--- a/jackdawspur/scheduling/tests/test_queue.py
+++ b/jackdawspur/scheduling/tests/test_queue.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from jackdawspur.model import Contract, Customer, Objective, TaskSpec
 from jackdawspur.scheduling import JobQueue, RunTimes
 from jackdawspur.scheduling._lanes import COMPACT_AT
@@ -61,22 +63,18 @@
 def test_burst_of_one_customer_leaves_the_others_tail_alone():
     """A customer sends five times its load and everybody else's answers come late.
 
-    For ten seconds one of twenty customers sends as much as all others. Its jobs
-    came first, so in order of arrival every later job waits behind them.
+    For six seconds one of twenty customers sends thrice as much as all others. Its
+    jobs came first, so in order of arrival every later job waits behind them.
     """
 
     def p99_of_others(queue, burst):
         rng = random.Random(5)
         jobs = trial.arrivals(rng, 0.7, 1200)
         if burst:
-            extra = rng.sample(jobs, 120)
-            at = jobs[300].at
-            jobs += [
-                trial.Arrival(at + 0.05 * place, "c9", "k0", job.runs)
-                for place, job in enumerate(extra)
-            ]
-        ended = trial.run(queue, sorted(jobs, key=lambda j: j.at), random.Random(6))
-        ratios = [end.ratio for end in ended if end.arrival.customer != "c9"]
+            jobs = trial.with_burst(jobs, rng, 120)
+        ended = trial.run(queue, jobs, random.Random(6))
+        others = [end for end in ended if end.arrival.customer != trial.BURSTING]
+        ratios = [end.ratio for end in others]
         return trial.quantile(ratios, 0.99)
 
     calm = p99_of_others(JobQueue(), burst=False)
@@ -182,3 +180,80 @@
     assert left <= COMPACT_AT + 1
     assert queue.next_task(99.0, anywhere).job is kept
     assert (queue.waiting(), queue.backlog_ms(), len(queue)) == (0, 0.0, 0)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_every_task_leaves_the_queue_once(queue, make_job, seed):
+    """A task is handed out twice or never after refusals, cancels and parking."""
+    rng = random.Random(seed)
+    out, ends = [], []
+    jobs, cancelled = [], set()
+    for step in range(120):
+        action = rng.randrange(6)
+        if action < 2:
+            spec = LARGE if rng.random() < 0.3 else None
+            estimates = tuple(rng.uniform(1.0, 99.0) for _ in range(rng.randint(1, 5)))
+            jobs.append(make_job(rng.choice("abc"), estimates, step, spec=spec))
+            queue.add(jobs[-1])
+        elif action == 2 and jobs:
+            job = rng.choice(jobs)
+            if queue.remove(job.submission):
+                cancelled.add(job.submission)
+        elif action == 3 and ends:
+            task = ends.pop(rng.randrange(len(ends)))
+            if rng.random() < 0.5:
+                queue.task_ended(task.job, task.index, rng.uniform(1.0, 99.0))
+            elif task.job.submission not in cancelled:
+                out.remove((task.job.submission, task.index))
+                queue.put_back(task.job, task.index)
+        else:
+            small = rng.random() < 0.5
+            task = queue.next_task(
+                float(step),
+                lambda spec, small=small: not small or spec != LARGE,
+                lambda name: rng.random() < 0.8,
+            )
+            if task:
+                out.append((task.job.submission, task.index))
+                ends.append(task)
+    queue.quotas_changed()
+    queue.capacity_changed()
+    out += [(t.job.submission, t.index) for t in drain(queue, 999.0)]
+    queue.capacity_changed()
+    out += [(t.job.submission, t.index) for t in drain(queue, 999.0)]
+    assert len(out) == len(set(out))
+    kept = [job for job in jobs if job.submission not in cancelled]
+    wanted = {(j.submission, i) for j in kept for i in range(len(j.tasks))}
+    assert wanted <= set(out)
+    assert (queue.waiting(), len(queue)) == (0, 0)
+    assert queue.backlog_ms() == pytest.approx(0.0, abs=1e-6)
+
+
+def test_job_added_after_cancels_at_the_quota_starts(queue, make_job):
+    """A customer's new job never starts although it has slots and nothing waits.
+
+    Its earlier job was cancelled while its quota held it back; then a task of it
+    ended. The cancelled job still headed its jobs, so the new one joined no order.
+    """
+    running, cancelled = make_job(), make_job(arrived=1.0)
+    queue.add(running)
+    queue.add(cancelled)
+    task = queue.next_task(1.0, anywhere)
+    assert queue.next_task(1.0, anywhere, lambda name: False) is None
+    queue.remove(cancelled.submission)
+    queue.task_ended(task.job, task.index, 100.0)
+    added = make_job(arrived=2.0)
+    queue.add(added)
+    assert queue.next_task(2.0, anywhere).job is added
+
+
+def test_parked_job_starts_without_a_word_once_there_is_room(queue, make_job):
+    """The only job that waits never starts although an upstream has room for it.
+
+    It fitted nowhere when it came; then a sibling lent a slot on a larger upstream,
+    and no task ended that would have made the queue try again.
+    """
+    job = make_job(spec=LARGE)
+    queue.add(job)
+    assert queue.next_task(0.0, lambda spec: spec != LARGE) is None
+    assert queue.next_task(0.5, anywhere).job is job
