--- /dev/null
+++ b/jackdawspur/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on virtual time."""
--- /dev/null
+++ b/jackdawspur/bench/_baselines.py
@@ -0,0 +1,344 @@
+"""Plain policies to compare with: each host picks upstreams on its own.
+
+They keep every invariant of one host, but forward, lend and claim nothing.
+"""
+
+import abc
+import heapq
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from jackdawspur.bench._dispatcher import Dispatcher
+from jackdawspur.dispatch import (
+    AnswerCall,
+    AskStatus,
+    CancelAsked,
+    DrainAsked,
+    Effect,
+    Event,
+    IdsAsked,
+    IssueIds,
+    ResultsReplied,
+    StartsLost,
+    StartsReplied,
+    StatusLost,
+    StatusReplied,
+    StopTasks,
+    Submitted,
+    StartTasks,
+    Tick,
+    WorldSet,
+)
+from jackdawspur.model import (
+    Answer,
+    FailureCode,
+    HostId,
+    JobRequest,
+    JobState,
+    SubmissionId,
+    TaskId,
+    TaskState,
+    UpstreamId,
+)
+from jackdawspur.platform import RefusalReason, TaskStart, UpstreamReply, Usage
+
+__all__ = ["BASELINES", "Baseline"]
+
+REFUSED_AGAIN_S = 0.01
+UNREACHABLE_S = 1.0
+STATUS_AGAIN_S = 0.5
+LEASE_SLACK_MS = 1000.0
+
+
+@dataclass(slots=True)
+class _Worker:
+    id: UpstreamId
+    slots: int
+    held: int = 0
+    usage: Usage | None = None
+    incarnation: int = 0
+    leaving: bool = False
+    avoid_until: float = 0.0
+
+
+@dataclass(slots=True)
+class _Job:
+    call: int
+    id: SubmissionId
+    request: JobRequest
+    deadline: float
+    sent: dict[int, UpstreamId] = field(default_factory=dict)
+    outputs: dict[int, str] = field(default_factory=dict)
+    ever_sent: bool = False
+
+
+class Baseline(Dispatcher):
+    """Run jobs in order of arrival; subclasses pick the upstream."""
+
+    def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
+        self._host = host
+        self._rng = rng
+        self._workers: dict[UpstreamId, _Worker] = {}
+        self._jobs: dict[SubmissionId, _Job] = {}
+        self._deadlines: list[tuple[float, SubmissionId]] = []
+        self._queue: deque[TaskId] = deque()
+        self._timers: list[tuple[float, TaskId, UpstreamId]] = []
+        self._sequence = 0
+        self._draining = False
+        self._blocked_until = 0.0
+
+    def next_wake(self) -> float | None:
+        times = [when for when, _, _ in self._timers]
+        while self._deadlines and self._deadlines[0][1] not in self._jobs:
+            heapq.heappop(self._deadlines)
+        times += [when for when, _ in self._deadlines[:1]]
+        if self._queue and self._blocked_until:
+            times.append(self._blocked_until)
+        return min(times, default=None)
+
+    @abc.abstractmethod
+    def pick(self, free: list[_Worker]) -> _Worker:
+        """Choose one of the upstreams with a slot that this host hasn't filled."""
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        match event:
+            case WorldSet(world=world):
+                self._workers = {
+                    item.id: _Worker(item.id, item.slots) for item in world.upstreams
+                }
+            case Submitted(call=call, request=request):
+                effects += self._submit(call, request, now)
+            case IdsAsked(call=call, count=count):
+                ids = tuple(self._next_id() for _ in range(count))
+                effects.append(IssueIds(call, ids))
+            case CancelAsked(call=call, submission=submission):
+                effects += self._cancel(call, submission)
+            case DrainAsked():
+                self._draining = True
+            case Tick():
+                effects += self._expire(now)
+            case _:
+                effects += self._replied(event, now)
+        return effects + self._place(now)
+
+    def _replied(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case StartsReplied(reply=reply):
+                return self._verdicts(reply, now)
+            case StartsLost(upstream=upstream, tasks=tasks, left=left):
+                return self._lost(upstream, tasks, left, now)
+            case ResultsReplied(reply=reply) | StatusReplied(reply=reply):
+                return self._outcomes(reply, now)
+            case StatusLost(upstream=upstream, tasks=tasks):
+                again = now + STATUS_AGAIN_S
+                self._timers += [(again, task, upstream) for task in tasks]
+        return []
+
+    def _next_id(self) -> SubmissionId:
+        self._sequence += 1
+        return SubmissionId(self._host, self._sequence)
+
+    def _submit(self, call: int, request: JobRequest, now: float) -> list[Effect]:
+        if self._draining:
+            answer = Answer(
+                JobState.REFUSED, code=FailureCode.DRAINING, not_run=True
+            )
+            return [AnswerCall(call, answer)]
+        submission = request.submission or self._next_id()
+        deadline = now + request.deadline_ms / 1000
+        self._jobs[submission] = _Job(call, submission, request, deadline)
+        heapq.heappush(self._deadlines, (deadline, submission))
+        self._queue += [TaskId(submission, n) for n in range(len(request.tasks))]
+        return []
+
+    def _cancel(self, call: int, submission: SubmissionId) -> list[Effect]:
+        job = self._jobs.get(submission)
+        if job is None:
+            answer = Answer(JobState.REFUSED, code=FailureCode.NOT_FOUND)
+            return [AnswerCall(call, answer)]
+        effects = self._fail(job, FailureCode.CANCELLED)
+        return [*effects, AnswerCall(call, effects[-1].answer)]
+
+    def _place(self, now: float) -> list[Effect]:
+        batches: dict[UpstreamId, list[TaskStart]] = {}
+        self._blocked_until = 0.0
+        while self._queue:
+            free = [
+                worker
+                for worker in self._workers.values()
+                if worker.held < worker.slots
+                and not worker.leaving
+                and worker.avoid_until <= now
+            ]
+            if not free:
+                self._blocked_until = now + REFUSED_AGAIN_S
+                break
+            task = self._queue.popleft()
+            job = self._jobs.get(task.submission)
+            if job is None:
+                continue
+            worker = self.pick(free)
+            batches.setdefault(worker.id, []).append(self._start(job, task, worker, now))
+        return [StartTasks(where, tuple(starts)) for where, starts in batches.items()]
+
+    def _start(self, job: _Job, task: TaskId, worker: _Worker, now: float) -> TaskStart:
+        worker.held += 1
+        job.sent[task.index] = worker.id
+        job.ever_sent = True
+        spec = job.request.tasks[task.index]
+        lease_ms = (job.deadline - now) * 1000 + LEASE_SLACK_MS
+        return TaskStart(task, spec.payload, lease_ms)
+
+    def _release(self, job: _Job, index: int) -> None:
+        where = job.sent.pop(index, None)
+        if where is not None:
+            self._workers[where].held -= 1
+
+    def _again(self, task: TaskId, upstream: UpstreamId) -> None:
+        job = self._jobs.get(task.submission)
+        if job is not None and job.sent.get(task.index) == upstream:
+            self._release(job, task.index)
+            self._queue.appendleft(task)
+
+    def _verdicts(self, reply: UpstreamReply, now: float) -> list[Effect]:
+        worker = self._workers[reply.upstream]
+        effects = self._met(worker, reply.incarnation)
+        for verdict in reply.verdicts:
+            if verdict.refusal is None:
+                continue
+            worker.leaving |= verdict.refusal is RefusalReason.LEAVING
+            worker.avoid_until = now + REFUSED_AGAIN_S
+            self._again(verdict.task, reply.upstream)
+        return effects
+
+    def _lost(
+        self, upstream: UpstreamId, tasks: tuple[TaskId, ...], left: bool, now: float
+    ) -> list[Effect]:
+        self._workers[upstream].avoid_until = now + UNREACHABLE_S
+        if left:
+            return [AskStatus(upstream, tasks)]
+        for task in tasks:
+            self._again(task, upstream)
+        return []
+
+    def _outcomes(self, reply: UpstreamReply, now: float) -> list[Effect]:
+        worker = self._workers[reply.upstream]
+        effects = self._met(worker, reply.incarnation)
+        if reply.usage is not None:
+            worker.usage = reply.usage
+            worker.leaving |= reply.usage.leaving
+        for outcome in reply.outcomes:
+            job = self._jobs.get(outcome.task.submission)
+            if job is None or job.sent.get(outcome.task.index) != reply.upstream:
+                continue
+            effects += self._outcome(job, outcome, reply.upstream)
+        return effects
+
+    def _outcome(self, job: _Job, outcome, upstream: UpstreamId) -> list[Effect]:
+        match outcome.state:
+            case TaskState.DONE:
+                self._release(job, outcome.task.index)
+                job.outputs[outcome.task.index] = outcome.output
+                return self._complete(job)
+            case TaskState.SEALED:
+                self._again(outcome.task, upstream)
+            case TaskState.FAILED | TaskState.STOPPED:
+                self._release(job, outcome.task.index)
+                return self._fail(job, FailureCode.TASK_FAILED)
+            case TaskState.UNKNOWN:
+                return self._fail(job, FailureCode.OUTCOME_UNKNOWN)
+        return []
+
+    # A restarted upstream has forgotten what it ran, so those jobs are lost.
+    def _met(self, worker: _Worker, incarnation: int) -> list[Effect]:
+        forgot = worker.incarnation not in (0, incarnation)
+        worker.incarnation = incarnation
+        if not forgot:
+            return []
+        lost = [job for job in self._jobs.values() if worker.id in job.sent.values()]
+        effects: list[Effect] = []
+        for job in lost:
+            effects += self._fail(job, FailureCode.OUTCOME_UNKNOWN)
+        return effects
+
+    def _complete(self, job: _Job) -> list[Effect]:
+        if len(job.outputs) < len(job.request.tasks):
+            return []
+        del self._jobs[job.id]
+        outputs = tuple(job.outputs[index] for index in sorted(job.outputs))
+        answer = Answer(JobState.COMPLETE, job.id, outputs)
+        return [AnswerCall(job.call, answer)]
+
+    def _fail(self, job: _Job, code: FailureCode) -> list[Effect]:
+        del self._jobs[job.id]
+        running: dict[UpstreamId, list[TaskId]] = {}
+        for index, where in job.sent.items():
+            running.setdefault(where, []).append(TaskId(job.id, index))
+            self._workers[where].held -= 1
+        state = JobState.FAILED if job.ever_sent else JobState.REFUSED
+        answer = Answer(state, job.id, code=code, not_run=not job.ever_sent)
+        stops = [StopTasks(where, tuple(tasks)) for where, tasks in running.items()]
+        return [*stops, AnswerCall(job.call, answer)]
+
+    def _expire(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, submission = heapq.heappop(self._deadlines)
+            job = self._jobs.get(submission)
+            if job is not None:
+                effects += self._fail(job, FailureCode.DEADLINE)
+        due = [timer for timer in self._timers if timer[0] <= now]
+        self._timers = [timer for timer in self._timers if timer[0] > now]
+        for _, task, upstream in due:
+            if task.submission in self._jobs:
+                effects.append(AskStatus(upstream, (task,)))
+        return effects
+
+
+class RandomBaseline(Baseline):
+    """Pick any upstream."""
+
+    def pick(self, free: list[_Worker]) -> _Worker:
+        return self._rng.choice(free)
+
+
+class RoundRobinBaseline(Baseline):
+    """Pick upstreams in turn."""
+
+    def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
+        super().__init__(host, rng, now)
+        self._turns: Counter[UpstreamId] = Counter()
+
+    def pick(self, free: list[_Worker]) -> _Worker:
+        worker = min(free, key=lambda item: self._turns[item.id])
+        self._turns[worker.id] += 1
+        return worker
+
+
+class TwoChoicesBaseline(Baseline):
+    """Pick the less held of two random upstreams."""
+
+    def pick(self, free: list[_Worker]) -> _Worker:
+        pair = self._rng.sample(free, min(2, len(free)))
+        return min(pair, key=lambda item: item.held)
+
+
+class ShortestQueueBaseline(Baseline):
+    """Pick the upstream whose stale usage, and what this host holds, is least."""
+
+    def pick(self, free: list[_Worker]) -> _Worker:
+        def load(worker: _Worker) -> tuple[int, float]:
+            busy = worker.usage.busy if worker.usage is not None else 0
+            return (max(busy, worker.held), self._rng.random())
+
+        return min(free, key=load)
+
+
+BASELINES = {
+    "random": RandomBaseline,
+    "round_robin": RoundRobinBaseline,
+    "two_choices": TwoChoicesBaseline,
+    "shortest_queue": ShortestQueueBaseline,
+}
--- /dev/null
+++ b/jackdawspur/bench/_checks.py
@@ -0,0 +1,163 @@
+"""Invariants, judged only by what upstreams and callers saw."""
+
+import enum
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from jackdawspur.bench._workload import Payload, expected_output
+from jackdawspur.model import Answer, JobRequest, JobState, SubmissionId, TaskId
+
+__all__ = ["Breach", "Checker", "Invariant"]
+
+LEAVING_GRACE_S = 3.0
+DETAILS_KEPT = 20
+
+
+class Invariant(enum.StrEnum):
+    """Name what must never happen."""
+
+    STARTED_TWICE = "started_twice"
+    PARTIAL_ANSWER = "partial_answer"
+    FALSE_NOT_RUN = "false_not_run"
+    ANSWERED_TWICE = "answered_twice"
+    NEVER_ANSWERED = "never_answered"
+    RAN_TWICE = "non_idempotent_ran_twice"
+    CROSSED_ANSWER = "crossed_answer"
+    SENT_TO_LEAVING = "sent_to_leaving"
+    CONFIG_WENT_BACK = "config_went_back"
+    CUT_BY_SHUTDOWN = "cut_by_shutdown"
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """Report one broken invariant and when, in seconds."""
+
+    invariant: Invariant
+    at: float
+    detail: str
+
+
+@dataclass(slots=True)
+class _Call:
+    request: int | None
+    answer: Answer | None = None
+    lost: bool = False
+
+
+@dataclass(slots=True)
+class _Request:
+    asked: JobRequest
+    starts: Counter[int] = field(default_factory=Counter)
+    runs: set[SubmissionId] = field(default_factory=set)
+    not_run: bool = False
+
+
+class Checker:
+    """Gather what the fakes and the callers saw, and the breaches in it."""
+
+    def __init__(self) -> None:
+        self._calls: dict[int, _Call] = {}
+        self._requests: dict[int, _Request] = {}
+        self._versions: defaultdict[str, int] = defaultdict(lambda: -1)
+        self._counts: Counter[Invariant] = Counter()
+        self._breaches: list[Breach] = []
+
+    @property
+    def breaches(self) -> tuple[Breach, ...]:
+        """Return the first breaches in detail."""
+        return tuple(self._breaches)
+
+    @property
+    def counts(self) -> dict[Invariant, int]:
+        """Return how often each invariant broke; nothing when all held."""
+        return dict(self._counts)
+
+    def call_made(self, call: int, request_number: int, asked: JobRequest) -> None:
+        """Note that a caller sent a request; calls of one request share a number."""
+        self._calls[call] = _Call(request_number)
+        self._requests.setdefault(request_number, _Request(asked))
+
+    def control_made(self, call: int) -> None:
+        """Note a call that asks for no run: a cancellation, or ids in advance."""
+        self._calls[call] = _Call(None)
+
+    def control_ended(self, call: int, now: float) -> None:
+        """Note that ids came for a call that asked for some."""
+        self.call_answered(call, Answer(JobState.PENDING), now)
+
+    def call_lost(self, call: int, now: float, draining: bool = False) -> None:
+        """Note that a caller lost its connection before its answer."""
+        record = self._calls[call]
+        record.lost = True
+        if draining and record.answer is None:
+            self._report(Invariant.CUT_BY_SHUTDOWN, now, f"call {call}")
+
+    def call_answered(self, call: int, answer: Answer, now: float) -> None:
+        """Check an answer that a caller received; pending ones are no end."""
+        record = self._calls[call]
+        if record.answer is not None:
+            self._report(Invariant.ANSWERED_TWICE, now, f"call {call}")
+            return
+        record.answer = answer
+        if record.request is None:
+            return
+        request = self._requests[record.request]
+        if answer.not_run:
+            request.not_run = True
+            if request.starts:
+                self._report(Invariant.FALSE_NOT_RUN, now, f"call {call} {answer}")
+        if answer.state is JobState.COMPLETE:
+            self._check_outputs(call, request.asked, answer, now)
+
+    def task_started(self, text: str, task: TaskId, where: str, now: float) -> None:
+        """Check a task that an upstream began to run."""
+        payload = Payload.parse(text)
+        request = self._requests[payload.job]
+        request.starts[payload.index] += 1
+        request.runs.add(task.submission)
+        detail = f"request {payload.job} task {payload.index} as {task} at {where}"
+        if request.starts[payload.index] > 1:
+            self._report(Invariant.STARTED_TWICE, now, detail)
+        if len(request.runs) > 1 and not request.asked.idempotent:
+            self._report(Invariant.RAN_TWICE, now, detail)
+        if request.not_run:
+            self._report(Invariant.FALSE_NOT_RUN, now, f"{detail}, answered before")
+
+    def start_received(self, where: str, leaving_for: float | None, now: float) -> None:
+        """Check that an upstream which has been leaving for a while gets no start."""
+        if leaving_for is not None and leaving_for > LEAVING_GRACE_S:
+            detail = f"{where} had been leaving for {leaving_for:.3f} s"
+            self._report(Invariant.SENT_TO_LEAVING, now, detail)
+
+    def version_seen(self, machine: str, version: int, now: float) -> None:
+        """Check a configuration version that a host tells its peers to be in force.
+
+        A restarted host tells a negative version until it has one.
+        """
+        if 0 <= version < self._versions[machine]:
+            detail = f"{machine}: {self._versions[machine]} to {version}"
+            self._report(Invariant.CONFIG_WENT_BACK, now, detail)
+        self._versions[machine] = max(version, self._versions[machine])
+
+    def finish(self, now: float) -> None:
+        """Check, once all deadlines passed, that no live caller still waits."""
+        for call, record in self._calls.items():
+            if record.answer is None and not record.lost:
+                self._report(Invariant.NEVER_ANSWERED, now, f"call {call}")
+
+    def _check_outputs(
+        self, call: int, asked: JobRequest, answer: Answer, now: float
+    ) -> None:
+        expected = tuple(expected_output(task.payload) for task in asked.tasks)
+        if answer.outputs == expected:
+            return
+        foreign = set(answer.outputs) - set(expected) - {""}
+        if foreign or sorted(answer.outputs) == sorted(expected):
+            self._report(Invariant.CROSSED_ANSWER, now, f"call {call}")
+        if len(set(answer.outputs) & set(expected)) < len(expected):
+            self._report(Invariant.PARTIAL_ANSWER, now, f"call {call}")
+
+    def _report(self, invariant: Invariant, now: float, detail: str) -> None:
+        self._counts[invariant] += 1
+        if len(self._breaches) < DETAILS_KEPT:
+            self._breaches.append(Breach(invariant, now, detail))
--- /dev/null
+++ b/jackdawspur/bench/_experiment.py
@@ -0,0 +1,72 @@
+"""Run one policy under one scenario."""
+
+from dataclasses import dataclass
+
+from jackdawspur.bench._checks import Breach
+from jackdawspur.bench._deployment import Deployment
+from jackdawspur.bench._dispatcher import DispatcherFactory
+from jackdawspur.bench._measures import Figures, measure
+from jackdawspur.bench._scenarios import Scenario, at_load
+from jackdawspur.bench._simulation import Simulation
+from jackdawspur.bench._workload import draw_jobs
+
+__all__ = ["Experiment", "Outcome", "run_experiment"]
+
+GRACE_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """Name a run; equal experiments give equal outcomes."""
+
+    deployment: Deployment
+    scenario: Scenario
+    policy: str
+    load: float
+    seed: int
+    seconds: float
+
+    @property
+    def key(self) -> str:
+        """Return the name under which bounds are kept."""
+        parts = (self.deployment.name, self.scenario.name, f"{self.load:.0%}")
+        return " ".join((*parts, self.policy))
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold the figures of a run, and the first breaches in detail."""
+
+    experiment: Experiment
+    figures: Figures
+    breaches: tuple[Breach, ...]
+    broken: dict[str, int]
+
+
+def run_experiment(
+    experiment: Experiment, make: DispatcherFactory, owns: bool
+) -> Outcome:
+    """Run to the last deadline; `owns` when the policy carries ids and keys."""
+    scenario = at_load(experiment.scenario, experiment.load, experiment.seconds)
+    simulation = Simulation(
+        experiment.deployment,
+        make,
+        experiment.seed,
+        list_lag_s=scenario.list_lag_s,
+        resubmits=owns and scenario.resubmits,
+    )
+    jobs = draw_jobs(experiment.deployment, scenario.workload, experiment.seed)
+    for inject in scenario.injects:
+        inject(simulation, jobs)
+    grace_s = scenario.workload.deadline_ms / 1000 + GRACE_S
+    simulation.run(jobs, scenario.workload.seconds, grace_s)
+    broken = {str(name): count for name, count in simulation.checker.counts.items()}
+    figures = measure(
+        experiment.deployment,
+        simulation.clients.ended,
+        simulation.traffic,
+        faults=scenario.faults,
+        resubmitted=simulation.clients.resubmitted,
+        broken=sum(broken.values()),
+    )
+    return Outcome(experiment, figures, simulation.checker.breaches, broken)
--- /dev/null
+++ b/jackdawspur/bench/_links.py
@@ -0,0 +1,40 @@
+"""Ways between zones and to the platform, and what cuts them."""
+
+from jackdawspur.bench._deployment import Deployment
+
+__all__ = ["FakeLinks"]
+
+
+class FakeLinks:
+    """Tell how long a message takes between zones, and whether it arrives."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._cut_from_zones: set[str] = set()
+        self._cut_from_platform: set[str] = set()
+
+    def cut(self, zone: str, zones: bool = True, platform: bool = True) -> None:
+        """Cut a zone off from the other zones, from the platform, or from both."""
+        if zones:
+            self._cut_from_zones.add(zone)
+        if platform:
+            self._cut_from_platform.add(zone)
+
+    def heal(self, zone: str) -> None:
+        """End every cut of a zone."""
+        self._cut_from_zones.discard(zone)
+        self._cut_from_platform.discard(zone)
+
+    def joined(self, zone: str, other: str) -> bool:
+        """Tell whether messages pass between two zones."""
+        return zone == other or not {zone, other} & self._cut_from_zones
+
+    def reaches_platform(self, zone: str) -> bool:
+        """Tell whether a zone reaches the log and the list of hosts."""
+        return zone not in self._cut_from_platform
+
+    def delay(self, zone: str, other: str) -> float:
+        """Return the one-way time in seconds."""
+        if zone == other:
+            return self._deployment.inside_zone_s
+        return self._deployment.between_zones_s
--- /dev/null
+++ b/jackdawspur/bench/_scenarios.py
@@ -0,0 +1,217 @@
+"""What happens to a deployment during a run."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from jackdawspur.bench._host import SimulatedHost
+from jackdawspur.bench._simulation import (
+    DRAIN_BOUND_S,
+    LIST_LAG_S,
+    RESTART_S,
+    Simulation,
+)
+from jackdawspur.bench._upstream import UpstreamFaults
+from jackdawspur.bench._workload import Job, Workload
+from jackdawspur.model import UpstreamId
+
+__all__ = ["PAIRS", "SCENARIOS", "STEADY_LOADS", "Scenario", "pair"]
+
+STEADY_LOADS = (0.3, 0.7, 0.9, 1.1)
+FAULT_AT_S = 8.0
+PAUSE_S = 20.0
+CUT_S = 15.0
+LOG_OUTAGE_S = 600.0
+CANCEL_SHARE = 0.5
+LOST_REPLY_SHARE = 0.02
+# Longer than any draining host needs, so the next finds the last one back.
+DRAIN_TURN_S = DRAIN_BOUND_S + 2 * RESTART_S + 1.0
+
+Inject = Callable[[Simulation, list[Job]], None]
+
+
+def _nothing(simulation: Simulation, jobs: list[Job]) -> None:
+    """Leave all as it is."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describe a run; `faults` divides the jobs lost.
+
+    `seconds` None takes the run's own length, else it is the least one.
+    """
+
+    name: str
+    injects: tuple[Inject, ...] = ()
+    workload: Workload = Workload()
+    faults: int = 0
+    list_lag_s: float = LIST_LAG_S
+    seconds: float = 0.0
+    resubmits: bool = False
+    only_own: bool = False
+
+
+def pair(first: Scenario, second: Scenario) -> Scenario:
+    """Return both scenarios at once."""
+    usual = Workload()
+    workload = first.workload if first.workload != usual else second.workload
+    return Scenario(
+        name=f"{first.name}+{second.name}",
+        injects=first.injects + second.injects,
+        workload=workload,
+        faults=first.faults + second.faults,
+        list_lag_s=max(first.list_lag_s, second.list_lag_s),
+        seconds=max(first.seconds, second.seconds),
+        resubmits=first.resubmits or second.resubmits,
+    )
+
+
+def _host(simulation: Simulation, number: int = 0) -> SimulatedHost:
+    return list(simulation.hosts.values())[number]
+
+
+def _worker(simulation: Simulation, number: int = 0) -> UpstreamId:
+    return list(simulation.upstreams)[number]
+
+
+def _stragglers(simulation: Simulation, jobs: list[Job]) -> None:
+    for upstream in simulation.upstreams.values():
+        upstream.faults = UpstreamFaults(straggler_share=0.05)
+
+
+def _slow_worker(simulation: Simulation, jobs: list[Job]) -> None:
+    simulation.upstreams[_worker(simulation)].faults = UpstreamFaults(slow=4.0)
+
+
+def _failing_worker(simulation: Simulation, jobs: list[Job]) -> None:
+    upstream = simulation.upstreams[_worker(simulation)]
+
+    def fail() -> None:
+        upstream.faults = UpstreamFaults(fails_all=True)
+
+    simulation.loop.at(FAULT_AT_S, fail)
+
+
+def _worker_dies(simulation: Simulation, jobs: list[Job]) -> None:
+    upstream = simulation.upstreams[_worker(simulation)]
+    simulation.loop.at(FAULT_AT_S, upstream.die)
+    simulation.loop.at(FAULT_AT_S + CUT_S, upstream.restart)
+
+
+def _cancel_wave(simulation: Simulation, jobs: list[Job]) -> None:
+    customer = jobs[0].request.customer
+    recent = [
+        job
+        for job in jobs
+        if job.request.customer == customer and FAULT_AT_S - 2 < job.at < FAULT_AT_S
+    ]
+    simulation.clients.ids_in_advance = True
+    simulation.loop.at(FAULT_AT_S, lambda: simulation.clients.cancel(recent))
+
+
+def _leaving(simulation: Simulation, jobs: list[Job]) -> None:
+    worker = _worker(simulation)
+    simulation.loop.at(FAULT_AT_S, lambda: simulation.leave(worker))
+
+
+def _host_killed(simulation: Simulation, jobs: list[Job]) -> None:
+    simulation.loop.at(FAULT_AT_S, lambda: simulation.kill(_host(simulation)))
+
+
+def _host_paused(simulation: Simulation, jobs: list[Job]) -> None:
+    host = _host(simulation, 1)
+    simulation.loop.at(FAULT_AT_S, lambda: simulation.pause(host, PAUSE_S))
+
+
+def _cut(zones: bool, platform: bool) -> Inject:
+    def inject(simulation: Simulation, jobs: list[Job]) -> None:
+        zone = _worker(simulation).zone
+        links = simulation.links
+        simulation.loop.at(FAULT_AT_S, lambda: links.cut(zone, zones, platform))
+        simulation.loop.at(FAULT_AT_S + CUT_S, lambda: links.heal(zone))
+
+    return inject
+
+
+def _log_down(simulation: Simulation, jobs: list[Job]) -> None:
+    def set_down(down: bool) -> None:
+        simulation.log.down = down
+
+    simulation.loop.at(FAULT_AT_S, lambda: set_down(True))
+    simulation.loop.at(FAULT_AT_S + LOG_OUTAGE_S, lambda: set_down(False))
+
+
+def _list_down(simulation: Simulation, jobs: list[Job]) -> None:
+    def set_down() -> None:
+        simulation.host_list.down = True
+
+    simulation.loop.at(FAULT_AT_S, set_down)
+
+
+def _lost_replies(simulation: Simulation, jobs: list[Job]) -> None:
+    simulation.log.lost_replies = LOST_REPLY_SHARE
+    for upstream in simulation.upstreams.values():
+        upstream.faults = UpstreamFaults(lost_replies=LOST_REPLY_SHARE)
+
+
+def _zone_replaced(simulation: Simulation, jobs: list[Job]) -> None:
+    zone = _worker(simulation).zone
+    hosts = [host for host in simulation.hosts.values() if host.id.zone == zone]
+    for turn, host in enumerate(hosts):
+        when = FAULT_AT_S + turn * DRAIN_TURN_S
+        simulation.loop.at(when, lambda host=host: simulation.drain(host))
+
+
+# A deadline shorter than the pause makes the leases lapse while the holder sleeps.
+SHORT_DEADLINE_MS = 8_000.0
+_ALL = (
+    Scenario("steady"),
+    Scenario("burst_x5", workload=Workload(burst=5.0)),
+    Scenario("wrong_declarations_x10", workload=Workload(wrong_by=10.0)),
+    Scenario("stragglers", (_stragglers,)),
+    Scenario("slow_worker", (_slow_worker,)),
+    Scenario("worker_fails_all", (_failing_worker,), faults=1),
+    Scenario("worker_dies", (_worker_dies,), faults=1),
+    Scenario("cancel_wave", (_cancel_wave,)),
+    Scenario("worker_leaves_list_lags", (_leaving,), list_lag_s=10.0, faults=1),
+    Scenario("host_killed", (_host_killed,), faults=1, resubmits=True),
+    Scenario("host_paused", (_host_paused,), faults=1, resubmits=True, seconds=40.0),
+    Scenario("zone_cut_from_zones", (_cut(True, False),), faults=1),
+    Scenario("zone_cut_from_platform", (_cut(False, True),), faults=1),
+    Scenario("zone_cut_off", (_cut(True, True),), faults=1),
+    Scenario("log_down", (_log_down,), faults=1, seconds=620.0, only_own=True),
+    Scenario("list_down", (_list_down,), faults=1),
+    Scenario("lost_replies", (_lost_replies,)),
+    Scenario(
+        "leases_lapse_in_pause",
+        (_host_paused,),
+        workload=Workload(deadline_ms=SHORT_DEADLINE_MS),
+        faults=1,
+        resubmits=True,
+        seconds=40.0,
+    ),
+    Scenario("zone_replaced", (_zone_replaced,), faults=2, seconds=45.0),
+)
+SCENARIOS = {item.name: item for item in _ALL}
+_PAIRED = (
+    ("host_killed", "lost_replies"),
+    ("host_killed", "worker_fails_all"),
+    ("host_paused", "zone_cut_off"),
+    ("host_paused", "worker_leaves_list_lags"),
+    ("zone_cut_off", "lost_replies"),
+    ("burst_x5", "host_killed"),
+    ("burst_x5", "cancel_wave"),
+    ("stragglers", "worker_dies"),
+    ("wrong_declarations_x10", "worker_fails_all"),
+    ("zone_replaced", "lost_replies"),
+    ("zone_replaced", "zone_cut_from_zones"),
+)
+PAIRS = {
+    f"{one}+{other}": pair(SCENARIOS[one], SCENARIOS[other]) for one, other in _PAIRED
+}
+
+
+def at_load(scenario: Scenario, load: float, seconds: float) -> Scenario:
+    """Return a scenario with its load and length set."""
+    length = max(seconds, scenario.seconds)
+    workload = replace(scenario.workload, load=load, seconds=length)
+    return replace(scenario, workload=workload)
--- /dev/null
+++ b/jackdawspur/bench/_upstream.py
@@ -0,0 +1,184 @@
+"""A small fake of an upstream worker on virtual time."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from jackdawspur.bench._checks import Checker
+from jackdawspur.bench._loop import VirtualLoop
+from jackdawspur.bench._workload import Payload, expected_output
+from jackdawspur.model import HostId, TaskId, TaskOutcome, TaskState, Upstream
+from jackdawspur.platform import RefusalReason, StartVerdict, TaskStart, Usage
+
+__all__ = ["FakeUpstream", "UpstreamFaults"]
+
+USAGE_PERIOD_S = 1.0
+FAILURE_S = 0.005
+
+
+@dataclass(slots=True)
+class UpstreamFaults:
+    """Set what goes wrong at an upstream; shares are of tasks or of replies."""
+
+    slow: float = 1.0
+    straggler_share: float = 0.0
+    straggler_factor: float = 4.0
+    fails_all: bool = False
+    lost_replies: float = 0.0
+
+
+@dataclass(slots=True)
+class _Task:
+    holder: HostId
+    state: TaskState = TaskState.RUNNING
+    output: str = ""
+    error: str = ""
+
+
+Ended = Callable[[HostId, TaskOutcome], None]
+
+
+class FakeUpstream:
+    """Run tasks under leases, with the verdicts of the real interface."""
+
+    def __init__(
+        self, spec: Upstream, loop: VirtualLoop, rng: random.Random, checker: Checker
+    ) -> None:
+        self.spec = spec
+        self.faults = UpstreamFaults()
+        self.ended: Ended = lambda holder, outcome: None
+        self._loop = loop
+        self._rng = rng
+        self._checker = checker
+        self._incarnation = 1
+        self._alive = True
+        self._leaving_since: float | None = None
+        self._tasks: dict[TaskId, _Task] = {}
+        self._sealed: set[TaskId] = set()
+        self._busy = 0
+        self._usage = Usage(spec.slots, 0)
+        self._measured = self._usage
+        loop.every(USAGE_PERIOD_S, self._measure)
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether it answers at all."""
+        return self._alive
+
+    @property
+    def incarnation(self) -> int:
+        """Return the number of its present run."""
+        return self._incarnation
+
+    @property
+    def usage(self) -> Usage:
+        """Return the load as it was one to two periods ago."""
+        return self._usage
+
+    def start(self, holder: HostId, starts: Sequence[TaskStart]) -> list[StartVerdict]:
+        """Start what fits and refuse the rest."""
+        leaving_for = None
+        if self._leaving_since is not None:
+            leaving_for = self._loop.now - self._leaving_since
+        self._checker.start_received(str(self.spec.id), leaving_for, self._loop.now)
+        return [self._start_one(holder, start) for start in starts]
+
+    def status(self, tasks: Sequence[TaskId], seal: bool) -> list[TaskOutcome]:
+        """Tell how far tasks are; a restarted upstream can't say "never started"."""
+        return [self._status_one(task, seal) for task in tasks]
+
+    def stop(self, tasks: Sequence[TaskId]) -> list[TaskOutcome]:
+        """Stop tasks that run and bar the others."""
+        for task in tasks:
+            self._end(task, self._incarnation, TaskState.STOPPED, report=False)
+        return self.status(tasks, seal=True)
+
+    def leave(self) -> None:
+        """Refuse new work from now on; what runs goes on."""
+        self._leaving_since = self._loop.now
+
+    def die(self) -> None:
+        """Lose every task and answer nothing."""
+        self._alive = False
+        self._tasks.clear()
+        self._sealed.clear()
+        self._busy = 0
+
+    def restart(self) -> None:
+        """Come back empty under a new incarnation."""
+        self.die()
+        self._incarnation += 1
+        self._alive = True
+        self._leaving_since = None
+
+    def _start_one(self, holder: HostId, start: TaskStart) -> StartVerdict:
+        refusal = self._refusal(start)
+        if refusal is not None:
+            return StartVerdict(start.task, refusal)
+        where = str(self.spec.id)
+        self._checker.task_started(start.payload, start.task, where, self._loop.now)
+        self._tasks[start.task] = _Task(holder)
+        self._busy += 1
+        state, run_s = TaskState.DONE, self._run_s(start.payload)
+        if self.faults.fails_all:
+            state, run_s = TaskState.FAILED, FAILURE_S
+        if run_s > start.lease_ms / 1000:
+            state, run_s = TaskState.STOPPED, start.lease_ms / 1000
+        run, output = self._incarnation, expected_output(start.payload)
+        self._loop.after(run_s, lambda: self._end(start.task, run, state, output))
+        return StartVerdict(start.task)
+
+    def _refusal(self, start: TaskStart) -> RefusalReason | None:
+        if start.task in self._sealed:
+            return RefusalReason.SEALED
+        if start.task in self._tasks:
+            return RefusalReason.DUPLICATE
+        if self._leaving_since is not None:
+            return RefusalReason.LEAVING
+        if start.lease_ms <= 0:
+            return RefusalReason.EXPIRED
+        if start.cpus > self.spec.cpus or start.memory_mb > self.spec.memory_mb:
+            return RefusalReason.TOO_LARGE
+        return RefusalReason.FULL if self._busy >= self.spec.slots else None
+
+    def _run_s(self, text: str) -> float:
+        run_s = Payload.parse(text).run_ms / 1000 * self.faults.slow
+        if self._rng.random() < self.faults.straggler_share:
+            run_s *= self.faults.straggler_factor
+        return run_s
+
+    def _status_one(self, task: TaskId, seal: bool) -> TaskOutcome:
+        known = self._tasks.get(task)
+        if known is not None:
+            return TaskOutcome(task, known.state, known.output, known.error)
+        if seal:
+            self._sealed.add(task)
+        # After a restart nothing proves that the task didn't run before it.
+        proven = seal and self._incarnation == 1
+        return TaskOutcome(task, TaskState.SEALED if proven else TaskState.UNKNOWN)
+
+    def _end(
+        self,
+        task: TaskId,
+        run: int,
+        state: TaskState,
+        output: str = "",
+        report: bool = True,
+    ) -> None:
+        known = self._tasks.get(task)
+        if run != self._incarnation or known is None:
+            return
+        if known.state is not TaskState.RUNNING:
+            return
+        known.state = state
+        known.output = output if state is TaskState.DONE else ""
+        known.error = "" if state is TaskState.DONE else f"task {state}"
+        self._busy -= 1
+        if report:
+            outcome = TaskOutcome(task, state, known.output, known.error)
+            self.ended(known.holder, outcome)
+
+    def _measure(self) -> None:
+        leaving = self._leaving_since is not None
+        self._usage = self._measured
+        self._measured = Usage(self.spec.slots, self._busy, leaving)
--- /dev/null
+++ b/jackdawspur/bench/_workload.py
@@ -0,0 +1,141 @@
+"""Jobs that arrive at random, the same for every policy under one seed."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from jackdawspur.bench._deployment import CUSTOMER_NAMES, Deployment, Kind
+from jackdawspur.model import JobRequest, TaskSpec
+
+__all__ = [
+    "Job",
+    "Payload",
+    "Workload",
+    "draw_jobs",
+    "expected_output",
+    "jobs_per_second",
+]
+
+# Shares of job sizes and their smallest and largest task counts.
+SIZE_MIX = ((0.30, 1, 1), (0.50, 2, 8), (0.198, 9, 40), (0.002, 41, 360))
+LONG_TASK_SHARE = 0.005
+LONG_TASK_MS = (2000.0, 5000.0)
+DECLARED_ERROR = 0.25
+DEADLINE_MS = 30_000.0
+BURST_PERIOD_S = 20.0
+BURST_LENGTH_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """Name a task by its request, and carry its true run time in milliseconds."""
+
+    run_ms: float
+    job: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.run_ms!r} {self.job} {self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Payload":
+        """Return the payload that ``str`` wrote."""
+        run_ms, job, index = text.split()
+        return cls(float(run_ms), int(job), int(index))
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Describe one arrival; `balance` in [0, 1) decides which host it meets."""
+
+    number: int
+    at: float
+    request: JobRequest
+    longest_ms: float
+    balance: float
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Set the load and how it departs from the steady one.
+
+    `wrong_by` is the factor by which declared run times are off, up or down.
+    """
+
+    load: float = 0.7
+    seconds: float = 60.0
+    burst: float = 1.0
+    wrong_by: float = 1.0
+    deadline_ms: float = DEADLINE_MS
+
+
+def expected_output(payload: str) -> str:
+    """Return what an upstream answers to a payload."""
+    return f"done {payload}"
+
+
+def jobs_per_second(deployment: Deployment, load: float) -> float:
+    """Return the rate whose offered slot time is `load` of all slots."""
+    tasks = sum(share * (low + high) / 2 for share, low, high in SIZE_MIX)
+    usual_ms = sum(kind.share * _mean_ms(kind) for kind in deployment.kinds)
+    long_ms = sum(LONG_TASK_MS) / 2
+    task_ms = (1 - LONG_TASK_SHARE) * usual_ms + LONG_TASK_SHARE * long_ms
+    return load * deployment.total_slots / (tasks * task_ms / 1000)
+
+
+def draw_jobs(deployment: Deployment, workload: Workload, seed: int) -> list[Job]:
+    """Draw Poisson arrivals for a run, in order of time."""
+    rng = random.Random(f"jobs {seed}")
+    rate = jobs_per_second(deployment, workload.load)
+    jobs: list[Job] = []
+    now = 0.0
+    while True:
+        factor = workload.burst if now % BURST_PERIOD_S < BURST_LENGTH_S else 1.0
+        now += rng.expovariate(rate * factor)
+        if now >= workload.seconds:
+            return jobs
+        jobs.append(_draw_job(len(jobs), now, deployment, workload, rng))
+
+
+# The mean of a time drawn log-uniformly between two bounds.
+def _mean_ms(kind: Kind) -> float:
+    width = kind.longest_ms - kind.shortest_ms
+    return width / math.log(kind.longest_ms / kind.shortest_ms)
+
+
+def _draw_job(
+    number: int,
+    now: float,
+    deployment: Deployment,
+    workload: Workload,
+    rng: random.Random,
+) -> Job:
+    kind = rng.choices(deployment.kinds, [kind.share for kind in deployment.kinds])[0]
+    _, low, high = rng.choices(SIZE_MIX, [size[0] for size in SIZE_MIX])[0]
+    times = [_draw_ms(kind, rng) for _ in range(rng.randint(low, high))]
+    request = JobRequest(
+        customer=rng.choice(CUSTOMER_NAMES),
+        job_class=kind.name,
+        tasks=tuple(
+            TaskSpec(str(Payload(run_ms, number, index)), _declare(run_ms, workload, rng))
+            for index, run_ms in enumerate(times)
+        ),
+        deadline_ms=workload.deadline_ms,
+        idempotent=kind.idempotent,
+        key=None if kind.idempotent else f"key-{number}",
+    )
+    return Job(number, now, request, max(times), rng.random())
+
+
+def _draw_ms(kind: Kind, rng: random.Random) -> float:
+    if rng.random() < LONG_TASK_SHARE:
+        return round(rng.uniform(*LONG_TASK_MS), 3)
+    low, high = math.log(kind.shortest_ms), math.log(kind.longest_ms)
+    return round(math.exp(rng.uniform(low, high)), 3)
+
+
+def _declare(run_ms: float, workload: Workload, rng: random.Random) -> float:
+    error = rng.uniform(1 - DECLARED_ERROR, 1 + DECLARED_ERROR)
+    if workload.wrong_by != 1.0:
+        error *= rng.choice((workload.wrong_by, 1 / workload.wrong_by))
+    return round(run_ms * error, 3)
