--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -15,6 +15,7 @@
     "Heartbeat",
     "Message",
     "PeerSeen",
+    "Pulse",
     "RecordsPassed",
     "RecordsWanted",
     "SlotGrant",
@@ -44,15 +45,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneVersion:
-    """Report the configuration version in force on every live host of a zone."""
+    """Report the configuration version in force on every live host of a zone.
+
+    `hosts` live there; `usage` lists the zone's heaviest customers.
+    """
 
     zone: str
     version: int
+    free_slots: int = 0
+    waiting_tasks: int = 0
+    hosts: int = 0
+    usage: tuple[CustomerUsage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Tell peers that the sender lives, and how busy it is."""
+    """Tell peers that the sender lives, and how busy it is.
+
+    To another zone `zones` holds the sender's own; to siblings, the other zones that
+    the sender hears itself. `usage` counts only when `reports_usage` is set.
+    """
 
     host: HostId
     sequence: int
@@ -66,6 +78,18 @@
     seen: tuple[PeerSeen, ...] = ()
     zones: tuple[ZoneVersion, ...] = ()
     bad_upstreams: tuple[UpstreamId, ...] = ()
+    leaving_upstreams: tuple[UpstreamId, ...] = ()
+    reports_usage: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Pulse:
+    """Tell siblings, between heartbeats, that the sender lives and how busy it is."""
+
+    sequence: int
+    free_slots: int
+    waiting_tasks: int
+    backlog_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,9 +139,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotRequest:
-    """Ask a sibling to lend slots for one term."""
+    """Ask a sibling to lend slots for one term; `number` tells requests apart."""
 
     wanted: int
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,11 +155,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotGrant:
-    """Lend slots until the term ends or they are returned."""
+    """Lend slots until the term ends or they are returned.
+
+    `request` is the number of the request that is granted.
+    """
 
     grant: int
     term_ms: float
     slots: tuple[SlotsOfUpstream, ...]
+    request: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,13 +183,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsPassed:
-    """Pass configuration records on, in log order."""
+    """Pass configuration records on, in log order; none is missing after `after`."""
 
     records: tuple[LogRecord, ...]
+    after: int = -1
 
 
 Message = (
     Heartbeat
+    | Pulse
     | Forward
     | CancelForward
     | ForwardAnswer
