--- a/jackdawspur/bench/_baselines.py
+++ b/jackdawspur/bench/_baselines.py
@@ -22,12 +22,13 @@
     ResultsReplied,
     StartsLost,
     StartsReplied,
+    StartTasks,
     StatusLost,
     StatusReplied,
     StopTasks,
     Submitted,
-    StartTasks,
     Tick,
+    UsageReplied,
     WorldSet,
 )
 from jackdawspur.model import (
@@ -129,7 +130,11 @@
                 return self._verdicts(reply, now)
             case StartsLost(upstream=upstream, tasks=tasks, left=left):
                 return self._lost(upstream, tasks, left, now)
-            case ResultsReplied(reply=reply) | StatusReplied(reply=reply):
+            case (
+                ResultsReplied(reply=reply)
+                | StatusReplied(reply=reply)
+                | UsageReplied(reply=reply)
+            ):
                 return self._outcomes(reply, now)
             case StatusLost(upstream=upstream, tasks=tasks):
                 again = now + STATUS_AGAIN_S
@@ -142,9 +147,7 @@
 
     def _submit(self, call: int, request: JobRequest, now: float) -> list[Effect]:
         if self._draining:
-            answer = Answer(
-                JobState.REFUSED, code=FailureCode.DRAINING, not_run=True
-            )
+            answer = Answer(JobState.REFUSED, code=FailureCode.DRAINING, not_run=True)
             return [AnswerCall(call, answer)]
         submission = request.submission or self._next_id()
         deadline = now + request.deadline_ms / 1000
@@ -180,7 +183,9 @@
             if job is None:
                 continue
             worker = self.pick(free)
-            batches.setdefault(worker.id, []).append(self._start(job, task, worker, now))
+            batches.setdefault(worker.id, []).append(
+                self._start(job, task, worker, now)
+            )
         return [StartTasks(where, tuple(starts)) for where, starts in batches.items()]
 
     def _start(self, job: _Job, task: TaskId, worker: _Worker, now: float) -> TaskStart:
--- a/jackdawspur/bench/_deployment.py
+++ b/jackdawspur/bench/_deployment.py
@@ -12,7 +12,15 @@
     World,
 )
 
-__all__ = ["DEPLOYMENTS", "DERINSU", "RAMDENEE", "Deployment", "Kind", "build_world"]
+__all__ = [
+    "CUSTOMER_NAMES",
+    "DEPLOYMENTS",
+    "DERINSU",
+    "RAMDENEE",
+    "Deployment",
+    "Kind",
+    "build_world",
+]
 
 LOCAL_S = 0.0002
 CUSTOMER_NAMES = ("alpha", "bravo", "charlie", "delta")
--- a/jackdawspur/bench/_host.py
+++ b/jackdawspur/bench/_host.py
@@ -233,9 +233,7 @@
             outcomes: tuple[TaskOutcome, ...] = ()
             if joined and upstream.alive:
                 ask = upstream.status if seal else upstream.stop
-                outcomes = tuple(
-                    ask(effect.tasks, seal) if seal else ask(effect.tasks)
-                )
+                outcomes = tuple(ask(effect.tasks, seal) if seal else ask(effect.tasks))
             if not outcomes or simulation.reply_lost(run, upstream):
                 if seal:
                     self._later(LOST_REPLY_S, lost)
--- a/jackdawspur/bench/_policies.py
+++ b/jackdawspur/bench/_policies.py
@@ -4,6 +4,7 @@
 
 from jackdawspur.bench._baselines import BASELINES
 from jackdawspur.bench._dispatcher import DispatcherFactory
+from jackdawspur.bench._own import OwnDispatcher
 
 __all__ = ["OWN_POLICY", "POLICIES", "Policy"]
 
@@ -19,4 +20,7 @@
     owns: bool = False
 
 
-POLICIES = {name: Policy(name, make) for name, make in BASELINES.items()}
+POLICIES = {
+    OWN_POLICY: Policy(OWN_POLICY, OwnDispatcher, owns=True),
+    **{name: Policy(name, make) for name, make in BASELINES.items()},
+}
--- /dev/null
+++ b/jackdawspur/bench/_report.py
@@ -0,0 +1,81 @@
+"""Write figures as a table and as JSON lines."""
+
+from collections.abc import Sequence
+from dataclasses import asdict
+
+import msgspec
+
+from jackdawspur.bench._bounds import BoundsFile, Comparison
+from jackdawspur.bench._experiment import Outcome
+from jackdawspur.bench._policies import OWN_POLICY
+
+__all__ = [
+    "comparison_lines",
+    "header_line",
+    "json_line",
+    "previous_line",
+    "table_line",
+]
+
+COLUMNS = ("jobs", "complete", "failed", "refused", "jobs_lost")
+RATIOS = ("p50", "p99", "p999", "wasted_per_job", "lending_per_job")
+NOT_KEPT = "-"
+
+
+def header_line() -> str:
+    """Return the heads of the table's columns."""
+    heads = "".join(f"{name:>10}" for name in COLUMNS)
+    ratios = "".join(f"{name.removesuffix('_per_job'):>10}" for name in RATIOS)
+    return f"{'experiment':64}{heads}{ratios}{'broken':>8}"
+
+
+def table_line(outcome: Outcome) -> str:
+    """Return one row of the table."""
+    figures = outcome.figures
+    counts = "".join(f"{getattr(figures, name):>10}" for name in COLUMNS)
+    ratios = "".join(f"{getattr(figures, name):>10.3f}" for name in RATIOS)
+    key = outcome.experiment.key
+    return f"{key:64}{counts}{ratios}{figures.broken_invariants:>8}"
+
+
+def previous_line(bounds: BoundsFile, key: str) -> str:
+    """Return the row of the project's previous version, from its last values."""
+    kept = bounds.entries.get(key, {})
+
+    def show(name: str) -> str:
+        last = kept[name].last if name in kept else None
+        return f"{NOT_KEPT if last is None else format(last, '.3f'):>10}"
+
+    label = key.removesuffix(OWN_POLICY) + "previous"
+    counts = f"{NOT_KEPT:>10}" * len(COLUMNS)
+    return f"{label:64}{counts}{''.join(show(name) for name in RATIOS)}"
+
+
+def json_line(outcome: Outcome) -> str:
+    """Return the figures of a run as one JSON line."""
+    experiment = outcome.experiment
+    line = {
+        "deployment": experiment.deployment.name,
+        "scenario": experiment.scenario.name,
+        "policy": experiment.policy,
+        "load": experiment.load,
+        "seed": experiment.seed,
+        "seconds": experiment.seconds,
+        **asdict(outcome.figures),
+        "broken": outcome.broken,
+    }
+    return msgspec.json.encode(line).decode()
+
+
+def comparison_lines(items: Sequence[Comparison]) -> list[str]:
+    """Return a line a figure: value, bound, last value and verdict."""
+    lines = []
+    for item in items:
+        bound = NOT_KEPT if item.entry.bound is None else f"{item.entry.bound:g}"
+        last = NOT_KEPT if item.entry.last is None else f"{item.entry.last:g}"
+        verdict = "BREACH" if item.breached else "ok"
+        lines.append(
+            f"  {item.figure:22} {item.value:>10g} bound {bound:>8} last {last:>8}"
+            f" {verdict}"
+        )
+    return lines
--- a/jackdawspur/bench/_scenarios.py
+++ b/jackdawspur/bench/_scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from jackdawspur.bench._deployment import CUSTOMER_NAMES
 from jackdawspur.bench._host import SimulatedHost
 from jackdawspur.bench._simulation import (
     DRAIN_BOUND_S,
@@ -11,17 +12,21 @@
     Simulation,
 )
 from jackdawspur.bench._upstream import UpstreamFaults
-from jackdawspur.bench._workload import Job, Workload
+from jackdawspur.bench._workload import (
+    BURST_LENGTH_S,
+    BURST_START_S,
+    Job,
+    Workload,
+)
 from jackdawspur.model import UpstreamId
 
-__all__ = ["PAIRS", "SCENARIOS", "STEADY_LOADS", "Scenario", "pair"]
+__all__ = ["PAIRS", "SCENARIOS", "STEADY_LOADS", "Scenario", "at_load", "pair"]
 
 STEADY_LOADS = (0.3, 0.7, 0.9, 1.1)
 FAULT_AT_S = 8.0
 PAUSE_S = 20.0
 CUT_S = 15.0
 LOG_OUTAGE_S = 600.0
-CANCEL_SHARE = 0.5
 LOST_REPLY_SHARE = 0.02
 # Longer than any draining host needs, so the next finds the last one back.
 DRAIN_TURN_S = DRAIN_BOUND_S + 2 * RESTART_S + 1.0
@@ -37,7 +42,7 @@
 class Scenario:
     """Describe a run; `faults` divides the jobs lost.
 
-    `seconds` None takes the run's own length, else it is the least one.
+    `seconds` is the least length of a run; `only_own` leaves the baselines out.
     """
 
     name: str
@@ -97,15 +102,17 @@
     simulation.loop.at(FAULT_AT_S + CUT_S, upstream.restart)
 
 
+# One customer takes back all that it sent in the burst.
 def _cancel_wave(simulation: Simulation, jobs: list[Job]) -> None:
-    customer = jobs[0].request.customer
-    recent = [
+    wave = [
         job
         for job in jobs
-        if job.request.customer == customer and FAULT_AT_S - 2 < job.at < FAULT_AT_S
+        if job.request.customer == CUSTOMER_NAMES[0]
+        and BURST_START_S <= job.at < BURST_START_S + BURST_LENGTH_S
     ]
     simulation.clients.ids_in_advance = True
-    simulation.loop.at(FAULT_AT_S, lambda: simulation.clients.cancel(recent))
+    when = BURST_START_S + BURST_LENGTH_S
+    simulation.loop.at(when, lambda: simulation.clients.cancel(wave))
 
 
 def _leaving(simulation: Simulation, jobs: list[Job]) -> None:
@@ -171,7 +178,7 @@
     Scenario("slow_worker", (_slow_worker,)),
     Scenario("worker_fails_all", (_failing_worker,), faults=1),
     Scenario("worker_dies", (_worker_dies,), faults=1),
-    Scenario("cancel_wave", (_cancel_wave,)),
+    Scenario("cancel_wave", (_cancel_wave,), workload=Workload(burst=5.0)),
     Scenario("worker_leaves_list_lags", (_leaving,), list_lag_s=10.0, faults=1),
     Scenario("host_killed", (_host_killed,), faults=1, resubmits=True),
     Scenario("host_paused", (_host_paused,), faults=1, resubmits=True, seconds=40.0),
@@ -199,7 +206,7 @@
     ("host_paused", "worker_leaves_list_lags"),
     ("zone_cut_off", "lost_replies"),
     ("burst_x5", "host_killed"),
-    ("burst_x5", "cancel_wave"),
+    ("cancel_wave", "host_killed"),
     ("stragglers", "worker_dies"),
     ("wrong_declarations_x10", "worker_fails_all"),
     ("zone_replaced", "lost_replies"),
--- a/jackdawspur/bench/_simulation.py
+++ b/jackdawspur/bench/_simulation.py
@@ -14,7 +14,7 @@
 from jackdawspur.bench._traffic import Traffic
 from jackdawspur.bench._upstream import FakeUpstream
 from jackdawspur.bench._workload import Job
-from jackdawspur.dispatch import DrainAsked, WorldSet
+from jackdawspur.dispatch import DrainAsked, UsageReplied, WorldSet
 from jackdawspur.model import HostId, TaskOutcome, UpstreamId, World
 from jackdawspur.platform import HostRole, ListedHost, UpstreamReply
 
@@ -50,7 +50,9 @@
         self.log.on_append = self._read_claims
         self.world = build_world(deployment)
         self.clients = Clients(self, resubmits)
-        self.upstreams = {item.id: self._upstream(item) for item in self.world.upstreams}
+        self.upstreams = {
+            item.id: self._upstream(item) for item in self.world.upstreams
+        }
         self.hosts = {
             (item.zone, item.name): SimulatedHost(item.zone, item.name, self, make)
             for item in self.world.entry_hosts
@@ -149,7 +151,7 @@
                     reply = UpstreamReply(
                         upstream.spec.id, upstream.incarnation, usage=upstream.usage
                     )
-                    host.take_results(reply)
+                    host.receive(host.id, UsageReplied(reply))
 
     def _read_claims(self) -> None:
         for host in self.hosts.values():
--- a/jackdawspur/bench/_workload.py
+++ b/jackdawspur/bench/_workload.py
@@ -8,6 +8,8 @@
 from jackdawspur.model import JobRequest, TaskSpec
 
 __all__ = [
+    "BURST_LENGTH_S",
+    "BURST_START_S",
     "Job",
     "Payload",
     "Workload",
@@ -23,6 +25,7 @@
 DECLARED_ERROR = 0.25
 DEADLINE_MS = 30_000.0
 BURST_PERIOD_S = 20.0
+BURST_START_S = 6.0
 BURST_LENGTH_S = 1.0
 
 
@@ -90,7 +93,8 @@
     jobs: list[Job] = []
     now = 0.0
     while True:
-        factor = workload.burst if now % BURST_PERIOD_S < BURST_LENGTH_S else 1.0
+        into_burst = now % BURST_PERIOD_S - BURST_START_S
+        factor = workload.burst if 0 <= into_burst < BURST_LENGTH_S else 1.0
         now += rng.expovariate(rate * factor)
         if now >= workload.seconds:
             return jobs
@@ -117,7 +121,9 @@
         customer=rng.choice(CUSTOMER_NAMES),
         job_class=kind.name,
         tasks=tuple(
-            TaskSpec(str(Payload(run_ms, number, index)), _declare(run_ms, workload, rng))
+            TaskSpec(
+                str(Payload(run_ms, number, index)), _declare(run_ms, workload, rng)
+            )
             for index, run_ms in enumerate(times)
         ),
         deadline_ms=workload.deadline_ms,
