--- a/jackdawspur/bench/_clients.py
+++ b/jackdawspur/bench/_clients.py
@@ -66,6 +66,11 @@
         self._submissions: dict[int, SubmissionId] = {}
         self._calls = 0
 
+    @property
+    def waiting(self) -> bool:
+        """Tell whether a caller still waits for its answer."""
+        return bool(self._open)
+
     def submit(self, job: Job) -> None:
         """Send a job to the host that the balancer chooses."""
         host = self._choose(job.balance)
