--- a/jackdawspur/bench/__init__.py
+++ b/jackdawspur/bench/__init__.py
@@ -1,7 +1,7 @@
 """Experiments on virtual time: fakes, baselines, invariants and figures."""
 
 from jackdawspur.bench._checks import Breach, Checker, Invariant
-from jackdawspur.bench._deployment import DEPLOYMENTS, Deployment, build_world
+from jackdawspur.bench._deployment import DEPLOYMENTS, SMALL, Deployment, build_world
 from jackdawspur.bench._dispatcher import Dispatcher, DispatcherFactory
 from jackdawspur.bench._errors import BadBounds, BenchError
 from jackdawspur.bench._experiment import Experiment, Outcome, run_experiment
@@ -17,6 +17,7 @@
     "PAIRS",
     "POLICIES",
     "SCENARIOS",
+    "SMALL",
     "BadBounds",
     "BenchError",
     "Breach",
--- a/jackdawspur/bench/__main__.py
+++ b/jackdawspur/bench/__main__.py
@@ -18,12 +18,13 @@
     with_last,
     write_bounds,
 )
-from jackdawspur.bench._deployment import DEPLOYMENTS
+from jackdawspur.bench._deployment import DEPLOYMENTS, SMALL
 from jackdawspur.bench._errors import BenchError
 from jackdawspur.bench._experiment import Experiment, Outcome, run_experiment
 from jackdawspur.bench._policies import OWN_POLICY, POLICIES
 from jackdawspur.bench._report import (
     comparison_lines,
+    excess_line,
     header_line,
     json_line,
     previous_line,
@@ -40,7 +41,11 @@
 EVERY_SCENARIO = SCENARIOS | PAIRS
 STEADY = "steady"
 
-DEPLOYMENT = flags.DEFINE_enum("deployment", ALL, [ALL, *DEPLOYMENTS], "Whose sizes.")
+EVERY_DEPLOYMENT = {**DEPLOYMENTS, SMALL.name: SMALL}
+
+DEPLOYMENT = flags.DEFINE_enum(
+    "deployment", ALL, [ALL, *EVERY_DEPLOYMENT], "Whose sizes; all are the real ones."
+)
 SCENARIO = flags.DEFINE_multi_enum(
     "scenario", [ALL], [ALL, SINGLE, PAIRED, *EVERY_SCENARIO], "What happens."
 )
@@ -80,17 +85,18 @@
     return names
 
 
-def _experiments() -> Iterator[Experiment]:
-    chosen = DEPLOYMENT.value
-    for deployment in DEPLOYMENTS.values():
-        if chosen not in (ALL, deployment.name):
-            continue
+def _groups() -> Iterator[list[Experiment]]:
+    """Yield the experiments that differ only in their policy, together."""
+    chosen = EVERY_DEPLOYMENT.get(DEPLOYMENT.value)
+    for deployment in DEPLOYMENTS.values() if chosen is None else (chosen,):
         for scenario in _scenarios():
             for load in _loads(scenario):
-                for policy in _policies(scenario):
-                    yield Experiment(
+                yield [
+                    Experiment(
                         deployment, scenario, policy, load, SEED.value, SECONDS.value
                     )
+                    for policy in _policies(scenario)
+                ]
 
 
 def _show(outcome: Outcome, bounds: BoundsFile) -> list[Comparison]:
@@ -114,12 +120,18 @@
     found: list[Comparison] = []
     broken = 0
     _write(header_line())
-    for experiment in _experiments():
-        policy = POLICIES[experiment.policy]
-        outcome = run_experiment(experiment, policy.make, policy.owns)
-        found += _show(outcome, bounds)
-        if experiment.policy == OWN_POLICY:
-            broken += outcome.figures.broken_invariants
+    for group in _groups():
+        outcomes = []
+        for experiment in group:
+            policy = POLICIES[experiment.policy]
+            outcome = run_experiment(experiment, policy.make, policy.owns)
+            outcomes.append(outcome)
+            found += _show(outcome, bounds)
+            if experiment.policy == OWN_POLICY:
+                broken += outcome.figures.broken_invariants
+        compared = excess_line(outcomes)
+        if compared is not None:
+            _write(compared)
     breached = [item for item in found if item.breached]
     _write(
         f"{len(found)} figures, {len(breached)} breaches, {broken} broken invariants"
--- a/jackdawspur/bench/_bounds.py
+++ b/jackdawspur/bench/_bounds.py
@@ -1,6 +1,6 @@
 """Bounds and last values of figures, kept in a file of the repository."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import msgspec
@@ -31,10 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """Hold the bound of one figure, None where none is set, and its last value."""
+    """Hold what is kept of one figure; None where nothing is.
+
+    A figure over its `bound` fails the run; one over its `goal` is only shown.
+    """
 
     bound: float | None = None
     last: float | None = None
+    goal: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +64,11 @@
         """Tell whether the figure exceeds its bound."""
         return self.entry.bound is not None and self.value > self.entry.bound
 
+    @property
+    def missed(self) -> bool:
+        """Tell whether the figure has not reached its goal."""
+        return self.entry.goal is not None and self.value > self.entry.goal
+
 
 def read_bounds(path: Path) -> BoundsFile:
     """Return the bounds of a file; raise `BadBounds`."""
@@ -97,5 +106,5 @@
     entries = {key: dict(figures) for key, figures in bounds.entries.items()}
     for item in found:
         figures = entries.setdefault(item.experiment, {})
-        figures[item.figure] = Entry(item.entry.bound, item.value)
+        figures[item.figure] = replace(item.entry, last=item.value)
     return BoundsFile(bounds.seed, bounds.seconds, entries)
--- a/jackdawspur/bench/_deployment.py
+++ b/jackdawspur/bench/_deployment.py
@@ -1,6 +1,6 @@
 """The two deployments of today, as worlds with latencies."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jackdawspur.model import (
     Contract,
@@ -17,6 +17,7 @@
     "DEPLOYMENTS",
     "DERINSU",
     "RAMDENEE",
+    "SMALL",
     "Deployment",
     "Kind",
     "build_world",
@@ -90,6 +91,10 @@
     ),
 )
 DEPLOYMENTS = {item.name: item for item in (RAMDENEE, DERINSU)}
+# Quick to run, so that tests can bring about many faults.
+SMALL = replace(
+    RAMDENEE, name="small", hosts_by_zone=(2, 1), upstreams_by_zone=2, slots=4
+)
 
 
 def build_world(deployment: Deployment, version: int = 1) -> World:
--- a/jackdawspur/bench/_report.py
+++ b/jackdawspur/bench/_report.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "comparison_lines",
+    "excess_line",
     "header_line",
     "json_line",
     "previous_line",
@@ -71,11 +72,36 @@
     """Return a line a figure: value, bound, last value and verdict."""
     lines = []
     for item in items:
-        bound = NOT_KEPT if item.entry.bound is None else f"{item.entry.bound:g}"
-        last = NOT_KEPT if item.entry.last is None else f"{item.entry.last:g}"
-        verdict = "BREACH" if item.breached else "ok"
+        kept = item.entry
+        verdict = "ok"
+        if item.missed:
+            verdict = "goal missed"
+        if item.breached:
+            verdict = "BREACH"
         lines.append(
-            f"  {item.figure:22} {item.value:>10g} bound {bound:>8} last {last:>8}"
-            f" {verdict}"
+            f"  {item.figure:22} {item.value:>10g} bound {_show(kept.bound):>8}"
+            f" last {_show(kept.last):>8} goal {_show(kept.goal):>6} {verdict}"
         )
     return lines
+
+
+def excess_line(outcomes: Sequence[Outcome]) -> str | None:
+    """Set the own policy's excess over the ideal against the best baseline's.
+
+    None unless both ran.
+    """
+    own = [item for item in outcomes if item.experiment.policy == OWN_POLICY]
+    others = [item for item in outcomes if item.experiment.policy != OWN_POLICY]
+    if not own or not others:
+        return None
+    best = min(others, key=lambda item: item.figures.p99)
+    mine, theirs = own[0].figures.p99 - 1, best.figures.p99 - 1
+    share = f"{mine / theirs:.2f}" if theirs > 0 else NOT_KEPT
+    return (
+        f"  p99 excess over ideal: own {mine:.4f}, best baseline {theirs:.4f}"
+        f" ({best.experiment.policy}), own share {share}"
+    )
+
+
+def _show(value: float | None) -> str:
+    return NOT_KEPT if value is None else f"{value:g}"
--- a/jackdawspur/bench/tests/conftest.py
+++ b/jackdawspur/bench/tests/conftest.py
@@ -7,6 +7,7 @@
     PAIRS,
     POLICIES,
     SCENARIOS,
+    SMALL,
     Checker,
     Experiment,
     Outcome,
@@ -30,9 +31,8 @@
         seed: int = 1,
     ) -> Outcome:
         chosen = (SCENARIOS | PAIRS)[scenario]
-        experiment = Experiment(
-            DEPLOYMENTS[deployment], chosen, policy, load, seed, seconds
-        )
+        sizes = DEPLOYMENTS.get(deployment, SMALL)
+        experiment = Experiment(sizes, chosen, policy, load, seed, seconds)
         return run_experiment(experiment, POLICIES[policy].make, POLICIES[policy].owns)
 
     return short
