--- /dev/null
+++ b/jackdawspur/bench/tests/test_disorder.py
@@ -0,0 +1,105 @@
+"""Random faults in random order, with the invariant checker as the oracle."""
+
+from hypothesis import given, settings, strategies as st
+
+from jackdawspur.bench import (
+    OWN_POLICY,
+    POLICIES,
+    SMALL,
+    Simulation,
+    Workload,
+    draw_jobs,
+)
+
+EXAMPLES = 25
+SECONDS = 4.0
+DEADLINE_S = 2.5
+GRACE_S = 6.0
+HOSTS = st.integers(0, 2)
+WORKERS = st.integers(0, 3)
+ZONES = st.sampled_from(["z1", "z2"])
+TIMES = st.floats(0.2, SECONDS, allow_nan=False)
+
+
+def kill(place):
+    return lambda simulation: simulation.kill(_host(simulation, place), 0.3)
+
+
+def pause(place, seconds):
+    return lambda simulation: simulation.pause(_host(simulation, place), seconds)
+
+
+def restart_worker(place):
+    return lambda simulation: _worker(simulation, place).restart()
+
+
+def cut(zone, zones, platform):
+    return lambda simulation: simulation.links.cut(zone, zones, platform)
+
+
+def heal(zone):
+    return lambda simulation: simulation.links.heal(zone)
+
+
+def fail_all(place):
+    def act(simulation):
+        _worker(simulation, place).faults.fails_all = True
+
+    return act
+
+
+def set_log(down):
+    def act(simulation):
+        simulation.log.down = down
+
+    return act
+
+
+FAULTS = st.one_of(
+    st.builds(kill, HOSTS),
+    st.builds(pause, HOSTS, st.floats(0.1, 4.0)),
+    st.builds(restart_worker, WORKERS),
+    st.builds(cut, ZONES, st.booleans(), st.booleans()),
+    st.builds(heal, ZONES),
+    st.builds(fail_all, WORKERS),
+    st.builds(set_log, st.booleans()),
+)
+
+
+@settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
+@given(
+    seed=st.integers(0, 10_000),
+    faults=st.lists(st.tuples(TIMES, FAULTS), max_size=6),
+    lost=st.sampled_from([0.0, 0.02, 0.2]),
+    jitter_s=st.sampled_from([0.0, 0.01, 0.1]),
+    peer_loss=st.sampled_from([0.0, 0.1]),
+)
+def test_disorder_breaks_no_invariant(seed, faults, lost, jitter_s, peer_loss):
+    """Callers get whole answers or clear failures, whatever happens in which order.
+
+    Replies are lost after their effect, results come twice and late, hosts die, sleep
+    and return, upstreams restart, zones are cut off. Keyed requests and those with
+    ids in advance are sent again meanwhile.
+    """
+    make = POLICIES[OWN_POLICY].make
+    simulation = Simulation(SMALL, make, seed, resubmits=True)
+    simulation.clients.ids_in_advance = True
+    simulation.links.jitter_s = jitter_s
+    simulation.links.peer_loss = peer_loss
+    simulation.log.lost_replies = lost
+    for upstream in simulation.upstreams.values():
+        upstream.faults.lost_replies = lost
+    for when, fault in faults:
+        simulation.loop.at(when, lambda fault=fault: fault(simulation))
+    deadline_ms = DEADLINE_S * 1000
+    workload = Workload(load=0.7, seconds=SECONDS, deadline_ms=deadline_ms)
+    simulation.run(draw_jobs(SMALL, workload, seed), SECONDS, GRACE_S)
+    assert simulation.checker.counts == {}, simulation.checker.breaches
+
+
+def _host(simulation, place):
+    return list(simulation.hosts.values())[place]
+
+
+def _worker(simulation, place):
+    return list(simulation.upstreams.values())[place]
--- /dev/null
+++ b/jackdawspur/bench/tests/test_own_policy.py
@@ -0,0 +1,49 @@
+"""Faults of the platform, through the real decisions on virtual time.
+
+The invariant checker sees only what upstreams and callers saw. Figures come from one
+seed, so each count is exact.
+"""
+
+import pytest
+
+from jackdawspur.bench import OWN_POLICY
+
+FAULTS_OVER_S = 6.0
+# More than an ejection needs, far less than the jobs that a fault meets.
+JOBS_LOST_TO_A_BAD_WORKER = 3
+
+
+@pytest.mark.parametrize("deployment", ["ramdenee", "derinsu"])
+def test_steady_load_wastes_nothing(run, deployment):
+    """All callers are served, and no message is wasted while nothing fails.
+
+    Jobs arrive at six hosts which share the zone's slots without a coordinator. Were
+    two hosts to believe in the same free slot, an upstream would refuse a start.
+    """
+    outcome = run("steady", OWN_POLICY, deployment, load=0.3)
+    assert outcome.broken == {}
+    assert outcome.figures.failed == outcome.figures.lost == 0
+    assert outcome.figures.wasted_per_job < 0.01
+
+
+def test_always_failing_worker_costs_few_jobs(run):
+    """Some callers see a failed job, then all is well again.
+
+    From the fourth second on one upstream fails at once whatever it starts, and looks
+    the freest of all. Without ejection it would draw most jobs to itself.
+    """
+    outcome = run("worker_fails_all", OWN_POLICY, seconds=FAULTS_OVER_S)
+    assert outcome.broken == {}
+    assert outcome.figures.jobs_lost <= JOBS_LOST_TO_A_BAD_WORKER
+
+
+def test_lost_replies_start_nothing_twice(run):
+    """Callers notice little; every answer is whole.
+
+    One reply in fifty is lost after its effect: starts, status queries, results and
+    appends to the log. A start sent again would run its task twice.
+    """
+    outcome = run("lost_replies", OWN_POLICY)
+    assert outcome.broken == {}
+    assert outcome.figures.status_queries > 0
+    assert outcome.figures.jobs_lost == 0
