Keep a peer's state apart from the records of the log

Cause: a state passed on by a peer was folded as the record at its offset; arriving when the reader stood one record before, it hid the confirm there, and that host missed a change that all others had. Found by reading; a new test shows it. The test of late batches is replaced by two, of the fold and of the keeper, that check the same refusals and this race; the generated histories now include states. Conclusion: records and states have separate ways into the fold.

--- a/jackdawspur/configuration/_fold.py
+++ b/jackdawspur/configuration/_fold.py
@@ -1,7 +1,7 @@
 """Fold the records of the log, in log order, into the version in force."""
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from jackdawspur.configuration._changes import apply_changes
 from jackdawspur.configuration._checks import check_references
@@ -110,23 +110,24 @@
             self._gap = first
             self._held.clear()
 
-    def fold_after(self, after: int, records: Sequence[LogRecord]) -> bool:
-        """Fold a batch that another host passed on; tell whether it was usable.
+    def take_state(self, state: Snapshot) -> bool:
+        """Take the state that a peer passed on; tell whether it brought anything.
 
-        A batch that starts beyond `through` is usable only if it begins with a
-        snapshot that is not older: else a late or lagging copy would cost the place
-        in the log or take the version back.
+        It stands for all records up to `through`, but isn't one of them. Folded as
+        a record, it would hide the confirm that stands at its offset. An older state
+        would take the version back.
         """
-        snapshot = _snapshot_in(records)
-        if not self.contiguous and snapshot and snapshot.through <= self.through:
-            self._take_snapshot(records[0].offset, snapshot)
-        if after <= self.through:
-            self.fold(records)
-            return True
-        if snapshot is None or snapshot.version < self.version:
+        known = self.contiguous and self.head == self.version
+        if known and state.through <= self.through:
             return False
-        self.skip_to(after + 1)
-        self.fold(records)
+        if state.version < self.version:
+            return False
+        if state.through > self.through:
+            self.contiguous = False
+            self.through = state.through
+            self._gap = state.through + 1
+            self._held.clear()
+        self._take_snapshot(state.through, state)
         return True
 
     def _fold_one(self, record: LogRecord) -> None:
@@ -273,11 +274,3 @@
     def _skip(self, offset: int, reason: SkipReason, message: str) -> None:
         if all(known.offset != offset for known in self._skipped):
             self._skipped.append(Skipped(offset, reason, message))
-
-
-def _snapshot_in(records: Sequence[LogRecord]) -> Snapshot | None:
-    try:
-        first = decode_record(records[0].body) if records else None
-    except RecordError:
-        return None
-    return first if isinstance(first, Snapshot) else None
--- a/jackdawspur/configuration/_keeper.py
+++ b/jackdawspur/configuration/_keeper.py
@@ -28,7 +28,7 @@
 from jackdawspur.configuration._readiness import LogHealth, Readiness, ReadinessReason
 from jackdawspur.configuration._records import encode_record
 from jackdawspur.configuration._snapshots import SnapshotTurns
-from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of
+from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of, state_in
 from jackdawspur.configuration._world import rebuilt_world
 from jackdawspur.configuration._zones import ZoneReports
 from jackdawspur.messages import RecordsWanted
@@ -154,10 +154,11 @@
         self._answered.add(event.sender)
         self._ask_until = now
         passed = event.passed
-        if self.fold.contiguous and passed.after <= self.fold.through:
+        if state := state_in(passed):
+            if self.fold.take_state(state):
+                self._tail.restart(self.fold.through)
+        elif passed.after <= self.fold.through:
             self._take(passed.records)
-        elif self.fold.fold_after(passed.after, passed.records):
-            self._tail.restart(self.fold.through)
         return []
 
     @_on.register
--- a/jackdawspur/configuration/_tail.py
+++ b/jackdawspur/configuration/_tail.py
@@ -8,12 +8,13 @@
 from jackdawspur.configuration._records import (
     Snapshot,
     decode_envelope,
+    decode_record,
     encode_record,
 )
 from jackdawspur.messages import RecordsPassed
 from jackdawspur.platform import LogRecord
 
-__all__ = ["WHOLE_STATE", "Tail", "snapshot_of"]
+__all__ = ["WHOLE_STATE", "Tail", "snapshot_of", "state_in"]
 
 # Asked for in place of an offset when a gap has to be bridged.
 WHOLE_STATE = -2
@@ -42,6 +43,23 @@
     )
 
 
+def state_in(passed: RecordsPassed) -> Snapshot | None:
+    """Return the state that a peer passed on in place of records.
+
+    A snapshot of the log stands after all that it covers; only a state made up for
+    a peer covers its own offset.
+    """
+    if not passed.records or not _is_snapshot(passed.records[0].body):
+        return None
+    try:
+        snapshot = decode_record(passed.records[0].body)
+    except RecordError:
+        return None
+    if not isinstance(snapshot, Snapshot):
+        return None
+    return snapshot if snapshot.through >= passed.records[0].offset else None
+
+
 class Tail:
     """Hold records without a gap after the offset `after`, bounded."""
 
--- a/jackdawspur/configuration/tests/test_fold.py
+++ b/jackdawspur/configuration/tests/test_fold.py
@@ -162,15 +162,20 @@
     assert fold.version == 3 and zones(fold) == ["one", "two", "three"]
 
 
-def test_late_batch_of_a_peer_costs_nothing():
+def test_state_of_a_peer_never_hides_a_record_or_goes_back():
+    """A peer passes its whole state on while this host reads the log itself.
+
+    The state arrives when this host has read up to the record before the state's
+    last. Taken for a record, it would stand in the place of that confirm.
+    """
     records = log_of(*(confirm(str(i), i - 1, f"z{i}") for i in range(6)))
     fold = folded(records[:3])
-    assert not fold.fold_after(4, records[5:])
-    assert fold.fold_after(0, records[1:2])
-    assert fold.version == 2 and fold.contiguous
-    old = snapshot_of(folded(records[:2]), wall=0.0)
-    assert not fold.fold_after(8, log_of(old, first=9))
+    assert not fold.take_state(snapshot_of(folded(records[:2]), wall=0.0))
     assert fold.version == 2 and fold.through == 2
+    assert fold.take_state(snapshot_of(folded(records[:4]), wall=0.0))
+    assert fold.version == 3 and fold.contiguous
+    fold.fold(records)
+    assert fold.version == 5 and fold.configuration == folded(records).configuration
 
 
 @st.composite
@@ -198,12 +203,12 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(histories(), st.integers(0, 25), st.integers(0, 25))
-def test_late_readers_end_at_the_same_version(bodies, trimmed, cut):
+@given(histories(), *[st.integers(0, 25)] * 4)
+def test_late_readers_end_at_the_same_version(bodies, trimmed, cut, asked, lag):
     """One host reads every record as it comes; another reads a trimmed log.
 
-    The late one may stay behind, but where it judges at all it judges alike, and no
-    step takes either of them back.
+    Once, the late one gets the state of a peer, which may lag. It may stay behind,
+    but where it judges at all it judges alike; no step takes either of them back.
     """
     records = log_of(*bodies)
     whole = Fold()
@@ -214,8 +219,12 @@
         whole.fold([record])
         if index >= cut:
             late.fold(records[: index + 1])
+        if index == asked:
+            peer = folded(records[: max(0, index + 1 - lag)])
+            if peer.version >= 0:
+                late.take_state(snapshot_of(peer, wall=0.0))
         assert whole.version >= before[0] and late.version >= before[1]
-        caught_up = late.through == whole.through and index >= cut
+        caught_up = late.through == whole.through
         if caught_up and late.contiguous and late.head == late.version:
             assert late.head == whole.head
             if whole.version == whole.head:
--- a/jackdawspur/configuration/tests/test_keeper.py
+++ b/jackdawspur/configuration/tests/test_keeper.py
@@ -13,6 +13,7 @@
     KeeperTick,
     LogBudget,
     LogFailed,
+    LogRead,
     PeerAsked,
     PeerRecords,
     PeersSeen,
@@ -112,6 +113,28 @@
     assert away.keeper.version == version
 
 
+def test_late_answers_of_peers_cost_nothing(cluster, document, keeper):
+    """Answers of peers come late, twice, or for a place that this host isn't at.
+
+    A batch that starts further on would leave a gap; a state that ends one record
+    further on must bring that record's change with it.
+    """
+    version = cluster.change(
+        "north-a.e1", ANN, quota_intent(document, 100)
+    ).body.version
+    records = tuple(r for r in cluster.log.records if r.offset <= version)
+    keeper.handle(0.0, LogRead(records[:-1]))
+    ahead = RecordsPassed(records[-1:], version + 3)
+    keeper.handle(0.1, PeerRecords(OTHER, ahead))
+    assert keeper.fold.through == version - 1
+    sender = cluster.hosts["north-b.e1"].keeper
+    [state, *_] = sender.handle(cluster.now, PeerAsked(SELF, RecordsWanted(-2)))
+    for _ in range(2):
+        keeper.handle(0.2, PeerRecords(OTHER, state.passed))
+    assert keeper.fold.version == version and keeper.fold.contiguous
+    assert keeper.fold.configuration == sender.fold.configuration
+
+
 def test_failed_reads_back_off_with_jitter(keeper):
     """The log is down for a minute; reads must become rare and not march in step."""
     reads = []
