--- a/jackdawspur/dispatch/_core.py
+++ b/jackdawspur/dispatch/_core.py
@@ -52,6 +52,7 @@
 
 # Ticks must not come less often than this while the host runs.
 TICK_S = 0.05
+RESUME_HOLD_S = 0.5
 
 
 class EntryCore:
@@ -122,6 +123,8 @@
         state.last_event_at = now
         if state.view.resumed(now, gap):
             refresh_view(state, now)
+            # Siblings tell within this time which upstreams began to leave meanwhile.
+            state.hold_until = now + RESUME_HOLD_S
 
 
 def _set_world(state: State, event: WorldSet, now: float) -> None:
--- a/jackdawspur/dispatch/_job.py
+++ b/jackdawspur/dispatch/_job.py
@@ -59,6 +59,8 @@
     stage: Stage = Stage.QUEUED
     delegate: HostId | None = None
     no_delegation: bool = False
+    # Its key was claimed first by it, nobody was told "not run", and nothing ran.
+    reusable: bool = False
     queued: QueuedJob | None = None
     calls: set[int] = field(default_factory=set)
     placements: dict[int, Placement] = field(default_factory=dict)
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -177,7 +177,7 @@
         return self._remote_number
 
     def latest_attempt(self, submission: SubmissionId) -> SubmissionId:
-        """Return the last attempt at a submission of which nothing had run."""
+        """Return the attempt that took the place of one that gave up its claim."""
         while submission in self.retried:
             submission = self.retried[submission]
         return submission
--- a/jackdawspur/dispatch/_submit.py
+++ b/jackdawspur/dispatch/_submit.py
@@ -75,6 +75,7 @@
         _repeat(state, event, known, now)
         return
     if state.ids.state(submission, event.request.customer, now) is IdState.UNUSED:
+        state.ids.spend(submission)
         _start_new(state, event, submission, now)
         return
     answer_call(state, event.call, _forgotten(submission))
@@ -125,6 +126,7 @@
         return
     job = _new_job(state, event, state.ids.fresh(), now)
     job.stage = Stage.CLAIMING
+    _attach(state, event, job)
     state.claiming[job.submission] = job
     state.emit(AppendClaim(Claim(request.customer, request.key, job.submission)))
     state.schedule(
@@ -184,7 +186,7 @@
     if job is None or job.answer is None or owner != claim.submission:
         return
     if job.untouched and job.answer.code is FailureCode.LOG_UNAVAILABLE:
-        job.answer = replace(job.answer, not_run=True)
+        job.reusable = True
 
 
 def _yield_to(state: State, job: Job, owner: SubmissionId, now: float) -> None:
@@ -201,12 +203,14 @@
 def _start_new(
     state: State, event: Submitted, submission: SubmissionId, now: float
 ) -> None:
+    """Start a job, or refuse it for good: also a refusal is its id's final answer."""
     refused = refuse_at_door(state, event.request, now)
+    job = _new_job(state, event, submission, now)
     if refused is not None:
-        answer_call(state, event.call, refused)
+        end_job(state, job, replace(refused, submission=submission), now)
+        answer_call(state, event.call, job.answer)
         return
-    state.ids.spend(submission)
-    job = _new_job(state, event, submission, now)
+    _attach(state, event, job)
     _admit(state, job, now)
 
 
@@ -217,7 +221,6 @@
     job = Job(submission, event.request, now, deadline)
     state.jobs[submission] = job
     state.schedule(deadline, lambda at: expire(state, job, at))
-    _attach(state, event, job)
     return job
 
 
@@ -258,7 +261,11 @@
 
 
 def _repeat(state: State, event: Submitted, job: Job, now: float) -> None:
-    """Answer a repeated submission from the job that it repeats."""
+    """Answer a repeated submission from the job that it repeats.
+
+    An answer is final, "not run" too: a repeat may have been under way at a paused
+    host when its caller was told so, and must not run the job after all.
+    """
     request = event.request
     if job.customer != request.customer:
         answer_call(state, event.call, _unknown())
@@ -267,8 +274,7 @@
         answer_call(state, event.call, refusal(FailureCode.CONFLICT, text))
     elif job.answer is None:
         _attach(state, event, job)
-    elif job.answer.not_run:
-        # Nothing of that attempt ran or will run, so the repeat is a new attempt.
+    elif job.reusable:
         attempt = state.ids.fresh()
         state.retried[job.submission] = attempt
         _start_new(state, event, attempt, now)
