--- a/jackdawspur/dispatch/_loads.py
+++ b/jackdawspur/dispatch/_loads.py
@@ -24,7 +24,7 @@
         divide_slots(state, now)
     peers = state.view.peers()
     if peers != state.peers:
-        for gone in set(state.peers) - set(peers):
+        for gone in sorted(set(state.peers) - set(peers)):
             state.elsewhere.forget(gone)
         state.peers = peers
         state.quotas.set_view((*peers, state.own))
@@ -43,7 +43,8 @@
     if state.world is None:
         return
     _note_siblings(state, now)
-    for zone in {host.zone for host in state.view.peers()} - {state.own.zone}:
+    # In one order on every run: a set of texts has another one in each process.
+    for zone in sorted({host.zone for host in state.view.peers()} - {state.own.zone}):
         _note_zone(state, state.view.zone_summary(zone), now)
 
 
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -102,7 +102,8 @@
         ).register(self)
         self._links.set_peers(_siblings(settings))
         self._open_platform(settings, rng, now)
-        self._tick()
+        # Connections need the poller, which is found once the loop runs.
+        self._deadlines.call_after(0.0, self._begin)
         log.info("entry host started", extra={"host": str(self._own)})
 
     def _open_platform(
@@ -123,7 +124,6 @@
         )
         claims_log = self._open_log(settings.log)
         self._claims = ClaimDriver(claims_log, budget, self._deadlines, self.post)
-        self._claims.begin()
         self._upstreams = UpstreamDriver(
             self._own,
             self,
@@ -134,7 +134,12 @@
         if settings.host_list is not None:
             client = HttpClient(_split(settings.host_list), self._deadlines)
             self._host_list = HttpHostList(client.register(self))
+
+    def _begin(self) -> None:
+        self._claims.begin()
+        if self._settings.host_list is not None:
             self._fetch_list()
+        self._tick()
 
     def _open_log(self, address: str) -> HttpLog:
         appends = HttpClient(_split(address), self._deadlines).register(self)
--- a/jackdawspur/load/_driver.py
+++ b/jackdawspur/load/_driver.py
@@ -77,7 +77,10 @@
         self._gives_up_at = self._ends_at + CALL_TIMEOUT_S
         self._before: dict[str, WorkerCounters] = {}
         self._after: dict[str, WorkerCounters] = {}
-        self._ask_counters(self._before, self._begin)
+        # Connections need the poller, which is found once the loop runs.
+        deadlines.call_after(
+            0.0, lambda: self._ask_counters(self._before, self._begin)
+        )
 
     def _client(self, address: str, limits: HttpLimits) -> HttpClient:
         host, _, port = address.rpartition(":")
