--- a/jackdawspur/configuration/_fold.py
+++ b/jackdawspur/configuration/_fold.py
@@ -1,19 +1,21 @@
 """Fold the records of the log, in log order, into the version in force."""
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from jackdawspur.configuration._changes import apply_changes
 from jackdawspur.configuration._checks import check_references
 from jackdawspur.configuration._diff import summarize
-from jackdawspur.configuration._document import Configuration
+from jackdawspur.configuration._document import HISTORY_KEPT, Configuration
 from jackdawspur.configuration._errors import RecordError, SkipReason
 from jackdawspur.configuration._records import (
     Confirm,
     HistoryEntry,
     Proposal,
     Snapshot,
+    SnapshotMark,
     decode_envelope,
+    decode_mark,
     decode_record,
 )
 from jackdawspur.configuration._reports import Skipped, Void
@@ -22,7 +24,6 @@
 __all__ = ["NOTHING", "Fold"]
 
 NOTHING = -1
-HISTORY_KEPT = 256
 VOIDS_KEPT = 128
 SKIPPED_KEPT = 64
 PLANS_KEPT = 128
@@ -76,6 +77,11 @@
         """Return the newest records that changed nothing, oldest first."""
         return tuple(self._skipped)
 
+    @property
+    def plans(self) -> tuple[Proposal, ...]:
+        """Return the plans that nobody confirmed yet, oldest first."""
+        return tuple(self._plans.values())
+
     def plan(self, plan: str) -> Proposal | None:
         """Return a proposal that is still kept."""
         return self._plans.get(plan)
@@ -104,27 +110,33 @@
             self._gap = first
             self._held.clear()
 
-    def fold_after(self, after: int, records: Sequence[LogRecord]) -> bool:
-        """Fold a batch that another host passed on; tell whether it was usable.
+    def take_state(self, state: Snapshot) -> bool:
+        """Take the state that a peer passed on; tell whether it brought anything.
 
-        A batch that starts beyond `through` is usable only if it begins with a
-        snapshot that is not older: else a late or lagging copy would cost the place
-        in the log or take the version back.
+        It stands for all records up to `through`, but isn't one of them. Folded as
+        a record, it would hide the confirm that stands at its offset. An older state
+        would take the version back.
         """
-        snapshot = _snapshot_in(records)
-        if not self.contiguous and snapshot and snapshot.through <= self.through:
-            self._take_snapshot(records[0].offset, snapshot)
-        if after <= self.through:
-            self.fold(records)
-            return True
-        if snapshot is None or snapshot.version < self.version:
+        known = self.contiguous and self.head == self.version
+        if known and state.through <= self.through:
             return False
-        self.skip_to(after + 1)
-        self.fold(records)
+        if state.version < self.version:
+            return False
+        if state.through > self.through:
+            self.contiguous = False
+            self.through = state.through
+            self._gap = state.through + 1
+            self._held.clear()
+        self._take_snapshot(state.through, state)
         return True
 
     def _fold_one(self, record: LogRecord) -> None:
         try:
+            if self.contiguous and self.head == self.version:
+                mark = decode_mark(record.body)
+                if mark:
+                    self._mark(mark)
+                    return
             decoded = decode_record(record.body)
         except RecordError as error:
             self._skip(record.offset, error.reason, str(error))
@@ -221,6 +233,9 @@
             self._bridge(offset, snapshot)
         elif snapshot.version == self.head != self.version:
             self._adopt(snapshot)
+        self._mark(snapshot)
+
+    def _mark(self, snapshot: Snapshot | SnapshotMark) -> None:
         # A snapshot whose writer lagged still spares readers what came before it.
         if self._snapshot_version <= snapshot.version <= self.version:
             self._snapshot_version = snapshot.version
@@ -259,11 +274,3 @@
     def _skip(self, offset: int, reason: SkipReason, message: str) -> None:
         if all(known.offset != offset for known in self._skipped):
             self._skipped.append(Skipped(offset, reason, message))
-
-
-def _snapshot_in(records: Sequence[LogRecord]) -> Snapshot | None:
-    try:
-        first = decode_record(records[0].body) if records else None
-    except RecordError:
-        return None
-    return first if isinstance(first, Snapshot) else None
--- a/jackdawspur/configuration/_keeper.py
+++ b/jackdawspur/configuration/_keeper.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from jackdawspur.configuration._budget import LogBudget, Purpose
+from jackdawspur.configuration._document import Configuration
 from jackdawspur.configuration._fold import NOTHING, Fold
 from jackdawspur.configuration._keeping import (
     ActivateWorld,
@@ -27,11 +28,11 @@
 from jackdawspur.configuration._readiness import LogHealth, Readiness, ReadinessReason
 from jackdawspur.configuration._records import encode_record
 from jackdawspur.configuration._snapshots import SnapshotTurns
-from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of
-from jackdawspur.configuration._world import world_of
+from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of, state_in
+from jackdawspur.configuration._world import rebuilt_world
 from jackdawspur.configuration._zones import ZoneReports
 from jackdawspur.messages import RecordsWanted
-from jackdawspur.model import HostId
+from jackdawspur.model import HostId, World
 from jackdawspur.platform import LogRecord
 
 __all__ = ["Keeper"]
@@ -67,6 +68,8 @@
         self._reason = ReadinessReason.READING_LOG
         self._caught_up = False
         self._active = NOTHING
+        self._served = Configuration()
+        self._world = World()
         self._reported = NOTHING
         self._reading_since: float | None = None
         self._read_wait_ms = 0.0
@@ -74,6 +77,7 @@
         self._failures = 0
         self._live: tuple[HostId, ...] = ()
         self._heard: dict[HostId, int] = {}
+        self._zones_heard: dict[str, int] = {}
         self._answered: set[HostId] = set()
         self._behind_since: float | None = None
         self._ask_until = now
@@ -150,10 +154,11 @@
         self._answered.add(event.sender)
         self._ask_until = now
         passed = event.passed
-        if self.fold.contiguous and passed.after <= self.fold.through:
+        if state := state_in(passed):
+            if self.fold.take_state(state):
+                self._tail.restart(self.fold.through)
+        elif passed.after <= self.fold.through:
             self._take(passed.records)
-        elif self.fold.fold_after(passed.after, passed.records):
-            self._tail.restart(self.fold.through)
         return []
 
     @_on.register
@@ -168,6 +173,9 @@
     def _on_heartbeat(self, event: HeartbeatSeen, now: float) -> list[KeeperEffect]:
         heartbeat = event.heartbeat
         self._heard[heartbeat.host] = heartbeat.version
+        for report in heartbeat.zones:
+            known = self._zones_heard.get(report.zone, NOTHING)
+            self._zones_heard[report.zone] = max(known, report.version)
         self.zones.note_heartbeat(heartbeat, now)
         return []
 
@@ -201,8 +209,11 @@
         if self._ready and fold.version > self._active:
             self._active = fold.version
             self.zones.note_version(fold.version, now)
-            world = world_of(fold.configuration, fold.version)
-            effects.append(ActivateWorld(world, fold.configuration))
+            before, self._served = self._served, fold.configuration
+            self._world = rebuilt_world(
+                before, self._world, fold.configuration, fold.version
+            )
+            effects.append(ActivateWorld(self._world, fold.configuration))
         self.zones.settle(self._live, self._active if self._ready else None, now)
         return effects
 
@@ -220,11 +231,11 @@
             return self._nothing_known(waited_out)
         if waited_out or not self._live:
             return ReadinessReason.READY
-        if any(
-            self._heard.get(host, NOTHING) > self.fold.version for host in self._live
-        ):
+        if max(map(self._heard_of, self._live)) > self.fold.version:
             return ReadinessReason.BEHIND_PEERS
-        unheard = set(self._live) - self._heard.keys() - self._answered
+        # Far hosts aren't all heard directly; siblings and relays tell of their zones.
+        siblings = {host for host in self._live if host.zone == self._host.zone}
+        unheard = siblings - self._heard.keys() - self._answered
         return ReadinessReason.ASKING_PEERS if unheard else ReadinessReason.READY
 
     def _nothing_known(self, waited_out: bool) -> ReadinessReason:
@@ -250,7 +261,7 @@
         return [AskRecords(self._rng.choice(wanted), RecordsWanted(after))]
 
     def _wanted_peers(self, now: float) -> list[HostId]:
-        newer = [h for h in self._live if self._heard.get(h, NOTHING) > self._seen]
+        newer = [h for h in self._live if self._heard_of(h) > self._seen]
         log_up = self.log_health is LogHealth.UP
         if not newer:
             self._behind_since = None
@@ -265,6 +276,11 @@
             return [h for h in self._live if h not in self._answered] or newer
         return []
 
+    def _heard_of(self, host: HostId) -> int:
+        # A zone's report counts for each of its hosts: all ready ones have it.
+        of_zone = self._zones_heard.get(host.zone, NOTHING)
+        return max(self._heard.get(host, NOTHING), of_zone)
+
     @property
     def _seen(self) -> int:
         # A version followed but not readable here needs no asking for.
--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -20,6 +20,12 @@
 IDLE_CREDIT = 2.0
 # Jobs whose next task fits nowhere that one call sets aside before it gives up.
 LOOKAHEAD = 32
+# Seconds after which tasks that fitted nowhere, and customers held back, are tried
+# again without a word. Else a job alone in the queue would wait for ever when room came
+# by something that its caller doesn't report, as a lent slot or a re-admitted upstream.
+RECHECK_EVERY = 0.1
+# Entries a customer in the order, all but one stale, before they are cleared away.
+STALE_ENTRIES = 4
 
 
 def _always(customer: str) -> bool:
@@ -43,6 +49,7 @@
         self._active: set[CustomerLane] = set()
         self._last_service = 0.0
         self._entries = 0
+        self._rechecked_at = float("-inf")
         self._waiting = 0
         self._backlog_ms = 0.0
 
@@ -105,6 +112,10 @@
         self, now: float, fits: Fits, may_start: MayStart = _always
     ) -> NextTask | None:
         """Take the task to start next, or None when nothing that waits may start."""
+        if now - self._rechecked_at >= RECHECK_EVERY:
+            self._rechecked_at = now
+            self.capacity_changed()
+            self.quotas_changed()
         for parked in self._parking.released(fits):
             self._queue_job(parked, self._lanes[parked.customer])
         tries = LOOKAHEAD
@@ -122,10 +133,12 @@
     def task_ended(self, job: QueuedJob, index: int, run_ms: float) -> None:
         """Charge the measured run time in place of the estimate."""
         lane = self._lane(job.customer)
-        lane.service += (run_ms - job.estimates_ms[index]) / MS / lane.weight
+        over_ms = run_ms - job.estimates_ms[index]
+        lane.service += over_ms / MS / lane.weight
         self.capacity_changed()
         self._held.discard(lane.name)
-        if lane.waiting:
+        # A lane that paid too little is put right when it comes to the top.
+        if lane.waiting and (over_ms < 0 or not lane.entry):
             self._queue_lane(lane)
 
     def capacity_changed(self) -> None:
@@ -199,7 +212,9 @@
         self._queue_job(job, lane)
 
     def _queue_job(self, job: WaitingJob, lane: CustomerLane) -> None:
-        if lane.push(job) and lane.name not in self._held:
+        became_head = lane.push(job)
+        # A lane out of the order may have a removed job for its head still.
+        if (became_head or not lane.entry) and lane.name not in self._held:
             self._queue_lane(lane)
 
     def _queue_lane(self, lane: CustomerLane) -> None:
@@ -215,6 +230,9 @@
             heapq.heapreplace(self._order, entry)
         else:
             heapq.heappush(self._order, entry)
+        if len(self._order) > STALE_ENTRIES * len(self._lanes) + LOOKAHEAD:
+            self._order = [e for e in self._order if e[1] == e[2].entry]
+            heapq.heapify(self._order)
 
     def _hold(self, lane: CustomerLane) -> None:
         heapq.heappop(self._order)
