--- a/jackdawspur/load/_driver.py
+++ b/jackdawspur/load/_driver.py
@@ -78,9 +78,7 @@
         self._before: dict[str, WorkerCounters] = {}
         self._after: dict[str, WorkerCounters] = {}
         # Connections need the poller, which is found once the loop runs.
-        deadlines.call_after(
-            0.0, lambda: self._ask_counters(self._before, self._begin)
-        )
+        deadlines.call_after(0.0, lambda: self._ask_counters(self._before, self._begin))
 
     def _client(self, address: str, limits: HttpLimits) -> HttpClient:
         host, _, port = address.rpartition(":")
