Mend false "not run" and second runs that a table of all cases showed

A keyed request whose deadline, cancellation or drain came before its claim was read back, and an idempotent one that ran without its claim, were told "not run" though an earlier one with the key may have run. An issued id cancelled before its request came was told "not run" and started afterwards; polled, it was called "not run" too. Any host's answer ended a forwarded call. A delegate whose memory was full dropped an answer at once and ran the job again when its owner repeated the message. An old word of one upstream freed a task that ran at another. Ids with numbers over 63 bits could not be packed for their owner.

Conclusion: an unclaimed job never says "not run"; a cancelled id is spent; dropped delegations are remembered until their deadline.

--- a/jackdawspur/dispatch/_answers.py
+++ b/jackdawspur/dispatch/_answers.py
@@ -1,6 +1,7 @@
 """Ending jobs and telling every caller of them, once."""
 
 from collections import defaultdict
+from dataclasses import replace
 
 from jackdawspur.dispatch._effects import AnswerCall, SendPeer, StopTasks
 from jackdawspur.dispatch._job import Job, Stage, TaskPhase
@@ -16,6 +17,7 @@
     "give_up",
     "pending",
     "refusal",
+    "without_not_run",
 ]
 
 
@@ -41,6 +43,16 @@
     return Answer(JobState.FAILED, submission, code=code, message=message)
 
 
+def without_not_run(answer: Answer) -> Answer:
+    """Take "not run" back from a refusal whose key was not claimed.
+
+    This attempt started nothing. But an earlier one with the same key may have run
+    at another host whose claim has not reached this one, so "not run" could be false.
+    """
+    text = f"{answer.message}; an earlier request with this key may have run"
+    return replace(answer, not_run=False, message=text)
+
+
 def pending(submission: SubmissionId) -> Answer:
     """Return the state of a job that has not ended."""
     return Answer(JobState.PENDING, submission)
@@ -72,6 +84,8 @@
     """End a job without its result; says "not run" only if nothing was sent."""
     if job.untouched:
         answer = refusal(code, message, retry_after_ms, job.submission)
+        if job.unclaimed:
+            answer = without_not_run(answer)
     else:
         answer = failure(code, message, job.submission)
     end_job(state, job, answer, now)
--- a/jackdawspur/dispatch/_forward.py
+++ b/jackdawspur/dispatch/_forward.py
@@ -84,10 +84,15 @@
     answer_call(state, call, answer)
 
 
-def receive_forward_answer(state: State, message: ForwardAnswer) -> None:
+def receive_forward_answer(
+    state: State, sender: HostId, message: ForwardAnswer
+) -> None:
     """Hand the owner's answer to the caller; repeats find no caller left."""
-    if state.forwards.pop(message.call, None) is not None:
-        answer_call(state, message.call, message.answer)
+    forwarded = state.forwards.get(message.call)
+    if forwarded is None or forwarded.submission.owner != sender:
+        return
+    del state.forwards[message.call]
+    answer_call(state, message.call, message.answer)
 
 
 def open_remote_call(state: State, host: HostId, call: int) -> int | None:
--- a/jackdawspur/dispatch/_job.py
+++ b/jackdawspur/dispatch/_job.py
@@ -61,6 +61,8 @@
     no_delegation: bool = False
     # Its key was claimed first by it, nobody was told "not run", and nothing ran.
     reusable: bool = False
+    # The log never confirmed its key, so a request with that key may run elsewhere.
+    unclaimed: bool = False
     queued: QueuedJob | None = None
     calls: set[int] = field(default_factory=set)
     placements: dict[int, Placement] = field(default_factory=dict)
--- a/jackdawspur/dispatch/_peers.py
+++ b/jackdawspur/dispatch/_peers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from jackdawspur.dispatch._answers import end_job
+from jackdawspur.dispatch._answers import end_job, failure
 from jackdawspur.dispatch._delegate import receive_delegate_answer
 from jackdawspur.dispatch._door import refuse_at_door
 from jackdawspur.dispatch._effects import SendPeer
@@ -25,7 +25,7 @@
     SlotRequest,
     SlotReturn,
 )
-from jackdawspur.model import HostId
+from jackdawspur.model import FailureCode, HostId, SubmissionId
 
 __all__ = ["receive", "send_heartbeats", "trade_slots"]
 
@@ -80,13 +80,18 @@
 
 
 def _forward_answer(
-    state: State, _sender: HostId, message: ForwardAnswer, _now: float
+    state: State, sender: HostId, message: ForwardAnswer, _now: float
 ) -> None:
-    receive_forward_answer(state, message)
+    receive_forward_answer(state, sender, message)
 
 
 def _delegate(state: State, sender: HostId, message: Delegate, now: float) -> None:
     """Run a job for its owner, once however often the owner repeats the message."""
+    if message.submission.owner != sender:
+        return
+    if message.submission in state.dropped_delegations:
+        state.emit(SendPeer(sender, _dropped(message.submission)))
+        return
     known = state.jobs.get(message.submission)
     if known is not None:
         if known.answer is not None:
@@ -104,6 +109,12 @@
     enqueue(state, job, now)
 
 
+def _dropped(submission: SubmissionId) -> DelegateAnswer:
+    text = "the job ended at another host, which no longer keeps its answer"
+    code = FailureCode.OUTCOME_UNKNOWN
+    return DelegateAnswer(submission, failure(code, text, submission))
+
+
 def _delegate_answer(
     state: State, sender: HostId, message: DelegateAnswer, now: float
 ) -> None:
--- a/jackdawspur/dispatch/_resolve.py
+++ b/jackdawspur/dispatch/_resolve.py
@@ -54,7 +54,8 @@
     same_run = state.incarnations.get(reply.upstream) == reply.incarnation
     for outcome in reply.outcomes:
         flight = state.flights.get(outcome.task)
-        if flight is not None:
+        # Word of an earlier send elsewhere must not free a task that was sent again.
+        if flight is not None and flight.placement.upstream == reply.upstream:
             _settle(state, outcome, flight, same_run, now)
     note_incarnation(state, reply.upstream, reply.incarnation, now)
 
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -39,6 +39,8 @@
 MAX_KEPT_BYTES = 8_388_608
 ANSWER_BASE_BYTES = 600
 LOG_RETRY_MS = 1000.0
+# A copy of a message can't arrive this long after the deadline: links drop old ones.
+DELEGATE_COPIES_S = 10.0
 
 Action = Callable[[float], None]
 
@@ -91,6 +93,7 @@
         self.forwards: dict[int, Forwarded] = {}
         self.remote_calls: dict[int, RemoteCall] = {}
         self.impatient_calls: set[int] = set()
+        self.dropped_delegations: OrderedDict[SubmissionId, float] = OrderedDict()
         self.log_up = True
         self.claims_blind_until = now
         self.log_retry_ms = LOG_RETRY_MS
@@ -208,16 +211,30 @@
         self._kept[job.submission] = size
         self._kept_bytes += size
         job.outputs.clear()
-        self.schedule(now + ANSWERS_KEPT_S, lambda _at: self._drop(job.submission))
+        self.schedule(now + ANSWERS_KEPT_S, lambda at: self._drop(job.submission, at))
         while self._kept_bytes > MAX_KEPT_BYTES:
-            self._drop(next(iter(self._kept)))
+            self._drop(next(iter(self._kept)), now)
 
-    def _drop(self, submission: SubmissionId) -> None:
+    def _drop(self, submission: SubmissionId, now: float) -> None:
         size = self._kept.pop(submission, None)
-        if size is not None:
-            self._kept_bytes -= size
-            self.jobs.pop(submission, None)
-            self.retried.pop(submission, None)
+        if size is None:
+            return
+        self._kept_bytes -= size
+        self.retried.pop(submission, None)
+        job = self.jobs.pop(submission)
+        if job.origin is not None:
+            self._remember_delegation(job, now)
+
+    def _remember_delegation(self, job: Job, now: float) -> None:
+        """Remember that a job of another host ended here, though not how.
+
+        Its owner repeats the message until its deadline when the answer got lost. With
+        full memory the answer is gone by then, and the job would run a second time.
+        """
+        dropped = self.dropped_delegations
+        while dropped and next(iter(dropped.values())) < now:
+            dropped.popitem(last=False)
+        dropped[job.submission] = max(now, job.deadline) + DELEGATE_COPIES_S
 
     def set_world(self, world: World, now: float) -> None:
         """Take a newer version of the configuration into force."""
--- a/jackdawspur/dispatch/_submit.py
+++ b/jackdawspur/dispatch/_submit.py
@@ -8,6 +8,7 @@
     give_up,
     pending,
     refusal,
+    without_not_run,
 )
 from jackdawspur.dispatch._delegate import cancel_delegated
 from jackdawspur.dispatch._door import refuse_at_door
@@ -98,34 +99,25 @@
         return
     if not state.log_up and request.idempotent:
         # Losing the key's memory is acceptable only because a repeat is harmless.
-        _start_new(state, event, state.ids.fresh(), now)
+        _start_new(state, event, state.ids.fresh(), now, unclaimed=True)
         return
     if not state.log_up or state.claims.full or now < state.claims_blind_until:
         text = "keys can't be claimed now; use an issued submission id, or retry"
         answer = refusal(FailureCode.LOG_UNAVAILABLE, text, state.log_retry_ms)
-        answer_call(state, event.call, _unclaimed(answer))
+        answer_call(state, event.call, without_not_run(answer))
         return
     _claim(state, event, now)
 
 
-def _unclaimed(answer: Answer) -> Answer:
-    """Take "not run" back from a refusal whose key was not claimed.
-
-    This attempt started nothing. But an earlier one with the same key may have run
-    at another host whose claim has not reached this one, so "not run" could be false.
-    """
-    text = f"{answer.message}; an earlier request with this key may have run"
-    return replace(answer, not_run=False, message=text)
-
-
 def _claim(state: State, event: Submitted, now: float) -> None:
     request = event.request
     refused = refuse_at_door(state, request, now)
     if refused is not None:
-        answer_call(state, event.call, _unclaimed(refused))
+        answer_call(state, event.call, without_not_run(refused))
         return
     job = _new_job(state, event, state.ids.fresh(), now)
     job.stage = Stage.CLAIMING
+    job.unclaimed = True
     _attach(state, event, job)
     state.claiming[job.submission] = job
     state.emit(AppendClaim(Claim(request.customer, request.key, job.submission)))
@@ -147,8 +139,7 @@
     else:
         text = "the log did not confirm the key in time; retry with the same key"
         code = FailureCode.LOG_UNAVAILABLE
-        answer = refusal(code, text, state.log_retry_ms, job.submission)
-        end_job(state, job, _unclaimed(answer), now)
+        give_up(state, job, code, text, now, state.log_retry_ms)
 
 
 def end_claim(state: State, event: ClaimEnded, now: float) -> None:
@@ -172,6 +163,7 @@
         if job is None:
             _clear_late(state, claim, owner)
         elif owner == claim.submission:
+            job.unclaimed = False
             _admit(state, job, now)
         else:
             _yield_to(state, job, owner, now)
@@ -185,7 +177,8 @@
     job = state.jobs.get(claim.submission)
     if job is None or job.answer is None or owner != claim.submission:
         return
-    if job.untouched and job.answer.code is FailureCode.LOG_UNAVAILABLE:
+    cancelled = job.answer.code is FailureCode.CANCELLED
+    if job.untouched and job.unclaimed and not cancelled:
         job.reusable = True
 
 
@@ -201,14 +194,21 @@
 
 
 def _start_new(
-    state: State, event: Submitted, submission: SubmissionId, now: float
+    state: State,
+    event: Submitted,
+    submission: SubmissionId,
+    now: float,
+    unclaimed: bool = False,
 ) -> None:
     """Start a job, or refuse it for good: also a refusal is its id's final answer."""
     refused = refuse_at_door(state, event.request, now)
     job = _new_job(state, event, submission, now)
+    job.unclaimed = unclaimed
     if refused is not None:
-        end_job(state, job, replace(refused, submission=submission), now)
-        answer_call(state, event.call, job.answer)
+        answer = replace(refused, submission=submission)
+        answer = without_not_run(answer) if unclaimed else answer
+        end_job(state, job, answer, now)
+        answer_call(state, event.call, answer)
         return
     _attach(state, event, job)
     _admit(state, job, now)
@@ -325,7 +325,9 @@
 def _absent(state: State, event: Polled, now: float) -> Answer:
     known = state.ids.state(event.submission, event.customer, now)
     if known is IdState.UNUSED:
-        return refusal(FailureCode.NOT_FOUND, "the id was not used yet")
+        # A request under it may be on its way here, so this is no "not run".
+        text = "the id was not used yet"
+        return replace(refusal(FailureCode.NOT_FOUND, text), not_run=False)
     return _forgotten(event.submission)
 
 
@@ -335,6 +337,8 @@
         forward_cancel(state, event, now)
         return
     job = state.find_job(state.latest_attempt(event.submission))
+    if job is None and _bar_unused(state, event, now):
+        return
     if job is None or job.customer != event.customer:
         poll(state, Polled(event.call, event.customer, event.submission), now)
         return
@@ -345,6 +349,22 @@
     cancel_job(state, job, now)
 
 
+def _bar_unused(state: State, event: CancelAsked, now: float) -> bool:
+    """Spend an issued id that is cancelled before its request came.
+
+    The request may be under way at a paused host. It would run although its caller
+    was told that nothing did, so the id must not start anything any more.
+    """
+    known = state.ids.state(event.submission, event.customer, now)
+    if known is not IdState.UNUSED:
+        return False
+    state.ids.spend(event.submission)
+    text = "cancelled by its caller before it was submitted"
+    answer = refusal(FailureCode.CANCELLED, text, submission=event.submission)
+    answer_call(state, event.call, answer)
+    return True
+
+
 def cancel_job(state: State, job: Job, now: float) -> None:
     """End a job at its caller's wish, through its delegate if it has one."""
     if job.stage is Stage.DELEGATED:
--- a/jackdawspur/dispatch/tests/test_at_most_once.py
+++ b/jackdawspur/dispatch/tests/test_at_most_once.py
@@ -79,6 +79,28 @@
     ]
 
 
+def test_old_word_of_another_upstream_frees_nothing(bench):
+    """A map order that ran is taken for one that never did.
+
+    The first upstream barred the task, so it went to the second and runs there. A
+    repeat of the first one's answer comes in and is taken for the second one's.
+    """
+    for call in (1, 2):
+        (known,) = bench.submit(make_request(1), call=call)
+        bench.verdicts(known)
+    (first,) = bench.submit(make_request(1), call=3)
+    lose(bench, first, left=True)
+    again = status(bench, first, TaskState.SEALED) + bench.wait(0.5)
+    (second,) = starts_in(again)
+    assert second.upstream != first.upstream
+    bench.verdicts(second)
+    before = len(bench.started)
+    status(bench, first, TaskState.SEALED)
+    (answer,) = answers_in(bench.results(second) + bench.wait(4.0))
+    assert answer.state is JobState.COMPLETE
+    assert len(bench.started) == before
+
+
 @pytest.mark.parametrize("state", [TaskState.SEALED, TaskState.UNKNOWN])
 def test_restarted_upstream_proves_nothing(bench, state):
     """A map order is billed twice.
--- /dev/null
+++ b/jackdawspur/dispatch/tests/test_told_delegated.py
@@ -0,0 +1,142 @@
+"""What the caller of a job is told that was moved to another host."""
+
+import pytest
+
+from jackdawspur.dispatch import (
+    CancelAsked,
+    DrainAsked,
+    PeerReceived,
+    StatusReplied,
+    Submitted,
+)
+from jackdawspur.dispatch.tests.conftest import (
+    FIRST_RUN,
+    OWN,
+    SIBLING,
+    Bench,
+    answers_in,
+    make_request,
+    messages_in,
+    starts_in,
+)
+from jackdawspur.dispatch.tests.told import (
+    COMPLETE,
+    DEAD,
+    FAILED,
+    REFUSED,
+    UNKNOWN,
+    Case,
+    Told,
+)
+from jackdawspur.messages import Delegate, DelegateAnswer
+from jackdawspur.model import (
+    Answer,
+    FailureCode,
+    SubmissionId,
+    TaskOutcome,
+    TaskState,
+)
+from jackdawspur.platform import UpstreamReply
+
+
+def delegate(bench: Bench) -> Delegate:
+    """Submit a job that moves whole to an idle sibling."""
+    bench.hear(SIBLING, free_slots=8)
+    bench.submit(make_request(60, deadline_ms=60_000.0), call=50)
+    bench.hear(SIBLING, free_slots=8)
+    (message,) = messages_in(bench.do(Submitted(1, make_request(4))), Delegate)
+    return message
+
+
+def reply(bench: Bench, message: Delegate, answer: Answer, sender=SIBLING) -> list:
+    answered = DelegateAnswer(message.submission, answer)
+    return bench.do(PeerReceived(sender, answered))
+
+
+def delegate_done(bench):
+    message = delegate(bench)
+    reply(bench, message, Answer(COMPLETE, message.submission, ("a", "b", "c", "d")))
+
+
+def delegate_dead(bench):
+    delegate(bench)
+    bench.hear(DEAD)
+    bench.wait(1.0)
+
+
+def delegate_silent(bench):
+    delegate(bench)
+    bench.wait(6.0)
+
+
+def delegate_refuses(bench):
+    message = delegate(bench)
+    code = FailureCode.DRAINING
+    reply(bench, message, Answer(REFUSED, message.submission, code=code, not_run=True))
+
+
+def delegate_cancels_in_time(bench):
+    message = delegate(bench)
+    bench.do(CancelAsked(2, "roster", message.submission))
+    code = FailureCode.CANCELLED
+    reply(bench, message, Answer(REFUSED, message.submission, code=code, not_run=True))
+
+
+def delegate_answers_after_refusing(bench):
+    message = delegate(bench)
+    code = FailureCode.DRAINING
+    reply(bench, message, Answer(REFUSED, message.submission, code=code, not_run=True))
+    reply(bench, message, Answer(FAILED, message.submission, code=UNKNOWN))
+    assert len(answers_in(bench.effects)) == 1
+
+
+def delegated_drain(bench):
+    delegate(bench)
+    bench.do(DrainAsked(1000.0))
+    bench.wait(1.2)
+
+
+DELEGATED = (
+    Case(delegate_done, Told(COMPLETE)),
+    Case(delegate_dead, Told(FAILED, UNKNOWN)),
+    Case(delegate_silent, Told(FAILED, UNKNOWN)),
+    Case(delegate_refuses, Told(REFUSED, FailureCode.OVERLOADED, True)),
+    Case(delegate_cancels_in_time, Told(REFUSED, FailureCode.CANCELLED, True)),
+    Case(delegate_answers_after_refusing, Told(REFUSED, FailureCode.OVERLOADED, True)),
+    Case(delegated_drain, Told(FAILED, UNKNOWN)),
+)
+
+
+@pytest.mark.parametrize("case", DELEGATED, ids=lambda case: case.act.__name__)
+def test_delegated(bench, case):
+    """A job moved to a busy host's sibling, which refuses, dies or stays silent.
+
+    Only the delegate may start it, so its owner calls it "not run" on its word alone.
+    """
+    case.act(bench)
+    answer = answers_in(bench.effects)[-1]
+    own = [t for t in bench.started if t.submission == answer.submission]
+    assert Told(answer.state, answer.code, answer.not_run, len(own)) == case.told
+
+
+def test_delegate_that_dropped_an_answer_does_not_run_it_again(bench):
+    """A 360-tile overlay is drawn twice, and billed twice.
+
+    The delegate ends a job whose answer fills its memory and is dropped at once. Its
+    message to the owner is lost, so the owner repeats the delegation.
+    """
+    message = Delegate(SubmissionId(SIBLING, 3), make_request(1), 4000.0)
+    (start,) = starts_in(bench.do(PeerReceived(SIBLING, message)))
+    bench.verdicts(start)
+    outcome = TaskOutcome(start.starts[0].task, TaskState.DONE, "x" * 9_000_000)
+    bench.do(StatusReplied(UpstreamReply(start.upstream, FIRST_RUN, (), (outcome,))))
+    bench.effects.clear()
+    bench.do(PeerReceived(SIBLING, message))
+    assert not bench.started
+    assert not any(a.answer.not_run for a in messages_in(bench.effects, DelegateAnswer))
+
+
+def test_only_the_owner_delegates(bench):
+    """A task runs at two hosts because a stray message named a job as delegated."""
+    message = Delegate(SubmissionId(OWN, 3), make_request(1), 4000.0)
+    assert not starts_in(bench.do(PeerReceived(SIBLING, message)))
--- a/jackdawspur/model/_ids.py
+++ b/jackdawspur/model/_ids.py
@@ -18,6 +18,7 @@
 PART_SEPARATOR = "."
 TASK_SEPARATOR = "/"
 PARSED_IDS_KEPT = 4096
+MAX_NUMBER = 2**63 - 1
 
 
 class ModelError(JackdawspurError):
@@ -66,7 +67,7 @@
         """Return the identifier that ``str`` wrote; raise `InvalidId`."""
         try:
             zone, name, incarnation = text.split(PART_SEPARATOR)
-            return cls(zone, name, int(incarnation, 16))
+            return cls(zone, name, _number(incarnation, 16))
         except ValueError as error:
             raise InvalidId(f"not a host id: {text!r}") from error
 
@@ -90,7 +91,7 @@
         """Return the identifier that ``str`` wrote; raise `InvalidId`."""
         owner, _, sequence = text.rpartition(PART_SEPARATOR)
         try:
-            return cls(HostId.parse(owner), int(sequence, 16))
+            return cls(HostId.parse(owner), _number(sequence, 16))
         except ValueError as error:
             raise InvalidId(f"not a submission id: {text!r}") from error
 
@@ -110,11 +111,23 @@
         """Return the identifier that ``str`` wrote; raise `InvalidId`."""
         submission, _, index = text.rpartition(TASK_SEPARATOR)
         try:
-            return cls(_parse_submission(submission), int(index))
+            return cls(_parse_submission(submission), _number(index, 10))
         except ValueError as error:
             raise InvalidId(f"not a task id: {text!r}") from error
 
 
+def _number(text: str, base: int) -> int:
+    """Return a number that links can carry; raise `ValueError`.
+
+    An id comes from callers. A larger number could not be packed into a message to
+    its owner, and the host that tried to forward it would fail.
+    """
+    number = int(text, base)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"number out of range: {text[:20]!r}")
+    return number
+
+
 # The tasks of one job come back together, so their common part is parsed once.
 @lru_cache(maxsize=PARSED_IDS_KEPT)
 def _parse_submission(text: str) -> SubmissionId:
--- a/jackdawspur/model/tests/test_ids.py
+++ b/jackdawspur/model/tests/test_ids.py
@@ -4,6 +4,8 @@
 
 from jackdawspur.model import HostId, InvalidId, SubmissionId, TaskId, UpstreamId
 
+# Too large for a message to the owner; the host that forwards it would fail.
+HUGE = f"a.b.1.{2**64:x}/{2**64}"
 OWNER = HostId("north", "e1", 0xBEEF)
 
 
@@ -20,7 +22,9 @@
 
 
 @pytest.mark.parametrize("kind", [HostId, SubmissionId, TaskId, UpstreamId])
-@pytest.mark.parametrize("text", ["", "x", "a.b.zz.1/x", "....", "a.b.1.2.3.4/5/6"])
+@pytest.mark.parametrize(
+    "text", ["", "x", "a.b.zz.1/x", "....", "a.b.1.2.3.4/5/6", HUGE]
+)
 def test_foreign_text_is_refused(kind, text):
     with pytest.raises(InvalidId):
         kind.parse(text)
