Keep golden files of eleven whole sessions over the real routes

Cause: no test showed a session as the people in it see it. Now a caller's HTTP request goes through the real routes to real decisions on virtual time, and each reply and log line stands in a golden file; no field is blanked out.

Conclusion: a change of what people see now shows as a difference in a file.

--- a/jackdawspur/bench/_own.py
+++ b/jackdawspur/bench/_own.py
@@ -16,6 +16,11 @@
         self._core = EntryCore(host, rng, now)
         self._ticked_at = now
 
+    @property
+    def core(self) -> EntryCore:
+        """Return the decisions, to be read only."""
+        return self._core
+
     def next_wake(self) -> float:
         due = self._ticked_at + TICK_S
         wanted = self._core.next_wake()
--- a/jackdawspur/cli/_logs.py
+++ b/jackdawspur/cli/_logs.py
@@ -4,20 +4,24 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["set_up_logs"]
+__all__ = ["json_lines", "set_up_logs"]
 
 FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def set_up_logs(level: str, host: str) -> None:
-    """Write one JSON object a line, with the host's name in each."""
-    formatter = JsonFormatter(
+def json_lines(host: str) -> JsonFormatter:
+    """Return what turns a record into a JSON object, with the host's name in it."""
+    return JsonFormatter(
         FIELDS,
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"host_name": host},
     )
+
+
+def set_up_logs(level: str, host: str) -> None:
+    """Write one JSON object a line to standard error."""
     output = logging.StreamHandler()
-    output.setFormatter(formatter)
+    output.setFormatter(json_lines(host))
     root = logging.getLogger()
     root.handlers = [output]
     root.setLevel(level)
--- a/jackdawspur/configuration/_readiness.py
+++ b/jackdawspur/configuration/_readiness.py
@@ -26,6 +26,7 @@
     LOG_TRIMMED = "log_trimmed"
     NEWER_SCHEMA = "newer_schema"
     NO_CONFIGURATION = "no_configuration"
+    DRAINING = "draining"
 
 
 MESSAGES = {
@@ -37,6 +38,7 @@
     ReadinessReason.LOG_TRIMMED: "the log was trimmed and holds no snapshot",
     ReadinessReason.NEWER_SCHEMA: "the log holds only a newer schema version",
     ReadinessReason.NO_CONFIGURATION: "no configuration was ever confirmed",
+    ReadinessReason.DRAINING: "this host is shutting down",
 }
 
 
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -30,6 +30,7 @@
     PeerRecords,
     PeersSeen,
     Readiness,
+    ReadinessReason,
     Right,
 )
 from jackdawspur.dispatch import (
@@ -53,6 +54,12 @@
 )
 from jackdawspur.entry._claims import ClaimDriver
 from jackdawspur.entry._keeping import ConfigurationDriver
+from jackdawspur.entry._log_lines import (
+    log_answer,
+    log_drained,
+    log_draining,
+    log_started,
+)
 from jackdawspur.entry._meter import Meter
 from jackdawspur.entry._routes import Routes
 from jackdawspur.entry._status import HostStatus, status_of
@@ -104,7 +111,7 @@
         self._open_platform(settings, rng, now)
         # Connections need the poller, which is found once the loop runs.
         self._deadlines.call_after(0.0, self._begin)
-        log.info("entry host started", extra={"host": str(self._own)})
+        log_started(self._own)
 
     def _open_platform(
         self, settings: EntrySettings, rng: random.Random, now: float
@@ -163,8 +170,10 @@
 
     def readiness(self) -> Readiness:
         """Tell whether new jobs are accepted, and why not."""
+        if self._draining:
+            return Readiness(False, ReadinessReason.DRAINING)
         readiness = self._keeper.readiness
-        ready = readiness.ready and self._core.ready and not self._draining
+        ready = readiness.ready and self._core.ready
         return Readiness(ready, readiness.reason)
 
     def status(self) -> HostStatus:
@@ -261,19 +270,8 @@
         self._upstreams.stop(effect)
 
     def _answer(self, effect: AnswerCall) -> None:
-        answer = effect.answer
-        if answer.code is not None:
-            log.info(
-                "job not completed",
-                extra={
-                    "submission": str(answer.submission),
-                    "state": str(answer.state),
-                    "code": str(answer.code),
-                    "not_run": answer.not_run,
-                    "reason": answer.message,
-                },
-            )
-        self._web.reply(effect.call, reply_answer(answer))
+        log_answer(effect.answer)
+        self._web.reply(effect.call, reply_answer(effect.answer))
 
     def _issue(self, effect: IssueIds) -> None:
         self._web.reply(effect.call, reply_ids(effect.ids))
@@ -293,7 +291,7 @@
             self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
             return
         self._draining = True
-        log.info("draining", extra={"live_jobs": self._core.state.live_jobs})
+        log_draining(self._core.state.live_jobs)
         self.post(DrainAsked(self._settings.drain_ms))
 
     def _exit_when_drained(self) -> None:
@@ -302,7 +300,7 @@
             return
         if self._core.drained and not self._web.open_calls:
             self._exiting = True
-            log.info("drained")
+            log_drained()
             self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
 
 
--- /dev/null
+++ b/jackdawspur/sessions/__init__.py
@@ -0,0 +1,3 @@
+"""Golden files of whole sessions: requests, replies and log lines in order."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/jackdawspur/sessions/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions."""
--- /dev/null
+++ b/jackdawspur/sessions/tests/test_sessions.py
@@ -0,0 +1,220 @@
+"""Whole sessions as the people in them see them, against golden files.
+
+Times are virtual and ids follow from seeds, so nothing in the files is blanked out.
+Run pytest with ``--snapshot-update`` after a wanted change, and read the difference.
+"""
+
+from dataclasses import replace
+
+from jackdawspur.model import TaskState
+from jackdawspur.sessions.tests.session import tasks
+
+CUT_OFF_S = 12.0
+
+
+def fail_tile(session, index: int) -> None:
+    """Let one tile of whatever the first upstream runs end in a failure."""
+    upstream = session.upstreams[0]
+    report = upstream.ended
+
+    def ended(holder, outcome) -> None:
+        if outcome.task.index == index:
+            failed = {"state": TaskState.FAILED, "output": "", "error": "no sea here"}
+            outcome = replace(outcome, **failed)
+        report(holder, outcome)
+
+    upstream.ended = ended
+
+
+def test_supervisor_confirms_an_arrival(session, snapshot):
+    """A guard sees the confirmation at once; the supervisor's app also polls.
+
+    A misspelt field and a foreign token are refused first, and truly not run.
+    """
+    work = {"job_class": "confirm-arrival", "tasks": tasks(1)}
+    wrong = work | {"tasks": tasks(7), "idempotant": False}
+    foreign = work | {"tasks": tasks(8)}
+    session.ask("supervisor", "z1.e1", "GET /readyz")
+    session.ask("supervisor", "z1.e1", "POST /v1/jobs?wait=true", wrong)
+    session.ask("supervisor", "z1.e1", "POST /v1/jobs", foreign, customer="stranger")
+    session.run(0.5)
+    session.submit("supervisor", "z1.e1", "confirm-arrival", tasks(2))
+    session.run(0.5)
+    call = session.ask("supervisor", "z1.e1", "POST /v1/jobs", work)
+    session.run(0.05)
+    path = f"GET /v1/submissions/{session.json(call)['submission']}"
+    session.ask("supervisor", "z1.e1", path)
+    session.ask("supervisor", "z2.e1", f"{path}?wait=true")
+    session.run(0.5)
+    assert session.transcript() == snapshot
+
+
+def test_reassignment_with_a_lost_reply(session, snapshot):
+    """One crew goes out, though the upstream's word on its start was lost.
+
+    The host asks how far the task is and waits for its end. The dispatcher sends the
+    reassignment again at another host and gets the same answer.
+    """
+    session.simulation.losing = 1
+    work = tasks(1, run_ms=600.0)
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", work, key="crew-7")
+    session.run(0.3)
+    session.submit("dispatcher", "z2.e1", "dispatch-reassign", work, key="crew-7")
+    session.run(2.0)
+    session.submit("dispatcher", "z2.e1", "dispatch-reassign", work, key="crew-7")
+    session.run(1.0)
+    assert session.transcript() == snapshot
+
+
+def test_reassignment_lost_with_its_upstream(session, snapshot):
+    """The dispatcher is told that nobody knows, and the repeat sends no second crew.
+
+    The upstream takes the task, its reply is lost, and it restarts without memory.
+    """
+    session.simulation.losing = 1
+    work = tasks(1, run_ms=900.0)
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", work, key="crew-8")
+    session.run(0.1)
+    session.upstreams[0].restart()
+    session.run(3.0)
+    session.submit("dispatcher", "z2.e1", "dispatch-reassign", work, key="crew-8")
+    session.run(1.0)
+    assert session.transcript() == snapshot
+
+
+def test_map_order_sent_twice_under_its_own_key(session, snapshot):
+    """A cooperative sends an order to two hosts at once and is billed once."""
+    for name in ("z1.e1", "z2.e1"):
+        session.submit("skipper", name, "map-order", tasks(1, 2), "map-31", "maps")
+    session.run(1.0)
+    session.submit("skipper", "z1.e1", "map-order", tasks(1, 2), "map-31", "maps")
+    session.submit("skipper", "z1.e1", "map-order", tasks(2, 1), "map-31", "maps")
+    session.run(1.0)
+    assert session.transcript() == snapshot
+
+
+def test_map_order_sent_twice_under_an_issued_id(session, snapshot):
+    """An app asks for ids in good time, then repeats its order at another host."""
+    who, maps = "skipper", "maps"
+    call = session.ask(who, "z1.e1", "POST /v1/submissions", {"count": 2}, None, maps)
+    session.run(0.1)
+    first, _unused = session.json(call)["ids"]
+    order = {"job_class": "map-order", "tasks": tasks(1, 2)}
+    path = f"PUT /v1/submissions/{first}?wait=true"
+    session.ask(who, "z1.e1", path, order, None, maps)
+    session.ask(who, "z2.e1", path, order, None, maps)
+    session.run(1.0)
+    session.ask(who, "z2.e1", path, order, None, maps)
+    session.run(1.0)
+    assert session.transcript() == snapshot
+
+
+def test_overlay_with_one_failed_tile(session, snapshot):
+    """A skipper gets one clear failure, not an overlay with a hole of 359 tiles."""
+    fail_tile(session, 217)
+    work = tasks(1, 360, run_ms=20.0)
+    session.submit("skipper", "z1.e1", "overlay", work, customer="maps")
+    session.run(10.0)
+    assert session.transcript() == snapshot
+
+
+def test_cancellation_wave(session, snapshot):
+    """A client takes all its requests back; those that waited are truly not run.
+
+    The first runs, the others wait; one cancellation meets another host, and one
+    comes before its request, which then never runs.
+    """
+    call = session.ask("client", "z1.e1", "POST /v1/submissions", {"count": 5})
+    session.run(0.1)
+    ids = session.json(call)["ids"]
+    path = "{} /v1/submissions/{}"
+    for job, one in enumerate(ids[:-1]):
+        work = {"job_class": "overlay", "tasks": tasks(job, 4, run_ms=900.0)}
+        session.ask("client", "z1.e1", path.format("PUT", one) + "?wait=true", work)
+        session.run(0.01)
+    for job, one in enumerate(ids):
+        name = "z2.e1" if job == 1 else "z1.e1"
+        session.ask("client", name, path.format("DELETE", one))
+    session.run(0.1)
+    late = {"job_class": "overlay", "tasks": tasks(9)}
+    session.ask("client", "z1.e1", path.format("PUT", ids[-1]) + "?wait=true", late)
+    session.run(2.0)
+    assert session.transcript() == snapshot
+
+
+def test_graceful_shutdown_under_load(session, snapshot):
+    """Whoever was in flight gets an answer; who comes later is truly not run."""
+    for job, count in ((1, 3), (2, 1)):
+        work = tasks(job, count, run_ms=500.0)
+        session.submit("client", "z1.e1", "overlay", work)
+    session.run(0.1)
+    session.drain("z1.e1")
+    session.run(0.05)
+    session.ask("balancer", "z1.e1", "GET /readyz")
+    session.submit("client", "z1.e1", "confirm-arrival", tasks(3))
+    session.submit("client", "z1.e1", "dispatch-reassign", tasks(4), key="crew-9")
+    session.submit("client", "z2.e1", "confirm-arrival", tasks(5))
+    session.run(5.0)
+    assert session.transcript() == snapshot
+
+
+def test_zone_cut_off_and_healed(session, snapshot):
+    """A zone goes on alone; what needs the others fails clearly until it is back."""
+    call = session.ask("client", "z2.e1", "POST /v1/submissions", {"count": 1})
+    session.run(0.1)
+    (issued,) = session.json(call)["ids"]
+    session.note("platform", "z2 is cut off from zones and platform")
+    session.simulation.links.cut("z2")
+    session.submit("supervisor", "z2.e1", "confirm-arrival", tasks(1))
+    session.submit("dispatcher", "z2.e1", "dispatch-reassign", tasks(2), key="crew-1")
+    order = {"job_class": "map-order", "tasks": tasks(3)}
+    path = f"PUT /v1/submissions/{issued}?wait=true"
+    session.ask("client", "z1.e1", path, order)
+    session.run(CUT_OFF_S)
+    session.note("platform", "z2 is back")
+    session.simulation.links.heal("z2")
+    session.run(3.0)
+    session.submit("dispatcher", "z2.e1", "dispatch-reassign", tasks(2), key="crew-1")
+    session.ask("client", "z1.e1", path, order)
+    session.run(2.0)
+    assert session.transcript() == snapshot
+
+
+def test_host_killed(session, snapshot):
+    """Callers of a dead host learn elsewhere that its jobs' fate is unknown.
+
+    The reassignment's key was claimed by the dead run, so no repeat runs it.
+    """
+    work = tasks(1, run_ms=900.0)
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", work, key="crew-5")
+    body = {"job_class": "overlay", "tasks": tasks(2, run_ms=900.0)}
+    call = session.ask("client", "z1.e1", "POST /v1/jobs", body)
+    session.run(0.2)
+    session.kill("z1.e1")
+    session.run(0.1)
+    poll = f"GET /v1/submissions/{session.json(call)['submission']}?wait=true"
+    session.ask("client", "z2.e1", poll)
+    session.submit("dispatcher", "z2.e1", "dispatch-reassign", work, key="crew-5")
+    session.run(6.0)
+    session.ask("client", "z1.e1", poll)
+    session.run(1.0)
+    assert session.transcript() == snapshot
+
+
+def test_log_down(session, snapshot):
+    """Only a keyed reassignment is turned away, without a false "not run"."""
+    session.note("platform", "the log is down")
+    session.simulation.log.down = True
+    session.submit("supervisor", "z1.e1", "confirm-arrival", tasks(1))
+    session.submit("supervisor", "z1.e1", "confirm-arrival", tasks(2), key="arrive-2")
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", tasks(3), key="crew-3")
+    session.run(2.0)
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", tasks(3), key="crew-3")
+    session.run(1.0)
+    session.note("platform", "the log is back")
+    session.simulation.log.down = False
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", tasks(3), key="crew-3")
+    session.run(3.0)
+    session.submit("dispatcher", "z1.e1", "dispatch-reassign", tasks(3), key="crew-3")
+    session.run(1.0)
+    assert session.transcript() == snapshot
