Fuzz every entrance, and refuse what stopped a host there

Cause: nothing random had met the callers' bodies and calls, operators' intents, links, log records and settings files. Fuzzing found: data nested deeper than a parser's stack raised an error that nobody expected in the operators' desk, in the reader of links, in the reader of the configuration's records and in that of claims; a peer's message with a time that is no number became a timer that held up all others, so that a caller got no answer; a request without tasks ended the pass.

Conclusion: such input is refused with its reason. make fuzz tries more.

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,9 @@
 bench: install
 	$(BIN)/python -m jackdawspur.bench --deployment=$(if $(filter default undefined file,$(origin DEPLOYMENT)),all,$(DEPLOYMENT)) $(BENCH_FLAGS)
 
+# FUZZ_EXAMPLES is the number of examples a test; each run draws new ones.
+fuzz: install
+	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),2000) $(BIN)/python -m pytest jackdawspur/fuzz
+
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
--- a/jackdawspur/configuration/_checks.py
+++ b/jackdawspur/configuration/_checks.py
@@ -172,7 +172,8 @@
 def _decode_object(text: str | bytes) -> dict[str, Any]:
     try:
         decoded = msgspec.json.decode(text)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
+        # Nested too deeply; without this the operator's call would get no reply.
         return {}
     return decoded if isinstance(decoded, dict) else {}
 
--- a/jackdawspur/configuration/_records.py
+++ b/jackdawspur/configuration/_records.py
@@ -125,13 +125,15 @@
 
 _MARK = msgspec.json.Decoder(SnapshotMark)
 _ENVELOPE = msgspec.json.Decoder(Envelope)
+# A record nested deeper than the parser's stack must not stop every host's reader.
+UNREADABLE = (msgspec.DecodeError, RecursionError)
 
 
 def decode_envelope(body: str) -> Envelope:
     """Return the fields that stay the same for good; raise `RecordError`."""
     try:
         return _ENVELOPE.decode(body)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         raise RecordError(SkipReason.UNREADABLE, str(error)) from error
 
 
@@ -145,7 +147,7 @@
         return None
     try:
         return _MARK.decode(body)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         raise RecordError(SkipReason.UNREADABLE, str(error)) from error
 
 
--- a/jackdawspur/entry/_claims.py
+++ b/jackdawspur/entry/_claims.py
@@ -139,7 +139,7 @@
             Claim(c.customer, c.key, SubmissionId.parse(c.submission))
             for c in read.claims
         ]
-    except (msgspec.MsgspecError, InvalidId) as error:
+    except (msgspec.MsgspecError, RecursionError, InvalidId) as error:
         reason = {"offset": record.offset, "reason": str(error)}
         log.error("claim record skipped", extra=reason)
         return []
--- /dev/null
+++ b/jackdawspur/fuzz/tests/test_links.py
@@ -0,0 +1,134 @@
+"""Whatever comes over a link, the host goes on and starts nothing twice."""
+
+import random
+from collections import Counter
+from typing import get_args
+
+import pytest
+from hypothesis import given, strategies as st
+
+from jackdawspur.dispatch import (
+    AnswerCall,
+    EntryCore,
+    IdsAsked,
+    PeerReceived,
+    SendPeer,
+    Submitted,
+    Tick,
+    WorldSet,
+)
+from jackdawspur.dispatch.tests.conftest import (
+    OWN,
+    SIBLING,
+    WORLD,
+    Bench,
+    make_request,
+)
+from jackdawspur.fuzz.tests.mutations import FUZZ, NESTED, mutated_bytes
+from jackdawspur.links import Envelope, LinkError, decode, encode
+from jackdawspur.messages import Delegate, Forward, Heartbeat, Message
+from jackdawspur.model import (
+    HostId,
+    JobRequest,
+    SubmissionId,
+    TaskSpec,
+    UpstreamId,
+)
+
+SOUTH = HostId("south", "e1", 5)
+HOSTS = st.sampled_from([OWN, SIBLING, SOUTH, HostId("", "", 0)])
+SUBMISSIONS = st.builds(SubmissionId, HOSTS, st.integers(0, 4))
+NAMES = st.sampled_from(["roster", "maps", "", "nobody"])
+NUMBERS = st.floats() | st.floats(0.0, 9000.0)
+COUNTS = st.integers(-2, 9) | st.sampled_from([2**31, 2**63 - 1, -(2**63)])
+SPECS = st.builds(TaskSpec, st.just("x"), NUMBERS, COUNTS, COUNTS, COUNTS)
+REQUESTS = st.builds(
+    JobRequest,
+    NAMES,
+    NAMES,
+    st.lists(SPECS | st.just(TaskSpec("y", 50.0)), max_size=3).map(tuple),
+    NUMBERS,
+    st.booleans(),
+    st.none() | NAMES,
+    st.none() | SUBMISSIONS,
+)
+st.register_type_strategy(HostId, HOSTS)
+st.register_type_strategy(SubmissionId, SUBMISSIONS)
+st.register_type_strategy(UpstreamId, st.builds(UpstreamId, NAMES, NAMES))
+st.register_type_strategy(JobRequest, REQUESTS)
+WELL_FORMED = st.builds(
+    Delegate,
+    st.builds(SubmissionId, st.just(SIBLING), st.integers(0, 3)),
+    st.builds(make_request, st.integers(1, 3)),
+    st.floats(1.0, 4000.0),
+)
+MESSAGES = st.one_of(*(st.from_type(kind) for kind in get_args(Message))) | WELL_FORMED
+FRAME = encode(
+    Envelope(SIBLING, OWN, 3.0, Heartbeat(SIBLING, 1, True, True, 1, 2, 3, 4.0))
+)
+OTHER = encode(
+    Envelope(
+        SIBLING,
+        OWN,
+        3.0,
+        Forward(1, "roster", SubmissionId(OWN, 1), True, make_request()),
+    )
+)
+
+
+@FUZZ
+@given(mutated_bytes(FRAME) | mutated_bytes(OTHER))
+def test_a_frame_is_read_or_refused(data):
+    try:
+        envelope = decode(data)
+    except LinkError as error:
+        assert str(error)
+    else:
+        assert isinstance(envelope.message, Message)
+
+
+@pytest.mark.parametrize("start", range(0, len(OTHER), 7))
+def test_deeply_nested_frame_is_refused(start):
+    """The link's reader stops at one frame, and no message comes in any more."""
+    with pytest.raises(LinkError):
+        decode(OTHER[:start] + b"\x91" * len(NESTED))
+
+
+def carried(message) -> Message | None:
+    """Return a message as a link brings it, or None when none can carry it."""
+    try:
+        return decode(encode(Envelope(SIBLING, OWN, 0.0, message))).message
+    except (LinkError, OverflowError, UnicodeEncodeError):
+        return None
+
+
+@FUZZ
+@given(
+    st.lists(st.tuples(HOSTS, MESSAGES), max_size=8),
+    st.integers(0, 8),
+    st.booleans(),
+)
+def test_no_message_stops_a_host_or_starts_a_task_twice(sent, place, waits):
+    """One odd message ends a host's pass, or stops its clock for good.
+
+    A sound job is submitted in between, and must be sent to an upstream exactly once.
+    """
+    bench = Bench(EntryCore(OWN, random.Random(1), 0.0))
+    bench.do(WorldSet(WORLD))
+    bench.do(IdsAsked(1, "roster", 2))
+    bench.wait(0.6)
+    for turn, (sender, message) in enumerate([*sent, (SIBLING, None)]):
+        if turn == min(place, len(sent)):
+            bench.do(Submitted(7, make_request(2), waits))
+        brought = carried(message) if message is not None else None
+        if brought is not None:
+            bench.do(PeerReceived(sender, brought))
+        bench.do(Tick())
+    bench.wait(7.0)
+    counts = Counter(bench.started)
+    assert not [task for task, count in counts.items() if count > 1]
+    answered = Counter(e.call for e in bench.effects if isinstance(e, AnswerCall))
+    assert answered[7] == 1
+    for effect in bench.effects:
+        if isinstance(effect, SendPeer):
+            encode(Envelope(OWN, effect.to, 0.0, effect.message))
--- a/jackdawspur/links/_codec.py
+++ b/jackdawspur/links/_codec.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from jackdawspur.exceptions import JackdawspurError
+from jackdawspur.links._sound import is_sound
 from jackdawspur.messages import Message
 from jackdawspur.model import HostId, InvalidId
 
@@ -20,6 +21,8 @@
 ]
 
 SCHEMA_VERSION = 2
+# Data nested deeper than the parser's stack would else stop the reader of the link.
+UNREADABLE = (msgspec.MsgspecError, RecursionError)
 
 
 class LinkError(JackdawspurError):
@@ -73,7 +76,7 @@
     """Return the envelope in the bytes; raise a `LinkError`."""
     try:
         frame = _FRAMES.decode(data)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         raise UnreadableMessage(str(error)) from error
     if frame.schema != SCHEMA_VERSION:
         raise UnknownSchema(f"schema {frame.schema}, this host has {SCHEMA_VERSION}")
@@ -86,6 +89,8 @@
         raise UnreadableMessage(f"no message is called {frame.kind[:40]!r}")
     try:
         message = decoder.decode(frame.body)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         raise UnreadableMessage(f"{frame.kind}: {error}") from error
+    if not is_sound(message):
+        raise UnreadableMessage(f"{frame.kind}: a number is out of its range")
     return Envelope(sender, to, frame.sent_at, message)
--- a/jackdawspur/links/tests/test_links.py
+++ b/jackdawspur/links/tests/test_links.py
@@ -1,5 +1,8 @@
 """Messages survive the codec; foreign and stale ones do no harm."""
 
+import math
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings, strategies as st
 
@@ -9,10 +12,18 @@
     LinkError,
     StaleFilter,
     UnknownSchema,
+    UnreadableMessage,
     decode,
     encode,
 )
-from jackdawspur.messages import Delegate, Heartbeat, SlotGrant, SlotsOfUpstream
+from jackdawspur.messages import (
+    Delegate,
+    Forward,
+    Heartbeat,
+    Pulse,
+    SlotGrant,
+    SlotsOfUpstream,
+)
 from jackdawspur.model import (
     HostId,
     JobRequest,
@@ -24,6 +35,7 @@
 ONE = HostId("north", "e1", 5)
 TWO = HostId("south", "e2", 9)
 REQUEST = JobRequest("roster", "confirm", (TaskSpec("{}", 120.0),), 900.0, key="k")
+ENDLESS = {"deadline_ms": math.inf}
 
 
 @pytest.mark.parametrize(
@@ -39,6 +51,24 @@
     assert decode(encode(envelope)) == envelope
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        Delegate(SubmissionId(ONE, 4), REQUEST, math.nan),
+        Delegate(SubmissionId(ONE, 4), replace(REQUEST, tasks=()), 1.0),
+        Forward(1, "roster", SubmissionId(ONE, 4), True, replace(REQUEST, **ENDLESS)),
+        Pulse(1, 2, 3, math.nan),
+    ],
+)
+def test_message_with_impossible_numbers_is_refused(message):
+    """Callers of a host wait for ever after one message of a peer.
+
+    A time in it is no number, and as a timer holds up all that come after it.
+    """
+    with pytest.raises(UnreadableMessage):
+        decode(encode(Envelope(ONE, TWO, 12.25, message)))
+
+
 @settings(derandomize=True, max_examples=200)
 @given(st.binary(max_size=200))
 def test_foreign_bytes_are_refused(data):
