--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,9 @@
 bench: install
 	$(BIN)/python -m jackdawspur.bench --deployment=$(if $(filter default undefined file,$(origin DEPLOYMENT)),all,$(DEPLOYMENT)) $(BENCH_FLAGS)
 
+# Draws docs/pictures from the steady runs of all policies.
+bench-report: install
+	$(BIN)/python -m jackdawspur.bench --scenario=steady | $(BIN)/python -m jackdawspur.pictures
+
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
--- /dev/null
+++ b/jackdawspur/pictures/_draw.py
@@ -0,0 +1,78 @@
+"""Drawing with matplotlib, the same bytes for the same figures."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("svg")
+matplotlib.rcParams["svg.hashsalt"] = "jackdawspur"
+
+from matplotlib import pyplot  # noqa: E402
+
+from jackdawspur.pictures._lines import (  # noqa: E402
+    ChangeLine,
+    PictureError,
+    SteadyLine,
+)
+
+__all__ = ["draw_configuration", "draw_tail"]
+
+OWN_POLICY = "own"
+OWN_WIDTH, OTHER_WIDTH = 3.0, 1.2
+GOAL_RATIO = 1.2
+BOUND_MS = 6000.0
+PERCENT = 100.0
+# Without a date the file changes only when the figures do.
+METADATA = {"Date": None}
+
+
+def draw_tail(lines: Sequence[SteadyLine], path: Path) -> None:
+    """Draw the 99th percentile by load, a panel a deployment, a line a policy."""
+    if not lines:
+        raise PictureError("no steady runs to draw")
+    deployments = sorted({line.deployment for line in lines})
+    figure, axes = pyplot.subplots(
+        1, len(deployments), figsize=(6 * len(deployments), 4), squeeze=False
+    )
+    for axis, deployment in zip(axes[0], deployments, strict=True):
+        _draw_policies(axis, [one for one in lines if one.deployment == deployment])
+        axis.set_title(deployment)
+    _save(figure, path)
+
+
+def _draw_policies(axis, lines: Sequence[SteadyLine]) -> None:
+    for policy in sorted({line.policy for line in lines}):
+        points = sorted(
+            (line.load * PERCENT, line.p99) for line in lines if line.policy == policy
+        )
+        width = OWN_WIDTH if policy == OWN_POLICY else OTHER_WIDTH
+        axis.plot(*zip(*points, strict=True), marker="o", linewidth=width, label=policy)
+    axis.axhline(GOAL_RATIO, color="grey", linestyle=":", label="goal at 70 %")
+    axis.set_yscale("log")
+    axis.set_xlabel("load, % of all slots")
+    axis.set_ylabel("p99 of response over ideal")
+    axis.legend(fontsize="small")
+
+
+def draw_configuration(lines: Sequence[ChangeLine], path: Path) -> None:
+    """Draw the times from confirm to in force everywhere, against the bound."""
+    if not lines:
+        raise PictureError("no changes of the configuration to draw")
+    figure, axis = pyplot.subplots(figsize=(7, 4))
+    places = range(len(lines))
+    axis.bar([p - 0.2 for p in places], [one.p50_ms for one in lines], 0.4, label="p50")
+    axis.bar([p + 0.2 for p in places], [one.p99_ms for one in lines], 0.4, label="p99")
+    axis.axhline(BOUND_MS, color="red", linestyle=":", label="bound")
+    axis.set_yscale("log")
+    axis.set_xticks(list(places), [f"{one.measure}\n{one.changes}" for one in lines])
+    axis.set_ylabel("confirm to in force everywhere, ms")
+    axis.legend(fontsize="small")
+    _save(figure, path)
+
+
+def _save(figure, path: Path) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.tight_layout()
+    figure.savefig(path, format="svg", metadata=METADATA)
+    pyplot.close(figure)
