--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 # Draws docs/pictures from the steady runs of all policies.
 bench-report: install
 	$(BIN)/python -m jackdawspur.bench --scenario=steady | $(BIN)/python -m jackdawspur.pictures
+# FUZZ_EXAMPLES is the number of examples a test; each run draws new ones.
+fuzz: install
+	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),2000) $(BIN)/python -m pytest jackdawspur/fuzz
 
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
