--- a/jackdawspur/dispatch/_core.py
+++ b/jackdawspur/dispatch/_core.py
@@ -13,6 +13,7 @@
     DrainAsked,
     Event,
     HostsListed,
+    HostsNamed,
     IdsAsked,
     PeerReceived,
     Polled,
@@ -46,7 +47,7 @@
     read_claims,
     submit,
 )
-from jackdawspur.model import HostId
+from jackdawspur.model import HostId, World
 
 __all__ = ["TICK_S", "EntryCore"]
 
@@ -136,6 +137,16 @@
     divide_slots(state, now)
 
 
+def _name_hosts(state: State, event: HostsNamed, now: float) -> None:
+    """Let the view count hosts that no configuration names yet.
+
+    Else a host that starts while the log is down would know of no peer to ask for
+    the configuration, though its siblings' heartbeats arrive.
+    """
+    if state.world is None:
+        state.view.set_world(World(entry_hosts=event.hosts), now)
+
+
 def _tick(state: State, _event: Tick, now: float) -> None:
     state.view.tick(now)
     refresh_view(state, now)
@@ -172,6 +183,7 @@
     StatusLost: lose_status,
     UsageReplied: _note_usage,
     PeerReceived: receive,
+    HostsNamed: _name_hosts,
     WorldSet: _set_world,
     HostsListed: _list_hosts,
     ClaimEnded: end_claim,
--- a/jackdawspur/dispatch/_events.py
+++ b/jackdawspur/dispatch/_events.py
@@ -4,6 +4,7 @@
 
 from jackdawspur.messages import Message
 from jackdawspur.model import (
+    EntryHost,
     HostId,
     JobRequest,
     SubmissionId,
@@ -22,6 +23,7 @@
     "DrainAsked",
     "Event",
     "HostsListed",
+    "HostsNamed",
     "IdsAsked",
     "PeerReceived",
     "Polled",
@@ -134,6 +136,13 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class HostsNamed:
+    """The settings name the entry hosts, to be heard before a configuration is."""
+
+    hosts: tuple[EntryHost, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class WorldSet:
     """A newer version of the configuration came into force here."""
@@ -201,6 +210,7 @@
     | StatusLost
     | UsageReplied
     | PeerReceived
+    | HostsNamed
     | WorldSet
     | HostsListed
     | ClaimEnded
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -42,6 +42,7 @@
     EntryCore,
     Event,
     HostsListed,
+    HostsNamed,
     IssueIds,
     PeerReceived,
     SendPeer,
@@ -136,6 +137,8 @@
             self._host_list = HttpHostList(client.register(self))
 
     def _begin(self) -> None:
+        own = EntryHost(self._own.zone, self._own.name, "", "")
+        self.post(HostsNamed((own, *_siblings(self._settings))))
         self._claims.begin()
         if self._settings.host_list is not None:
             self._fetch_list()
