--- a/jackdawspur/configuration/_desk.py
+++ b/jackdawspur/configuration/_desk.py
@@ -31,6 +31,7 @@
     right_for,
 )
 from jackdawspur.configuration._planner import Plan, plan_of
+from jackdawspur.configuration._readiness import LogHealth
 from jackdawspur.configuration._records import (
     Confirm,
     Proposal,
@@ -169,6 +170,11 @@
         if now < waiting.deadline:
             self._awaited.append(waiting)
             return []
+        if self._keeper.log_health is LogHealth.DOWN:
+            # The plan may stand in the log; an operator told to plan again would
+            # only make a second one.
+            text = "the log can't be read for this plan; nothing changed, ask again"
+            return self._refuse(request, NOBODY, DeskCode.LOG_UNAVAILABLE, text)
         text = "no such plan is kept; plan again"
         return self._refuse(request, NOBODY, DeskCode.NOT_FOUND, text)
 
--- a/jackdawspur/configuration/_snapshots.py
+++ b/jackdawspur/configuration/_snapshots.py
@@ -36,7 +36,10 @@
         if self._due_since is None:
             self._due_since = now
         names = sorted({(host.zone, host.name) for host in (*live, self._host)})
-        turn = names.index((self._host.zone, self._host.name)) * STAGGER_S
+        # The first one waits too: when hosts start together none has heard of the
+        # others yet, and each would believe that it is the first.
+        place = 1 + names.index((self._host.zone, self._host.name))
+        turn = place * STAGGER_S
         if now < max(self._due_since + turn, self._not_before):
             return False
         self._not_before = now + RETRY_S
