--- a/jackdawspur/entry/tests/test_operator_session.py
+++ b/jackdawspur/entry/tests/test_operator_session.py
@@ -69,7 +69,9 @@
     terminal.run(ANN, "confirm", ann)
     version = host.version()
     assert version > first
-    wait_until(lambda: _settled(deployment, version, version), "the change in every zone")
+    wait_until(
+        lambda: _settled(deployment, version, version), "the change in every zone"
+    )
     terminal.run(ANN, "confirm", ann)
     terminal.run(BEN, "confirm", ben)
     terminal.run("nobody", "history")
