Borrow slots of every zone, for one task each, the most urgent first

Cause: a host reached 32 slots and what its sibling granted (half of its spare, from heartbeats up to 0.25 s old), kept what it borrowed for a second, and started its own tasks before more urgent ones elsewhere. Quotas as large as all slots were divided among hosts, so wide jobs waited beside idle slots.

Now an open request tells how urgent its tasks are; a lender serves more urgent ones first, a borrowed slot serves one task and goes back. A quota of at least all slots bounds nothing and is not divided.

--- a/jackdawspur/bench/_own.py
+++ b/jackdawspur/bench/_own.py
@@ -13,7 +13,7 @@
     """Drive an `EntryCore` with ticks as often as it asks for."""
 
     def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
-        self._core = EntryCore(host, rng, now)
+        self._core = EntryCore(host, rng, now, crosses_zones=True)
         self._ticked_at = now
 
     def next_wake(self) -> float:
--- a/jackdawspur/dispatch/_core.py
+++ b/jackdawspur/dispatch/_core.py
@@ -28,7 +28,12 @@
 )
 from jackdawspur.dispatch._flights import note_incarnation
 from jackdawspur.dispatch._loads import divide_slots, refresh_view
-from jackdawspur.dispatch._peers import receive, send_heartbeats, trade_slots
+from jackdawspur.dispatch._peers import (
+    lend_urgently,
+    receive,
+    send_heartbeats,
+    trade_slots,
+)
 from jackdawspur.dispatch._resolve import lose_status, reply_status
 from jackdawspur.dispatch._run import (
     lose_starts,
@@ -59,10 +64,17 @@
     """Turn what happens to an entry host into what it shall do.
 
     All times are seconds on one monotonic clock; randomness comes from `rng` alone.
+    With `crosses_zones` upstreams of other zones must be reachable from here too.
     """
 
-    def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
-        self._state = State(host, rng, now)
+    def __init__(
+        self,
+        host: HostId,
+        rng: random.Random,
+        now: float,
+        crosses_zones: bool = False,
+    ) -> None:
+        self._state = State(host, rng, now, crosses_zones)
 
     @property
     def host(self) -> HostId:
@@ -107,6 +119,7 @@
         state.run_due(now)
         for event in events:
             _HANDLERS[type(event)](state, event, now)
+        lend_urgently(state, now)
         start_waiting(state, now)
         trade_slots(state, now)
         return state.take_effects()
--- a/jackdawspur/dispatch/_flights.py
+++ b/jackdawspur/dispatch/_flights.py
@@ -22,7 +22,7 @@
     flight = Flight(job, index, placement)
     state.flights[task] = flight
     state.flights_at.setdefault(upstream, set()).add(task)
-    state.slots.take(upstream)
+    state.slots.take(upstream, now)
     state.room.take(upstream, job.spec(index))
     state.health.started(upstream)
     state.quotas.started(job.customer)
--- a/jackdawspur/dispatch/_loads.py
+++ b/jackdawspur/dispatch/_loads.py
@@ -28,6 +28,8 @@
             state.elsewhere.forget(gone)
         state.peers = peers
         state.quotas.set_view((*peers, state.own))
+        if state.crosses_zones:
+            state.slots.set_partners(h for h in peers if h.zone != state.own.zone)
 
 
 def divide_slots(state: State, now: float) -> None:
--- a/jackdawspur/dispatch/_peers.py
+++ b/jackdawspur/dispatch/_peers.py
@@ -13,6 +13,7 @@
 from jackdawspur.dispatch._place import enqueue
 from jackdawspur.dispatch._state import State
 from jackdawspur.dispatch._submit import ask_cancel, cancel_job, expire, poll, submit
+from jackdawspur.health import UNLIMITED
 from jackdawspur.messages import (
     CancelForward,
     Delegate,
@@ -25,9 +26,9 @@
     SlotRequest,
     SlotReturn,
 )
-from jackdawspur.model import HostId
+from jackdawspur.model import HostId, UpstreamId
 
-__all__ = ["receive", "send_heartbeats", "trade_slots"]
+__all__ = ["lend_urgently", "receive", "send_heartbeats", "trade_slots"]
 
 MS_PER_S = 1000.0
 NO_VERSION = -1
@@ -115,7 +116,8 @@
 def _slot_request(
     state: State, sender: HostId, message: SlotRequest, now: float
 ) -> None:
-    grant = state.slots.lend(sender, message, state.queue.waiting(), now)
+    waiting = state.queue.waiting()
+    grant = state.slots.lend(sender, message, waiting, now, not_lent(state, now))
     if grant is not None:
         state.emit(SendPeer(sender, grant))
 
@@ -145,16 +147,50 @@
 }
 
 
-def trade_slots(state: State, now: float) -> None:
-    """Ask siblings for slots that waiting tasks lack, and return unused ones."""
+def not_lent(state: State, now: float) -> set[UpstreamId]:
+    """Return the upstreams whose slots are of no use to others."""
+    return {
+        upstream
+        for upstream in state.slots.open_slots(now)
+        if state.view.upstream_leaving(upstream)
+        or state.health.limit(upstream, now) < UNLIMITED
+    }
+
+
+def lend_urgently(state: State, now: float) -> None:
+    """Lend idle slots to hosts whose tasks are more urgent than any here."""
+    if not state.slots.asked:
+        return
+    latest_start = state.queue.latest_start()
+    if latest_start is not None:
+        _lend(state, now, latest_start)
+
+
+def _lend(state: State, now: float, latest_start: float | None) -> None:
     waiting = state.queue.waiting()
+    excluded = not_lent(state, now)
+    for lend in state.slots.lend_late(waiting, now, excluded, latest_start):
+        state.emit(SendPeer(lend.to, lend.grant))
+
+
+def _startable(state: State, now: float) -> int:
+    """Return the number of waiting tasks that their customers' quotas let start."""
+    return sum(
+        min(count, state.quotas.room(customer, now))
+        for customer, count in state.queue.waiting_customers().items()
+    )
+
+
+def trade_slots(state: State, now: float) -> None:
+    """Ask others for slots that waiting tasks lack, and return unused ones."""
+    waiting = _startable(state, now)
     if waiting and now >= state.hold_until:
-        spare = state.sibling_spare(now)
-        for ask in state.slots.ask(waiting, spare, now):
+        slack_ms = (state.queue.latest_start(now) - now) * MS_PER_S
+        for ask in state.slots.ask(waiting, state.spare(now), now, slack_ms):
             state.counters.loans_asked += 1
             state.emit(SendPeer(ask.to, ask.request))
-    for lend in state.slots.lend_late(waiting, now):
-        state.emit(SendPeer(lend.to, lend.grant))
+    if state.slots.asked:
+        _lend(state, now, None)
     for back in state.slots.give_back(waiting, now):
         state.emit(SendPeer(back.to, back.message))
 
--- a/jackdawspur/dispatch/_place.py
+++ b/jackdawspur/dispatch/_place.py
@@ -81,7 +81,7 @@
     competing = queue.active_weight()
     if not queue.waiting(customer.name):
         competing += weight
-    spare = sum(state.sibling_spare(now).values())
+    spare = sum(state.spare(now).values())
     return LocalLoad(
         slots=state.slots.capacity() + spare,
         free_slots=state.slots.free(now) + spare,
--- a/jackdawspur/dispatch/_run.py
+++ b/jackdawspur/dispatch/_run.py
@@ -52,7 +52,7 @@
         return []
     excluded = set()
     limits = {}
-    for upstream in state.room.upstreams():
+    for upstream in state.slots.open_slots(now):
         limit = state.health.limit(upstream, now)
         if state.view.upstream_leaving(upstream) or limit == 0:
             excluded.add(upstream)
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -72,8 +72,11 @@
 class State:
     """Hold the decisions' memory; functions of this package change it."""
 
-    def __init__(self, own: HostId, rng: random.Random, now: float) -> None:
+    def __init__(
+        self, own: HostId, rng: random.Random, now: float, crosses_zones: bool
+    ) -> None:
         self.own = own
+        self.crosses_zones = crosses_zones
         self.rng = rng
         self.last_event_at = now
         self.world: World | None = None
@@ -182,13 +185,19 @@
             submission = self.retried[submission]
         return submission
 
-    def sibling_spare(self, now: float) -> dict[HostId, int]:
-        """Return the slots that siblings last said they could lend."""
+    def spare(self, now: float) -> dict[HostId, int]:
+        """Return the slots that others last said they could lend."""
         spare = {}
         for host in self.view.siblings():
             load = self.view.load_of(host)
-            if load is not None and self.view.is_live(host):
+            if load is not None:
                 spare[host] = load.free_slots
+        if not self.crosses_zones:
+            return spare
+        for zone in sorted({host.zone for host in self.peers} - {self.own.zone}):
+            hosts = self.view.accepting(zone)
+            free = self.view.zone_summary(zone).free_slots
+            spare.update(dict.fromkeys(hosts, free // max(1, len(hosts))))
         return spare
 
     def find_job(self, submission: SubmissionId) -> Job | None:
@@ -230,8 +239,9 @@
         for upstream in world.upstreams:
             self.zone_slots[upstream.id.zone] += upstream.slots
         self.sizes = UpstreamSizes(own)
-        self.room.set_upstreams(own)
-        self.health.set_upstreams(u.id for u in own)
+        reached = world.upstreams if self.crosses_zones else own
+        self.room.set_upstreams(reached)
+        self.health.set_upstreams(u.id for u in reached)
         self.queue.set_customers(world.customers)
         self.quotas.set_world(world)
         self.retries.set_customers(frozenset(self.customers))
--- a/jackdawspur/limits/_quotas.py
+++ b/jackdawspur/limits/_quotas.py
@@ -36,10 +36,12 @@
         "share",
         "stale",
         "told",
+        "unbounded",
     )
 
     def __init__(self) -> None:
         self.quota = 0
+        self.unbounded = False
         self.running = 0
         self.share = 0
         self.kept = 0
@@ -86,9 +88,13 @@
         places = [(entry.zone, entry.name) for entry in world.entry_hosts]
         self._reach.configure(places, self._advertised_at)
         quotas = {c.name: c.quota_slots for c in world.customers}
+        slots = sum(upstream.slots for upstream in world.upstreams)
         for name in self._customers.keys() | quotas.keys():
             use = self._use(name)
             use.quota = quotas.get(name, 0)
+            # No more tasks can run than there are slots: such a quota bounds nothing,
+            # and dividing it would only keep wide jobs waiting beside idle slots.
+            use.unbounded = 0 < slots <= use.quota
             use.stale = True
             use.divided_at = float("-inf")
 
@@ -136,17 +142,26 @@
 
     def may_start(self, customer: str, now: float) -> bool:
         """Tell whether one more task of a customer may start here."""
+        return self.room(customer, now) > 0
+
+    def room(self, customer: str, now: float) -> int:
+        """Return how many more tasks of a customer may start here."""
         use = self._current(customer, now)
-        if use is None or use.running >= use.share:
-            return False
+        if use is None:
+            return 0
+        if use.unbounded:
+            return max(0, use.quota - use.running)
         # A share that moved here may still be in use where it came from: tasks there
         # count until they are reported ended, but for the part always kept here.
-        return use.running < use.kept or use.running + use.others < use.reachable
+        free = max(use.kept, use.reachable - use.others)
+        return max(0, min(use.share, free) - use.running)
 
     def share(self, customer: str, now: float) -> int:
         """Return the slots that a customer may have running here."""
         use = self._current(customer, now)
-        return use.share if use else 0
+        if use is None:
+            return 0
+        return use.quota if use.unbounded else use.share
 
     def running(self, customer: str) -> int:
         """Return the tasks that a customer has running from here."""
--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -139,10 +139,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotRequest:
-    """Ask a sibling to lend slots for one term; `number` tells requests apart."""
+    """Ask a host to lend slots for one term; `number` tells requests apart.
+
+    `slack_ms` is how long the most urgent task may wait and still be in time.
+    """
 
     wanted: int
     number: int = 0
+    slack_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -163,6 +163,15 @@
         lane.dropped()
         return count
 
+    def latest_start(self, now: float | None = None) -> float | None:
+        """Return when the first task in order should start to be in time.
+
+        Its job's work sets it back, see `WaitingJob`. None when no task may start;
+        `now` stands in for it if given.
+        """
+        lane = self._first_lane()
+        return lane.head().key if lane is not None else now
+
     def reservation(self, now: float) -> Reservation | None:
         """Return the task for which one upstream should be left to empty."""
         job = self._parking.overdue(now)
--- a/jackdawspur/sharing/_limits.py
+++ b/jackdawspur/sharing/_limits.py
@@ -8,22 +8,24 @@
     "LEND_TERM",
     "LONGEST_BACK_OFF",
     "LONGEST_HOLD",
+    "REPLY_WAIT",
     "REQUEST_LIFE",
 ]
 
 # A borrower starts tasks on lent slots for this long after it asked.
-LEND_TERM = 1.0
+LEND_TERM = 0.5
 # Covers a start sent in the last moment of the term that is still on its way.
 LEND_MARGIN = 0.25
 # Bounds how long a lender waits for slots whose return was lost; a task that runs
 # longer on a lent slot may then meet a refusal, never a second start.
 LONGEST_HOLD = 30.0
-# A sibling that did not grant is not asked again before this.
-ASK_AGAIN = 0.25
-# A lender that has nothing idle keeps a request so long, less than the time above,
-# as the borrower sends back what answers an older request.
+# A host is not asked again for as much before this.
+ASK_AGAIN = 0.2
+# What a request lacks is granted for so long, as slots become idle.
 REQUEST_LIFE = 0.2
-# Lent slots are kept this long without use, so one loan serves several tasks.
-IDLE_BEFORE_RETURN = 0.1
+# Slots asked for count as on their way for this long.
+REPLY_WAIT = 0.005
+# Lent slots that the tasks waiting here can't use go back after this.
+IDLE_BEFORE_RETURN = 0.02
 FIRST_BACK_OFF = 0.05
 LONGEST_BACK_OFF = 0.8
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -2,17 +2,20 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from jackdawspur.messages import SlotGrant, SlotRequest, SlotReturn
 from jackdawspur.model import HostId, Upstream, UpstreamId, rendezvous
+from jackdawspur.sharing._borrowing import Ask, Borrowing
 from jackdawspur.sharing._division import divide
-from jackdawspur.sharing._limits import FIRST_BACK_OFF, LONGEST_BACK_OFF, REQUEST_LIFE
-from jackdawspur.sharing._loans import Ask, Borrowing, GiveBack, Lend, Lending, refusal
+from jackdawspur.sharing._limits import FIRST_BACK_OFF, LONGEST_BACK_OFF
+from jackdawspur.sharing._loans import GiveBack, Lend, Lending
+from jackdawspur.sharing._requests import OpenRequest, Requests
 
 __all__ = ["SlotTable"]
 
+MS = 1000.0
 NOBODY: frozenset[UpstreamId] = frozenset()
 NO_LIMITS: Mapping[UpstreamId, int] = {}
 
@@ -23,25 +26,29 @@
     length: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Unmet:
-    request: SlotRequest
-    until: float
-
-
 class SlotTable:
-    """Count the slots of the own zone's upstreams that this host holds and uses."""
+    """Count the slots that this host holds, borrows and uses.
+
+    It holds slots of its own zone's upstreams; borrowed ones may be of other zones.
+    """
 
     def __init__(self, own: HostId) -> None:
         self._own = own
         self._members: frozenset[HostId] = frozenset((own,))
+        self._partners: frozenset[HostId] = frozenset()
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._base: Mapping[UpstreamId, int] = {}
         self._running: Counter[UpstreamId] = Counter()
+        # Tasks on own slots; the others of `_running` are on borrowed ones.
+        self._on_own: Counter[UpstreamId] = Counter()
+        # Own slots neither lent nor used, kept up with each change; negative where
+        # the share shrank below what runs.
+        self._own_free: dict[UpstreamId, int] = {}
+        self._busy = 0
         self._rack_running: Counter[str] = Counter()
         self._racks: dict[UpstreamId, str] = {}
         self._back_offs: dict[UpstreamId, _BackOff] = {}
-        self._unmet: dict[HostId, _Unmet] = {}
+        self._requests = Requests()
         self._lending = Lending()
         self._borrowing = Borrowing()
 
@@ -56,15 +63,23 @@
         self._members = frozenset(hosts) | {self._own}
         shares = divide(self._upstreams.values(), self._members)
         self._base = shares[self._own]
+        self._own_free = {
+            name: count - self._lending.out[name] - self._on_own[name]
+            for name, count in self._base.items()
+        }
         self.expire(now)
 
+    def set_partners(self, hosts: Iterable[HostId]) -> None:
+        """Take the live hosts of other zones that may borrow here."""
+        self._partners = frozenset(hosts)
+
     def capacity(self) -> int:
         """Return the slots that the division gives this host."""
         return sum(self._base.values())
 
     def busy(self) -> int:
         """Return the tasks of this host that occupy slots."""
-        return self._running.total()
+        return self._busy
 
     def running(self) -> Mapping[UpstreamId, int]:
         """Return the tasks of this host on each upstream."""
@@ -72,11 +87,19 @@
 
     def free(self, now: float) -> int:
         """Return the slots on which starts may be sent now."""
-        return self._free(now).total()
+        return sum(self.open_slots(now).values())
 
     def free_own(self, now: float) -> int:
         """Return the free slots that could be lent, for heartbeats."""
-        return self._lendable(now).total()
+        return sum(self._lendable(now, NOBODY).values())
+
+    def open_slots(self, now: float) -> dict[UpstreamId, int]:
+        """Return the slots of each upstream on which starts may be sent now."""
+        free = self._lendable(now, NOBODY)
+        for name, count in self._borrowing.usable(now).items():
+            if not self._is_backed_off(name, now):
+                free[name] = free.get(name, 0) + count
+        return free
 
     def pick(
         self,
@@ -91,25 +114,37 @@
         `limits` caps this host's running tasks on some upstreams. With `pack` few
         upstreams are filled up instead, so that starts travel together.
         """
-        open_slots = self._free(now)
+        open_slots = self.open_slots(now)
         for name in excluded:
             open_slots.pop(name, None)
         for name, limit in limits.items():
-            open_slots[name] = min(open_slots[name], limit - self._running[name])
+            if name in open_slots:
+                room = limit - self._running[name]
+                open_slots[name] = min(open_slots[name], room)
         if pack:
             return self._packed(count, open_slots)
         return self._spread(count, open_slots)
 
-    def take(self, upstream: UpstreamId) -> None:
-        """Occupy a slot, before the start is sent."""
+    def take(self, upstream: UpstreamId, now: float) -> None:
+        """Occupy a slot, before the start is sent; an own one if there is one."""
+        self._busy += 1
         self._running[upstream] += 1
         self._rack_running[self._rack(upstream)] += 1
+        own_free = self._own_free.get(upstream, 0) > 0
+        if own_free or not self._borrowing.take(upstream, now):
+            self._on_own[upstream] += 1
+            self._shift(upstream, -1)
 
     def release(self, upstream: UpstreamId) -> None:
-        """Free the slot of a task that ended or was refused."""
-        if self._running[upstream] > 0:
-            self._running[upstream] -= 1
-            self._rack_running[self._rack(upstream)] -= 1
+        """Free the slot of a task that ended or was refused, a borrowed one first."""
+        if self._running[upstream] <= 0:
+            return
+        self._busy -= 1
+        self._running[upstream] -= 1
+        self._rack_running[self._rack(upstream)] -= 1
+        if not self._borrowing.release(upstream):
+            self._on_own[upstream] -= 1
+            self._shift(upstream, 1)
 
     def refused(self, upstream: UpstreamId, now: float) -> None:
         """Leave an upstream that was full alone for a while, longer each time."""
@@ -122,98 +157,144 @@
         self._back_offs.pop(upstream, None)
 
     def ask(
-        self, waiting: int, free_slots: Mapping[HostId, int], now: float
+        self,
+        waiting: int,
+        spare: Mapping[HostId, int],
+        now: float,
+        slack_ms: float = 0.0,
     ) -> tuple[Ask, ...]:
-        """Ask siblings for the slots that `waiting` tasks lack.
+        """Ask others for the slots that `waiting` tasks lack.
 
-        `free_slots` holds what each sibling last said it could lend.
+        `spare` holds what each host last said it could lend, `slack_ms` how long the
+        most urgent task may still wait. Hosts of the own zone are asked first.
         """
-        wanted = waiting - self.free(now)
+        wanted = waiting - self.free(now) - self._borrowing.awaited(now)
         asks = []
-        likely = sorted(free_slots.items(), key=lambda item: (-item[1], item[0]))
-        for sibling, spare in likely:
-            if wanted <= 0 or spare <= 0:
+        for host in sorted(spare, key=lambda host: self._preference(host, spare)):
+            if wanted <= 0:
                 break
-            if sibling != self._own and self._borrowing.may_ask(sibling, now):
-                asks.append(self._borrowing.ask(sibling, wanted, now))
-            wanted -= spare
+            # All are told when nobody has a slot: the first to get one lends it.
+            part = min(wanted, spare[host]) if spare[host] > 0 else wanted
+            if self._borrowing.may_ask(host, part, now):
+                asks.append(self._borrowing.ask(host, part, slack_ms, now))
+                wanted -= max(0, spare[host])
         return tuple(asks)
 
     def lend(
-        self, sender: HostId, request: SlotRequest, waiting_own: int, now: float
+        self,
+        sender: HostId,
+        request: SlotRequest,
+        waiting_own: int,
+        now: float,
+        excluded: Collection[UpstreamId] = NOBODY,
     ) -> SlotGrant | None:
-        """Grant a sibling idle slots, half of them at most; None when none is idle.
+        """Grant another host slots that are idle here; None when none is idle.
 
-        A request that got nothing is kept for a short while, see `lend_late`.
+        What a request lacks stays open for a short while, see `lend_late`.
         """
-        if sender not in self._members:
+        if sender not in self._members and sender not in self._partners:
             return None
-        spare = self._lendable(now)
-        count = min(request.wanted, (spare.total() - waiting_own + 1) // 2)
-        if count <= 0:
-            self._unmet[sender] = _Unmet(request, now + REQUEST_LIFE)
-            return None
-        self._unmet.pop(sender, None)
-        chosen = Counter(self._spread(count, spare))
-        return self._lending.grant(sender, request, chosen, now)
+        self._requests.take(sender, request, now)
+        for one in self._requests.by_urgency(now):
+            if one.sender == sender:
+                return self._grant(one, waiting_own, now, excluded)
+        return None
+
+    def lend_late(
+        self,
+        waiting_own: int,
+        now: float,
+        excluded: Collection[UpstreamId] = NOBODY,
+        latest_start: float | None = None,
+    ) -> tuple[Lend, ...]:
+        """Grant idle slots to open requests, the most urgent first.
 
-    def lend_late(self, waiting_own: int, now: float) -> tuple[Lend, ...]:
-        """Grant idle slots to siblings whose recent request got none."""
+        With `latest_start`, that of the most urgent task here, only requests that
+        are more urgent get some, but those before any task here.
+        """
         lends = []
-        for sender, unmet in list(self._unmet.items()):
-            grant = None
-            if now < unmet.until:
-                grant = self.lend(sender, unmet.request, waiting_own, now)
+        for one in self._requests.by_urgency(now):
+            urgent = latest_start is not None and one.latest_start < latest_start
+            if latest_start is not None and not urgent:
+                break
+            grant = self._grant(one, 0 if urgent else waiting_own, now, excluded)
             if grant:
-                lends.append(Lend(sender, grant))
-            elif now < unmet.until:
-                # A request that stays unmet must not live longer for each try.
-                self._unmet[sender] = unmet
-            else:
-                del self._unmet[sender]
+                lends.append(Lend(one.sender, grant))
         return tuple(lends)
 
+    @property
+    def asked(self) -> bool:
+        """Tell whether another host lacks slots."""
+        return bool(self._requests)
+
     def borrow(
         self, sender: HostId, grant: SlotGrant, now: float
     ) -> tuple[GiveBack, ...]:
         """Take a grant into use, or return it when it comes too late."""
         if self._borrowing.accept(sender, grant, now):
             return ()
-        return (refusal(sender, grant),)
+        return (GiveBack(sender, SlotReturn(grant.grant, grant.slots)),)
 
     def give_back(self, waiting: int, now: float) -> tuple[GiveBack, ...]:
         """Return borrowed slots that are no longer needed or allowed."""
-        in_use = self._running - self._owned()
-        return self._borrowing.give_back(in_use, now, waiting > 0)
+        if not waiting:
+            self._borrowing.forget_asked()
+        return self._borrowing.give_back(now, waiting > 0)
 
     def returned(self, sender: HostId, message: SlotReturn) -> None:
         """Take lent slots back."""
-        self._lending.returned(sender, message)
+        self._take_in(self._lending.returned(sender, message))
 
     def expire(self, now: float) -> None:
         """Take back slots that dead borrowers keep."""
-        self._lending.expire(self._members, now)
-
-    def _owned(self) -> Counter[UpstreamId]:
-        return Counter(self._base) - self._lending.out
-
-    def _free(self, now: float) -> Counter[UpstreamId]:
-        free = self._owned() + self._borrowing.usable(now) - self._running
-        return self._without_back_offs(free, now)
+        self._take_in(self._lending.expire(self._members | self._partners, now))
 
-    def _lendable(self, now: float) -> Counter[UpstreamId]:
-        borrowed = self._borrowing.held()
-        spare = self._owned() - self._running
-        own = Counter({name: n for name, n in spare.items() if name not in borrowed})
-        return self._without_back_offs(own, now)
-
-    def _without_back_offs(
-        self, slots: Counter[UpstreamId], now: float
-    ) -> Counter[UpstreamId]:
-        for upstream, back_off in self._back_offs.items():
-            if now < back_off.until:
-                slots.pop(upstream, None)
-        return slots
+    def _grant(
+        self,
+        one: OpenRequest,
+        waiting_own: int,
+        now: float,
+        excluded: Collection[UpstreamId],
+    ) -> SlotGrant | None:
+        spare = self._lendable(now, excluded)
+        count = min(one.wanted, sum(spare.values()) - waiting_own)
+        if count <= 0:
+            return None
+        one.wanted -= count
+        chosen = Counter(self._spread(count, spare))
+        for name, slots in chosen.items():
+            self._shift(name, -slots)
+        return self._lending.grant(one.sender, one.request, chosen, now)
+
+    def _take_in(self, slots: Mapping[UpstreamId, int]) -> None:
+        for name, count in slots.items():
+            self._shift(name, count)
+
+    def _shift(self, upstream: UpstreamId, count: int) -> None:
+        # An upstream that left the configuration has no share to count.
+        if upstream in self._own_free:
+            self._own_free[upstream] += count
+
+    def _lendable(
+        self, now: float, excluded: Collection[UpstreamId]
+    ) -> dict[UpstreamId, int]:
+        return {
+            name: count
+            for name, count in self._own_free.items()
+            if count > 0 and name not in excluded and not self._is_backed_off(name, now)
+        }
+
+    def _is_backed_off(self, upstream: UpstreamId, now: float) -> bool:
+        back_off = self._back_offs.get(upstream)
+        return back_off is not None and now < back_off.until
+
+    def _preference(
+        self, host: HostId, spare: Mapping[HostId, int]
+    ) -> tuple[bool, bool, int, int]:
+        near = host.zone == self._own.zone
+        # Equal hosts in an order of each asker's own, else all would ask the same.
+        order = rendezvous(self._own.name, self._own.zone, host.name, host.zone)
+        return spare[host] <= 0, not near, -spare[host], order
 
     def _spread(
         self, count: int, open_slots: Mapping[UpstreamId, int]
@@ -234,7 +315,7 @@
     def _packed(
         self, count: int, open_slots: Mapping[UpstreamId, int]
     ) -> tuple[UpstreamId, ...]:
-        order = sorted(open_slots, key=lambda name: (-open_slots[name], name))
+        order = sorted(open_slots, key=self._pack_order(open_slots))
         chosen: list[UpstreamId] = []
         for name in order:
             if len(chosen) >= count:
@@ -242,11 +323,18 @@
             chosen.extend([name] * min(open_slots[name], count - len(chosen)))
         return tuple(chosen)
 
-    def _load(self, upstream: UpstreamId, added: int) -> tuple[int, int, int]:
+    def _pack_order(
+        self, open_slots: Mapping[UpstreamId, int]
+    ) -> Callable[[UpstreamId], tuple[bool, int, UpstreamId]]:
+        zone = self._own.zone
+        return lambda name: (name.zone != zone, -open_slots[name], name)
+
+    def _load(self, upstream: UpstreamId, added: int) -> tuple[bool, int, int, int]:
         # Equal loads are told apart by hash: by name, all hosts would favour one.
         running = self._running[upstream] + added
         rack = self._rack_running[self._rack(upstream)]
-        return running, rack, rendezvous(self._own.name, str(upstream))
+        far = upstream.zone != self._own.zone
+        return far, running, rack, rendezvous(self._own.name, str(upstream))
 
     def _rack(self, upstream: UpstreamId) -> str:
         # Kept apart from the configuration, which may drop an upstream or move it
