Order slots between hosts by the most urgent job; count failures once sent

Cause: a request kept the urgency of its first job for all its tasks, so a wide job behind it was served before others' small ones. It now says how many tasks are so urgent; a more urgent job asks again at once.

An always-failing upstream: ends of tasks that it had started before it turned bad cleared its failures, and hosts of other zones learnt nothing of each other. Successes of tasks sent before the last failure no longer clear it, and a returned slot names the tasks that failed on it.

--- a/jackdawspur/dispatch/_ends.py
+++ b/jackdawspur/dispatch/_ends.py
@@ -4,6 +4,7 @@
 from jackdawspur.dispatch._flights import land
 from jackdawspur.dispatch._job import Job, Stage, TaskPhase
 from jackdawspur.dispatch._state import Flight, State
+from jackdawspur.messages import FailedTask
 from jackdawspur.model import FailureCode, TaskId, TaskOutcome, TaskState
 
 __all__ = ["end_task", "take_back"]
@@ -63,11 +64,14 @@
     name = job.request.job_class
     if outcome.state is TaskState.DONE:
         estimate = max(1.0, job.queued.estimates_ms[flight.index])
-        state.health.succeeded(upstream, name, run_ms / estimate, now)
+        sent_at = flight.placement.sent_at
+        state.health.succeeded(upstream, name, run_ms / estimate, now, sent_at)
         spec = job.spec(flight.index)
         state.run_times.observe(job.customer, name, spec, run_ms)
     elif outcome.state is TaskState.FAILED:
         state.health.failed(upstream, job.submission, name, now)
+        failed = FailedTask(upstream, job.submission, name)
+        state.failed.setdefault(upstream, []).append(failed)
     else:
         state.health.cancelled(upstream)
     state.queue.task_ended(job.queued, flight.index, run_ms)
--- a/jackdawspur/dispatch/_peers.py
+++ b/jackdawspur/dispatch/_peers.py
@@ -27,6 +27,7 @@
     SlotReturn,
 )
 from jackdawspur.model import HostId, UpstreamId
+from jackdawspur.sharing import Need
 
 __all__ = ["lend_urgently", "receive", "send_heartbeats", "trade_slots"]
 
@@ -127,9 +128,9 @@
         state.emit(SendPeer(back.to, back.message))
 
 
-def _slot_return(
-    state: State, sender: HostId, message: SlotReturn, _now: float
-) -> None:
+def _slot_return(state: State, sender: HostId, message: SlotReturn, now: float) -> None:
+    for one in message.failed:
+        state.health.failed_elsewhere(one.upstream, one.submission, one.job_class, now)
     state.slots.returned(sender, message)
 
 
@@ -161,9 +162,9 @@
     """Lend idle slots to hosts whose tasks are more urgent than any here."""
     if not state.slots.asked:
         return
-    latest_start = state.queue.latest_start()
-    if latest_start is not None:
-        _lend(state, now, latest_start)
+    urgency = state.queue.most_urgent()
+    if urgency is not None:
+        _lend(state, now, urgency.latest_start)
 
 
 def _lend(state: State, now: float, latest_start: float | None) -> None:
@@ -185,14 +186,22 @@
     """Ask others for slots that waiting tasks lack, and return unused ones."""
     waiting = _startable(state, now)
     if waiting and now >= state.hold_until:
-        slack_ms = (state.queue.latest_start(now) - now) * MS_PER_S
-        for ask in state.slots.ask(waiting, state.spare(now), now, slack_ms):
+        urgency = state.queue.most_urgent()
+        need = Need(urgency.latest_start, urgency.tasks) if urgency else Need(now)
+        for ask in state.slots.ask(waiting, state.spare(now), now, need):
             state.counters.loans_asked += 1
             state.emit(SendPeer(ask.to, ask.request))
     if state.slots.asked:
         _lend(state, now, None)
     for back in state.slots.give_back(waiting, now):
-        state.emit(SendPeer(back.to, back.message))
+        state.emit(SendPeer(back.to, _with_failures(state, back.message)))
+    state.failed.clear()
+
+
+def _with_failures(state: State, message: SlotReturn) -> SlotReturn:
+    """Tell the lender what failed on its slots, or it would lend them on."""
+    failed = (state.failed.get(item.upstream, ()) for item in message.slots)
+    return replace(message, failed=tuple(one for tasks in failed for one in tasks))
 
 
 def send_heartbeats(state: State, now: float) -> None:
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -13,7 +13,7 @@
 from jackdawspur.health import UpstreamHealth
 from jackdawspur.limits import CallLimits, Quotas, RetryBudget
 from jackdawspur.membership import View
-from jackdawspur.messages import CancelForward, Forward
+from jackdawspur.messages import CancelForward, FailedTask, Forward
 from jackdawspur.model import (
     Customer,
     HostId,
@@ -89,6 +89,7 @@
         self.retried: dict[SubmissionId, SubmissionId] = {}
         self.flights: dict[TaskId, Flight] = {}
         self.flights_at: dict[UpstreamId, set[TaskId]] = {}
+        self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
         self.forwards: dict[int, Forwarded] = {}
--- a/jackdawspur/health/_health.py
+++ b/jackdawspur/health/_health.py
@@ -43,12 +43,21 @@
         self._record(upstream).running += 1
 
     def succeeded(
-        self, upstream: UpstreamId, job_class: str, ratio: float, now: float
+        self,
+        upstream: UpstreamId,
+        job_class: str,
+        ratio: float,
+        now: float,
+        sent_at: float | None = None,
     ) -> None:
         """Note a task done; `ratio` is its run time over the expected one."""
         record = self._ended(upstream)
         self._blame.note(job_class, upstream, False, now)
         record.observe(ratio)
+        # An upstream that turned bad still ends well what it started before. Those
+        # ends would clear its failures, and each cleared failure costs another job.
+        if sent_at is not None and sent_at <= record.failed_at:
+            return
         record.failed.clear()
         record.lost = 0
         if not record.ejected:
@@ -67,9 +76,21 @@
         now: float,
     ) -> None:
         """Note a task that ended in failure there."""
-        record = self._ended(upstream)
+        self._ended(upstream)
+        self.failed_elsewhere(upstream, submission, job_class, now)
+
+    def failed_elsewhere(
+        self,
+        upstream: UpstreamId,
+        submission: SubmissionId,
+        job_class: str,
+        now: float,
+    ) -> None:
+        """Note a task that failed there and that another host had sent."""
+        record = self._record(upstream)
         self._blame.note(job_class, upstream, True, now)
         record.failed[FailedJob(submission, job_class)] = None
+        record.failed_at = now
         self._failed_probe(record, now)
         self._judge(upstream, now)
 
@@ -77,6 +98,7 @@
         """Note a start without a reply, or a task that ran into its time limit."""
         record = self._ended(upstream)
         record.lost += 1
+        record.failed_at = now
         self._failed_probe(record, now)
         self._judge(upstream, now)
 
@@ -118,9 +140,9 @@
         """Return how many tasks this host may have running there."""
         condition = self.condition(upstream, now)
         if condition is Condition.EJECTED:
-            return 0
+            return self._ejected_limit(upstream, now)
         if condition is Condition.SUSPECT:
-            return self._suspect_limit(self._record(upstream), now)
+            return self._suspect_limit(upstream, now)
         if condition is Condition.RETURNING:
             return self._record(upstream).ramp
         return UNLIMITED
@@ -175,10 +197,17 @@
         if record.ejected and now >= record.probe_at:
             self._eject(record, now)
 
-    def _suspect_limit(self, record: Record, now: float) -> int:
+    def _ejected_limit(self, upstream: UpstreamId, now: float) -> int:
+        # Hosts of its own zone probe an upstream. They lend its slots again only when
+        # they trust it, so to use a lent one after the back-off is safe enough.
+        lent = upstream.zone != self._own.zone
+        return int(lent and now >= self._record(upstream).probe_at)
+
+    def _suspect_limit(self, upstream: UpstreamId, now: float) -> int:
         # The host that saw the failure finds out with one task at a time; others
         # would pay a job each for the same news, so they wait for its report.
-        if self._evidence(record, now) or not self._room_to_wait(now):
+        evidence = self._evidence(self._record(upstream), now)
+        if evidence or not self._room_to_wait(upstream.zone, now):
             return 1
         return 0
 
@@ -192,20 +221,26 @@
         if jobs:
             jobs += len(self._reporters(record, now))
         enough = jobs >= FAILED_JOBS_TO_EJECT or record.lost >= LOST_TO_EJECT
-        if enough and len(self.ejected()) < self._most_ejected():
+        zone = upstream.zone
+        if enough and self._ejected_in(zone) < self._most_ejected(zone):
             self._eject(record, now)
 
-    def _most_ejected(self) -> int:
+    def _ejected_in(self, zone: str) -> int:
+        return sum(upstream.zone == zone for upstream in self.ejected())
+
+    def _most_ejected(self, zone: str) -> int:
         # A shared cause (network, bad release) makes many upstreams fail at once;
         # ejecting them all would turn failures into an outage.
-        return max(1, math.floor(len(self._records) * MAX_EJECTED))
+        count = sum(upstream.zone == zone for upstream in self._records)
+        return max(1, math.floor(count * MAX_EJECTED))
 
-    def _room_to_wait(self, now: float) -> bool:
+    def _room_to_wait(self, zone: str, now: float) -> bool:
         mistrusted = sum(
             record.ejected or bool(self._reporters(record, now))
-            for record in self._records.values()
+            for upstream, record in self._records.items()
+            if upstream.zone == zone
         )
-        return mistrusted <= self._most_ejected()
+        return mistrusted <= self._most_ejected(zone)
 
     def _eject(self, record: Record, now: float) -> None:
         record.ejected = True
--- a/jackdawspur/health/_record.py
+++ b/jackdawspur/health/_record.py
@@ -36,6 +36,7 @@
     running: int = 0
     failed: dict[FailedJob, None] = field(default_factory=dict)
     lost: int = 0
+    failed_at: float = float("-inf")
     ejected: bool = False
     probe_at: float = 0.0
     back_off: float = FIRST_BACK_OFF
--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -10,6 +10,7 @@
     "CustomerUsage",
     "Delegate",
     "DelegateAnswer",
+    "FailedTask",
     "Forward",
     "ForwardAnswer",
     "Heartbeat",
@@ -141,12 +142,14 @@
 class SlotRequest:
     """Ask a host to lend slots for one term; `number` tells requests apart.
 
-    `slack_ms` is how long the most urgent task may wait and still be in time.
+    `slack_ms` is how long the most urgent job may wait and still be in time, `urgent`
+    the number of its tasks among the wanted.
     """
 
     wanted: int
     number: int = 0
     slack_ms: float = 0.0
+    urgent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,12 +173,25 @@
     request: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class FailedTask:
+    """Report that a task of the submission failed at an upstream."""
+
+    upstream: UpstreamId
+    submission: SubmissionId
+    job_class: str
+
+
 @dataclass(frozen=True, slots=True)
 class SlotReturn:
-    """Give lent slots back before the term ends."""
+    """Give lent slots back before the term ends.
+
+    `failed` names the tasks that failed on them.
+    """
 
     grant: int
     slots: tuple[SlotsOfUpstream, ...]
+    failed: tuple[FailedTask, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawspur/scheduling/_job.py
+++ b/jackdawspur/scheduling/_job.py
@@ -4,7 +4,7 @@
 
 from jackdawspur.model import Contract, SubmissionId, TaskSpec
 
-__all__ = ["ROUND_TRIP_MS", "NextTask", "QueuedJob", "Reservation"]
+__all__ = ["ROUND_TRIP_MS", "NextTask", "QueuedJob", "Reservation", "Urgency"]
 
 MS = 1000.0
 ROUND_TRIP_MS = 1.0
@@ -43,6 +43,17 @@
         return self.job.tasks[self.index]
 
 
+@dataclass(frozen=True, slots=True)
+class Urgency:
+    """Say when a job should start its next task, and how many of them wait.
+
+    `latest_start` in seconds; the work left sets it back.
+    """
+
+    latest_start: float
+    tasks: int
+
+
 @dataclass(frozen=True, slots=True)
 class Reservation:
     """Ask that one upstream able to hold `spec` takes nothing else meanwhile."""
--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from jackdawspur.model import Customer, SubmissionId, TaskSpec
-from jackdawspur.scheduling._job import MS, NextTask, QueuedJob, Reservation
+from jackdawspur.scheduling._job import MS, NextTask, QueuedJob, Reservation, Urgency
 from jackdawspur.scheduling._lanes import CustomerLane, WaitingJob
 from jackdawspur.scheduling._parking import Parking
 
@@ -163,14 +163,13 @@
         lane.dropped()
         return count
 
-    def latest_start(self, now: float | None = None) -> float | None:
-        """Return when the first task in order should start to be in time.
-
-        Its job's work sets it back, see `WaitingJob`. None when no task may start;
-        `now` stands in for it if given.
-        """
+    def most_urgent(self) -> Urgency | None:
+        """Return how urgent the first job in order is; None when none may start."""
         lane = self._first_lane()
-        return lane.head().key if lane is not None else now
+        if lane is None:
+            return None
+        job = lane.head()
+        return Urgency(job.key, len(job.left))
 
     def reservation(self, now: float) -> Reservation | None:
         """Return the task for which one upstream should be left to empty."""
--- a/jackdawspur/sharing/__init__.py
+++ b/jackdawspur/sharing/__init__.py
@@ -1,6 +1,6 @@
 """Divide the slots of a zone's upstreams among its entry hosts, and lend them."""
 
-from jackdawspur.sharing._borrowing import Ask
+from jackdawspur.sharing._borrowing import Ask, Need
 from jackdawspur.sharing._division import divide
 from jackdawspur.sharing._limits import (
     LEND_MARGIN,
@@ -17,6 +17,7 @@
     "LEND_TERM",
     "LONGEST_HOLD",
     "Lend",
+    "Need",
     "SlotTable",
     "divide",
 ]
--- a/jackdawspur/sharing/_borrowing.py
+++ b/jackdawspur/sharing/_borrowing.py
@@ -1,7 +1,7 @@
 """What one entry host borrowed from others, and whom it asked."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from jackdawspur.messages import SlotGrant, SlotRequest, SlotReturn
 from jackdawspur.model import HostId, UpstreamId
@@ -10,11 +10,12 @@
     IDLE_BEFORE_RETURN,
     LEND_TERM,
     LONGEST_HOLD,
+    MORE_URGENT,
     REPLY_WAIT,
 )
 from jackdawspur.sharing._loans import GiveBack, listed
 
-__all__ = ["Ask", "Borrowing"]
+__all__ = ["Ask", "Borrowing", "Need"]
 
 MS = 1000.0
 
@@ -29,20 +30,37 @@
     request: SlotRequest
 
 
-@dataclass(slots=True)
-class _Loan:
-    """Keep the slots of a grant: `fresh` ones are unused, `busy` ones run a task."""
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Say until when the most urgent job should start, and how many tasks it has.
+
+    `latest_start` in seconds on this host's clock.
+    """
+
+    latest_start: float = 0.0
+    tasks: int = 0
+
 
-    fresh: Counter[UpstreamId]
+@dataclass(frozen=True, slots=True)
+class _Slot:
+    """Keep one borrowed slot that no task has used yet."""
+
+    loan: LoanId
+    upstream: UpstreamId
     term_end: float
     got_at: float
-    busy: Counter[UpstreamId] = field(default_factory=Counter)
+
+    def ends(self, now: float) -> bool:
+        """Tell whether it must go back unused."""
+        return now >= self.term_end or now - self.got_at >= IDLE_BEFORE_RETURN
 
 
 @dataclass(slots=True)
 class _Asked:
     at: float
     wanted: int
+    urgent: int
+    latest_start: float
 
 
 class Borrowing:
@@ -56,30 +74,35 @@
         self._next = 1
         self._asked: dict[HostId, _Asked] = {}
         self._requests: dict[tuple[HostId, int], float] = {}
-        self._loans: dict[LoanId, _Loan] = {}
         self._known: dict[LoanId, float] = {}
+        self._fresh: dict[UpstreamId, list[_Slot]] = {}
+        self._busy: dict[UpstreamId, list[LoanId]] = {}
         self._done: dict[LoanId, Counter[UpstreamId]] = {}
-        self._usable: Counter[UpstreamId] = Counter()
-        self._usable_until = float("inf")
         self._pruned_at = 0.0
 
-    def may_ask(self, host: HostId, wanted: int, now: float) -> bool:
-        """Tell whether no recent request for as much is open there."""
+    def may_ask(self, host: HostId, wanted: int, need: Need, now: float) -> bool:
+        """Tell whether no recent request as large and as urgent is open there."""
         asked = self._asked.get(host)
-        return asked is None or now - asked.at >= ASK_AGAIN or wanted > asked.wanted
+        if asked is None or now - asked.at >= ASK_AGAIN or wanted > asked.wanted:
+            return True
+        if need.tasks and asked.urgent <= 0:
+            return True
+        return need.latest_start < asked.latest_start - MORE_URGENT
 
     def awaited(self, now: float) -> int:
         """Return how many slots may be on their way."""
         recent = (one for one in self._asked.values() if now - one.at < REPLY_WAIT)
         return sum(one.wanted for one in recent)
 
-    def ask(self, host: HostId, wanted: int, slack_ms: float, now: float) -> Ask:
+    def ask(self, host: HostId, wanted: int, need: Need, now: float) -> Ask:
         """Ask a host for slots."""
         number = self._next
         self._next += 1
-        self._asked[host] = _Asked(now, wanted)
+        urgent = min(wanted, need.tasks)
+        self._asked[host] = _Asked(now, wanted, urgent, need.latest_start)
+        slack_ms = (need.latest_start - now) * MS
         self._requests[host, number] = now
-        return Ask(host, SlotRequest(wanted, number, slack_ms))
+        return Ask(host, SlotRequest(wanted, number, slack_ms, urgent))
 
     def accept(self, sender: HostId, grant: SlotGrant, now: float) -> bool:
         """Take a grant; false when it is late or unknown, and must go back."""
@@ -94,70 +117,63 @@
         # The term counts from the request, which is before the lender granted, so
         # a grant that was long on its way, or read after a pause, ends in time.
         term_end = asked_at + grant.term_ms / MS
-        slots = Counter({item.upstream: item.slots for item in grant.slots})
-        self._loans[loan_id] = _Loan(slots, term_end, now)
-        self._usable_until = float("-inf")
-        self._answered(sender, slots.total())
+        for item in grant.slots:
+            slot = _Slot(loan_id, item.upstream, term_end, now)
+            self._fresh.setdefault(item.upstream, []).extend([slot] * item.slots)
+        self._answered(sender, sum(item.slots for item in grant.slots))
         return True
 
-    def usable(self, now: float) -> Counter[UpstreamId]:
+    def usable(self, now: float) -> dict[UpstreamId, int]:
         """Return borrowed slots on which a start may be sent now."""
-        if now < self._usable_until:
-            return self._usable
-        self._usable = Counter()
-        self._usable_until = float("inf")
-        for loan in self._loans.values():
-            if loan.fresh and now < loan.term_end:
-                self._usable += loan.fresh
-                self._usable_until = min(self._usable_until, loan.term_end)
-        return self._usable
+        return {
+            upstream: sum(now < slot.term_end for slot in slots)
+            for upstream, slots in self._fresh.items()
+        }
 
     def take(self, upstream: UpstreamId, now: float) -> bool:
         """Use a borrowed slot, if there is one."""
-        usable = [
-            loan
-            for loan in self._loans.values()
-            if loan.fresh[upstream] and now < loan.term_end
-        ]
-        if not usable:
-            return False
-        loan = min(usable, key=lambda one: one.term_end)
-        loan.fresh[upstream] -= 1
-        loan.busy[upstream] += 1
-        self._usable_until = float("-inf")
-        return True
+        slots = self._fresh.get(upstream, [])
+        for place, slot in enumerate(slots):
+            if now < slot.term_end:
+                del slots[place]
+                self._busy.setdefault(upstream, []).append(slot.loan)
+                return True
+        return False
 
     def release(self, upstream: UpstreamId) -> bool:
         """Let go of a borrowed slot whose task ended, if there is one."""
-        for loan_id, loan in self._loans.items():
-            if loan.busy[upstream]:
-                loan.busy[upstream] -= 1
-                self._done.setdefault(loan_id, Counter())[upstream] += 1
-                return True
-        return False
+        loans = self._busy.get(upstream)
+        if not loans:
+            return False
+        self._give(loans.pop(), upstream)
+        return True
 
     def give_back(self, now: float, waiting: bool) -> tuple[GiveBack, ...]:
         """Return used slots, and unused ones that nobody needs here."""
-        for loan_id, loan in self._loans.items():
-            idle = +loan.fresh
-            old = now >= loan.term_end or now - loan.got_at >= IDLE_BEFORE_RETURN
-            if idle and (old or not waiting):
-                self._done.setdefault(loan_id, Counter()).update(idle)
-                loan.fresh = Counter()
-                self._usable_until = float("-inf")
+        if self._fresh:
+            self._give_unused(now, waiting)
         if not self._done:
             return ()
         done, self._done = self._done, {}
-        for loan_id in done:
-            loan = self._loans[loan_id]
-            if not +loan.fresh and not +loan.busy:
-                del self._loans[loan_id]
         self._prune(now)
         return tuple(
             GiveBack(lender, SlotReturn(number, listed(slots)))
             for (lender, number), slots in done.items()
         )
 
+    def _give_unused(self, now: float, waiting: bool) -> None:
+        kept: dict[UpstreamId, list[_Slot]] = {}
+        for upstream, slots in self._fresh.items():
+            for slot in slots:
+                if waiting and not slot.ends(now):
+                    kept.setdefault(upstream, []).append(slot)
+                else:
+                    self._give(slot.loan, upstream)
+        self._fresh = kept
+
+    def _give(self, loan: LoanId, upstream: UpstreamId) -> None:
+        self._done.setdefault(loan, Counter())[upstream] += 1
+
     def forget_asked(self) -> None:
         """Treat every host as not asked, once nothing waits any more."""
         self._asked.clear()
@@ -166,6 +182,7 @@
         asked = self._asked.get(sender)
         if asked is not None:
             asked.wanted -= slots
+            asked.urgent -= slots
             if asked.wanted <= 0:
                 del self._asked[sender]
 
--- a/jackdawspur/sharing/_limits.py
+++ b/jackdawspur/sharing/_limits.py
@@ -8,6 +8,7 @@
     "LEND_TERM",
     "LONGEST_BACK_OFF",
     "LONGEST_HOLD",
+    "MORE_URGENT",
     "REPLY_WAIT",
     "REQUEST_LIFE",
 ]
@@ -23,8 +24,10 @@
 ASK_AGAIN = 0.2
 # What a request lacks is granted for so long, as slots become idle.
 REQUEST_LIFE = 0.2
+# A task this much more urgent than those asked for is worth another request.
+MORE_URGENT = 0.02
 # Slots asked for count as on their way for this long.
-REPLY_WAIT = 0.005
+REPLY_WAIT = 0.003
 # Lent slots that the tasks waiting here can't use go back after this.
 IDLE_BEFORE_RETURN = 0.02
 FIRST_BACK_OFF = 0.05
--- a/jackdawspur/sharing/_requests.py
+++ b/jackdawspur/sharing/_requests.py
@@ -18,9 +18,15 @@
     sender: HostId
     request: SlotRequest
     wanted: int
+    urgent: int
     latest_start: float
     until: float
 
+    def granted(self, count: int) -> None:
+        """Count slots off, those for the most urgent job first."""
+        self.wanted -= count
+        self.urgent = max(0, self.urgent - count)
+
 
 class Requests:
     """Keep the latest request of each host for a short while."""
@@ -38,7 +44,12 @@
             return
         latest_start = now + request.slack_ms / MS
         self._open[sender] = OpenRequest(
-            sender, request, request.wanted, latest_start, now + REQUEST_LIFE
+            sender,
+            request,
+            request.wanted,
+            request.urgent,
+            latest_start,
+            now + REQUEST_LIFE,
         )
 
     def by_urgency(self, now: float) -> list[OpenRequest]:
@@ -49,5 +60,6 @@
             if now < one.until and one.wanted > 0
         }
         return sorted(
-            self._open.values(), key=lambda one: (one.latest_start, one.sender)
+            self._open.values(),
+            key=lambda one: (one.urgent == 0, one.latest_start, one.sender),
         )
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -7,7 +7,7 @@
 
 from jackdawspur.messages import SlotGrant, SlotRequest, SlotReturn
 from jackdawspur.model import HostId, Upstream, UpstreamId, rendezvous
-from jackdawspur.sharing._borrowing import Ask, Borrowing
+from jackdawspur.sharing._borrowing import Ask, Borrowing, Need
 from jackdawspur.sharing._division import divide
 from jackdawspur.sharing._limits import FIRST_BACK_OFF, LONGEST_BACK_OFF
 from jackdawspur.sharing._loans import GiveBack, Lend, Lending
@@ -161,12 +161,12 @@
         waiting: int,
         spare: Mapping[HostId, int],
         now: float,
-        slack_ms: float = 0.0,
+        need: Need = Need(),
     ) -> tuple[Ask, ...]:
         """Ask others for the slots that `waiting` tasks lack.
 
-        `spare` holds what each host last said it could lend, `slack_ms` how long the
-        most urgent task may still wait. Hosts of the own zone are asked first.
+        `spare` holds what each host last said it could lend. Hosts of the own zone
+        are asked first.
         """
         wanted = waiting - self.free(now) - self._borrowing.awaited(now)
         asks = []
@@ -175,8 +175,8 @@
                 break
             # All are told when nobody has a slot: the first to get one lends it.
             part = min(wanted, spare[host]) if spare[host] > 0 else wanted
-            if self._borrowing.may_ask(host, part, now):
-                asks.append(self._borrowing.ask(host, part, slack_ms, now))
+            if self._borrowing.may_ask(host, part, need, now):
+                asks.append(self._borrowing.ask(host, part, need, now))
                 wanted -= max(0, spare[host])
         return tuple(asks)
 
@@ -197,7 +197,7 @@
         self._requests.take(sender, request, now)
         for one in self._requests.by_urgency(now):
             if one.sender == sender:
-                return self._grant(one, waiting_own, now, excluded)
+                return self._grant(one, one.wanted, waiting_own, now, excluded)
         return None
 
     def lend_late(
@@ -214,10 +214,12 @@
         """
         lends = []
         for one in self._requests.by_urgency(now):
-            urgent = latest_start is not None and one.latest_start < latest_start
-            if latest_start is not None and not urgent:
+            if latest_start is None:
+                grant = self._grant(one, one.wanted, waiting_own, now, excluded)
+            elif one.latest_start < latest_start:
+                grant = self._grant(one, one.urgent, 0, now, excluded)
+            else:
                 break
-            grant = self._grant(one, 0 if urgent else waiting_own, now, excluded)
             if grant:
                 lends.append(Lend(one.sender, grant))
         return tuple(lends)
@@ -252,15 +254,16 @@
     def _grant(
         self,
         one: OpenRequest,
+        most: int,
         waiting_own: int,
         now: float,
         excluded: Collection[UpstreamId],
     ) -> SlotGrant | None:
         spare = self._lendable(now, excluded)
-        count = min(one.wanted, sum(spare.values()) - waiting_own)
+        count = min(most, sum(spare.values()) - waiting_own)
         if count <= 0:
             return None
-        one.wanted -= count
+        one.granted(count)
         chosen = Counter(self._spread(count, spare))
         for name, slots in chosen.items():
             self._shift(name, -slots)
