Measure the slopes and the shares of code

make slopes prints what messages, processor time and memory grow with; make shares prints lines by group.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,9 @@
 
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
+
+slopes: install
+	PYTHON=$(BIN)/python scripts/slopes
+
+shares: install
+	$(BIN)/python -m jackdawspur.shares
--- a/jackdawspur/configuration/slopes.py
+++ b/jackdawspur/configuration/slopes.py
@@ -7,7 +7,7 @@
 import time
 import types
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import astuple, dataclass, replace
 
 from jackdawspur.configuration._budget import LogBudget, appends_a_day
 from jackdawspur.configuration._changes import PutCustomer, PutUpstream
@@ -31,7 +31,7 @@
 from jackdawspur.model import HostId
 from jackdawspur.platform import LogRecord
 
-__all__ = ["configuration_of_size", "main"]
+__all__ = ["SizeCost", "configuration_of_size", "main", "measure_size"]
 
 REPEATS = 5
 CHANGES = 200
@@ -180,7 +180,30 @@
     )
 
 
-def _measure(customers: int, upstreams: int, zones: int) -> str:
+@dataclass(frozen=True, slots=True)
+class SizeCost:
+    """Report one size; processor times in milliseconds, sizes in KB and MB.
+
+    What each is measured on is said at `main`.
+    """
+
+    customers: int
+    upstreams: int
+    zones: int
+    snapshot_kb: float
+    write_ms: float
+    snapshot_ms: float
+    mark_ms: float
+    fold_ms: float
+    world_ms: float
+    change_ms: float
+    start_ms: float
+    fold_mb: float
+    keeper_mb: float
+
+
+def measure_size(customers: int, upstreams: int, zones: int) -> SizeCost:
+    """Measure a made-up configuration of one size."""
     document = configuration_of_size(customers, upstreams, zones)
     source = Fold()
     source.configuration = document
@@ -188,7 +211,10 @@
     body = encode_record(snapshot_of(source, 0.0))
     snapshot = LogRecord(SNAPSHOT_OFFSET, body)
     whole = [snapshot, *_confirms(document)]
-    columns = (
+    return SizeCost(
+        customers,
+        upstreams,
+        zones,
         len(body) / 1e3,
         _median_ms(lambda: encode_record(snapshot_of(source, 0.0))),
         _median_ms(lambda: _folded([snapshot])),
@@ -200,8 +226,12 @@
         _state_mb(_folded(whole)),
         _state_mb(_cold_start(whole)),
     )
+
+
+def _line(cost: SizeCost) -> str:
+    customers, upstreams, zones, *figures = astuple(cost)
     size = f"{customers:>9} {upstreams:>9} {zones:>5}"
-    return size + "".join(f" {column:>9.2f}" for column in columns)
+    return size + "".join(f" {figure:>9.2f}" for figure in figures)
 
 
 def main() -> None:
@@ -219,7 +249,7 @@
     lines = [
         "customers upstreams zones   snap KB  write ms   snap ms   mark ms   fold ms"
         "  world ms change ms  start ms   fold MB keeper MB",
-        *(_measure(*size) for size in SIZES),
+        *(_line(measure_size(*size)) for size in SIZES),
         f"appends a day at {CHANGES_A_DAY} changes: {day}",
     ]
     sys.stdout.write("\n".join(lines) + "\n")
