--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,8 @@
 	  --python '/usr/bin/env python3.11' --root $(BINARY_ROOT) --compressed \
 	  --preamble scripts/binary_preamble.py --output-file dist/jackdawspur
 	$(BIN)/python scripts/check_binary.py dist/jackdawspur
+slopes: install
+	PYTHON=$(BIN)/python scripts/slopes
+
+shares: install
+	$(BIN)/python -m jackdawspur.shares
