--- a/jackdawspur/slopes/_core.py
+++ b/jackdawspur/slopes/_core.py
@@ -18,6 +18,8 @@
 TASKS = 24
 CONTROL_S = 3.0
 WARM_S = 1.5
+# Long enough for several rounds of the slowest links' heartbeats.
+FULL_S = 10.0
 UPSTREAMS = (8, 64, 217)
 CONTROL = (Tick, Heartbeat, Pulse)
 
@@ -88,14 +90,14 @@
     return sum(host.spent_s.values()) / ended * MICRO
 
 
-def _in_mesh(sizes: Sizes) -> DrivenHost:
+def _in_mesh(sizes: Sizes, seconds: float = CONTROL_S) -> DrivenHost:
     """Return a host that has handled some seconds of heartbeats in its mesh."""
     host = DrivenHost(sizes)
     mesh = Mesh(host)
     mesh.join()
     mesh.run(WARM_S)
     host.forget()
-    mesh.run(CONTROL_S)
+    mesh.run(seconds)
     return host
 
 
@@ -112,8 +114,8 @@
 
 def _full(zones: int) -> float:
     sizes = Sizes(upstreams=217, hosts=12, zones=zones, customers=140)
-    host = _in_mesh(sizes)
-    return sum(host.spent_s.values()) / CONTROL_S * MILLI
+    host = _in_mesh(sizes, FULL_S)
+    return sum(host.spent_s.values()) / FULL_S * MILLI
 
 
 def _messages() -> Iterator[Slope]:
