--- a/jackdawspur/dispatch/_peers.py
+++ b/jackdawspur/dispatch/_peers.py
@@ -13,6 +13,7 @@
 from jackdawspur.dispatch._place import enqueue
 from jackdawspur.dispatch._state import State
 from jackdawspur.dispatch._submit import ask_cancel, cancel_job, expire, poll, submit
+from jackdawspur.health import UNLIMITED
 from jackdawspur.messages import (
     CancelForward,
     Delegate,
@@ -25,9 +26,10 @@
     SlotRequest,
     SlotReturn,
 )
-from jackdawspur.model import FailureCode, HostId, SubmissionId
+from jackdawspur.model import FailureCode, HostId, SubmissionId, UpstreamId
+from jackdawspur.sharing import Need
 
-__all__ = ["receive", "send_heartbeats", "trade_slots"]
+__all__ = ["lend_urgently", "receive", "send_heartbeats", "trade_slots"]
 
 MS_PER_S = 1000.0
 NO_VERSION = -1
@@ -126,7 +128,8 @@
 def _slot_request(
     state: State, sender: HostId, message: SlotRequest, now: float
 ) -> None:
-    grant = state.slots.lend(sender, message, state.queue.waiting(), now)
+    waiting = state.queue.waiting()
+    grant = state.slots.lend(sender, message, waiting, now, not_lent(state, now))
     if grant is not None:
         state.emit(SendPeer(sender, grant))
 
@@ -136,9 +139,9 @@
         state.emit(SendPeer(back.to, back.message))
 
 
-def _slot_return(
-    state: State, sender: HostId, message: SlotReturn, _now: float
-) -> None:
+def _slot_return(state: State, sender: HostId, message: SlotReturn, now: float) -> None:
+    for one in message.failed:
+        state.health.failed_elsewhere(one.upstream, one.submission, one.job_class, now)
     state.slots.returned(sender, message)
 
 
@@ -156,18 +159,60 @@
 }
 
 
-def trade_slots(state: State, now: float) -> None:
-    """Ask siblings for slots that waiting tasks lack, and return unused ones."""
+def not_lent(state: State, now: float) -> set[UpstreamId]:
+    """Return the upstreams whose slots are of no use to others."""
+    return {
+        upstream
+        for upstream in state.slots.open_slots(now)
+        if state.view.upstream_leaving(upstream)
+        or state.health.limit(upstream, now) < UNLIMITED
+    }
+
+
+def lend_urgently(state: State, now: float) -> None:
+    """Lend idle slots to hosts whose tasks are more urgent than any here."""
+    if not state.slots.asked:
+        return
+    urgency = state.queue.most_urgent()
+    if urgency is not None:
+        _lend(state, now, urgency.latest_start)
+
+
+def _lend(state: State, now: float, latest_start: float | None) -> None:
     waiting = state.queue.waiting()
+    excluded = not_lent(state, now)
+    for lend in state.slots.lend_late(waiting, now, excluded, latest_start):
+        state.emit(SendPeer(lend.to, lend.grant))
+
+
+def _startable(state: State, now: float) -> int:
+    """Return the number of waiting tasks that their customers' quotas let start."""
+    return sum(
+        min(count, state.quotas.room(customer, now))
+        for customer, count in state.queue.waiting_customers().items()
+    )
+
+
+def trade_slots(state: State, now: float) -> None:
+    """Ask others for slots that waiting tasks lack, and return unused ones."""
+    waiting = _startable(state, now)
     if waiting and now >= state.hold_until:
-        spare = state.sibling_spare(now)
-        for ask in state.slots.ask(waiting, spare, now):
+        urgency = state.queue.most_urgent()
+        need = Need(urgency.latest_start, urgency.tasks) if urgency else Need(now)
+        for ask in state.slots.ask(waiting, state.spare(now), now, need):
             state.counters.loans_asked += 1
             state.emit(SendPeer(ask.to, ask.request))
-    for lend in state.slots.lend_late(waiting, now):
-        state.emit(SendPeer(lend.to, lend.grant))
+    if state.slots.asked:
+        _lend(state, now, None)
     for back in state.slots.give_back(waiting, now):
-        state.emit(SendPeer(back.to, back.message))
+        state.emit(SendPeer(back.to, _with_failures(state, back.message)))
+    state.failed.clear()
+
+
+def _with_failures(state: State, message: SlotReturn) -> SlotReturn:
+    """Tell the lender what failed on its slots, or it would lend them on."""
+    failed = (state.failed.get(item.upstream, ()) for item in message.slots)
+    return replace(message, failed=tuple(one for tasks in failed for one in tasks))
 
 
 def send_heartbeats(state: State, now: float) -> None:
