--- a/jackdawspur/adapters/_hostlist_http.py
+++ b/jackdawspur/adapters/_hostlist_http.py
@@ -24,21 +24,34 @@
     ) -> None:
         self._client = client
         self._timeout_s = timeout_ms / MS
+        self._last_body = b""
+        self._last: tuple[ListedHost, ...] = ()
 
     def fetch(
         self, done: Callable[[Result[tuple[ListedHost, ...], PlatformError]], None]
     ) -> None:
         """Report the hosts that the platform believes live or leaving."""
-        receive = reading("the host list", _read_hosts, done)
+        receive = reading("the host list", self._read_hosts, done)
         self._client.request("GET", "/v1/hosts", b"", self._timeout_s, receive)
 
     def close(self) -> None:
         """Drop all connections."""
         self._client.close()
 
+    def _read_hosts(self, reply: HttpReply) -> tuple[ListedHost, ...]:
+        """Return the hosts; the same object while the list stays the same.
 
-def _read_hosts(reply: HttpReply) -> tuple[ListedHost, ...]:
-    read = msgspec.json.decode(success(reply), type=HostsBody)
+        Thousands of hosts are listed every second and hardly ever change.
+        """
+        body = success(reply)
+        if body != self._last_body:
+            self._last = _decode(body)
+            self._last_body = body
+        return self._last
+
+
+def _decode(body: bytes) -> tuple[ListedHost, ...]:
+    read = msgspec.json.decode(body, type=HostsBody)
     return tuple(
         ListedHost(each.zone, each.name, each.role, each.leaving) for each in read.hosts
     )
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -60,6 +60,7 @@
 from jackdawspur.entry._upstreams import UpstreamDriver
 from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
 from jackdawspur.model import Answer, EntryHost, FailureCode, HostId, JobState
+from jackdawspur.platform import ListedHost
 from jackdawspur.settings import EntrySettings
 
 __all__ = ["EntryHostProcess", "run_entry"]
@@ -94,6 +95,7 @@
         self._wake_at: float | None = None
         self._draining = False
         self._exiting = False
+        self._listed: tuple[ListedHost, ...] = ()
         self._meter = Meter(settings.statsd, str(self._own))
         self._deadlines = Deadlines().register(self)
         self._routes = Routes(self)
@@ -172,7 +174,7 @@
 
     def status(self) -> HostStatus:
         """Return what operators see of this host."""
-        return status_of(self._core, monotonic())
+        return status_of(self._core, self._meter.link_bytes, monotonic())
 
     @handler("flush")
     def _on_flush(self) -> None:
@@ -227,8 +229,9 @@
 
     def _fetch_list(self) -> None:
         def fetched(done) -> None:
-            if isinstance(done, Ok):
-                self.post(HostsListed(done.ok_value))
+            if isinstance(done, Ok) and done.ok_value is not self._listed:
+                self._listed = done.ok_value
+                self.post(HostsListed(self._listed))
             self._deadlines.call_after(HOST_LIST_INTERVAL_S, self._fetch_list)
 
         self._host_list.fetch(fetched)
--- a/jackdawspur/entry/_status.py
+++ b/jackdawspur/entry/_status.py
@@ -36,7 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HostStatus:
-    """Show one host: its view, its slots, its queues and its histograms."""
+    """Show one host: its view, its slots, its queues and its histograms.
+
+    `link_bytes` counts what this run sent to other entry hosts.
+    """
 
     host: str
     ready: bool
@@ -52,12 +55,13 @@
     ejected: tuple[str, ...]
     leaving: tuple[str, ...]
     log_up: bool
+    link_bytes: int
     customers: tuple[CustomerStatus, ...]
     counts: JobCounts
     responses: tuple[Percentiles, ...]
 
 
-def status_of(core: EntryCore, now: float) -> HostStatus:
+def status_of(core: EntryCore, link_bytes: int, now: float) -> HostStatus:
     """Return the status of a host."""
     state = core.state
     upstreams = tuple(state.room.upstreams())
@@ -76,6 +80,7 @@
         ejected=tuple(str(u) for u in state.health.ejected()),
         leaving=tuple(str(u) for u in upstreams if state.view.upstream_leaving(u)),
         log_up=state.log_up,
+        link_bytes=link_bytes,
         customers=tuple(_customer(core, name, now) for name in sorted(state.customers)),
         counts=_counts(core),
         responses=core.counters.responses.summarize(),
--- a/jackdawspur/entry/_trial_settings.py
+++ b/jackdawspur/entry/_trial_settings.py
@@ -53,6 +53,7 @@
     append_delay_ms: float = 5.0
     lag_ms: float = 1000.0
     # Configured beside those that run; nothing listens at their addresses.
+    absent_zones: int = 0
     absent_upstreams: int = 0
     more_customers: int = 0
     cut_from_log: tuple[str, ...] = ()
@@ -145,12 +146,17 @@
     return HostListStandin(address, sizes.lag_ms, tuple(listed))
 
 
+def _all_zones(sizes: Sizes) -> tuple[str, ...]:
+    return (*sizes.zones, *(f"zone{n}" for n in range(sizes.absent_zones)))
+
+
 def _absent(sizes: Sizes) -> tuple[UpstreamEntry, ...]:
     """Return upstreams for the size only, spread over the zones."""
     ports = count(1)
+    zones = _all_zones(sizes)
     return tuple(
         UpstreamEntry(
-            zone=sizes.zones[n % len(sizes.zones)],
+            zone=zones[n % len(zones)],
             name=f"absent{n}",
             address=f"127.255.{n // 250}.{1 + n % 250}:{next(ports)}",
         )
@@ -187,7 +193,7 @@
     return Configuration(
         customers=_customers(sizes),
         operators=(*operators, viewer),
-        zones=tuple(ZoneEntry(name=zone, region="trial") for zone in sizes.zones),
+        zones=tuple(ZoneEntry(name=zone, region="trial") for zone in _all_zones(sizes)),
         entry_hosts=hosts,
         upstreams=upstreams,
     )
--- a/jackdawspur/entry/_upstreams.py
+++ b/jackdawspur/entry/_upstreams.py
@@ -30,6 +30,9 @@
 # Polls for results and for usage have connections of their own.
 OWN_CONNECTIONS = 4
 MAX_WAITING_REQUESTS = 256
+# A new connection makes circuits look for its handlers anew. Hundreds in one pass
+# would stop the loop for longer than its peers wait for a heartbeat.
+OPEN_GAP_S = 0.01
 
 Post = Callable[[Event], None]
 Reply = Result[UpstreamReply, PlatformError]
@@ -46,6 +49,7 @@
     cursor: int = 0
     incarnation: int | None = None
     polling: bool = False
+    follows: bool = False
     open: bool = True
 
 
@@ -66,6 +70,8 @@
         self._post = post
         self._has_flights = has_flights
         self._links: dict[UpstreamId, _Link] = {}
+        self._unopened: dict[UpstreamId, Upstream] = {}
+        self._opening = False
 
     def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Link to the upstreams of the own zone and leave those that went."""
@@ -75,17 +81,35 @@
             idle = not self._has_flights(upstream)
             if (wanted is None or wanted.address != link.address) and idle:
                 self._close(upstream)
-        for upstream in own.values():
-            if upstream.id not in self._links:
-                self._open(upstream)
+        self._unopened = {
+            name: upstream for name, upstream in own.items() if name not in self._links
+        }
+        if not self._opening:
+            self._open_next()
+
+    def _open_next(self) -> None:
+        """Open one link after the other, with room for other work between them."""
+        self._opening = bool(self._unopened)
+        if not self._opening:
+            return
+        self._open(next(iter(self._unopened.values())))
+        self._deadlines.call_after(OPEN_GAP_S, self._open_next)
+
+    def _link(self, upstream: UpstreamId) -> _Link | None:
+        """Return the link to an upstream, opened if its turn hasn't come yet."""
+        if upstream in self._unopened:
+            self._open(self._unopened[upstream])
+        return self._links.get(upstream)
 
     def _open(self, upstream: Upstream) -> None:
+        del self._unopened[upstream.id]
         address = _split(upstream.address)
         share = max(1, min(upstream.connections, OWN_CONNECTIONS))
         limits = HttpLimits(connections=share, waiting=MAX_WAITING_REQUESTS)
         one = HttpLimits(connections=1, waiting=MAX_WAITING_REQUESTS)
         requests = HttpClient(address, self._deadlines, limits).register(self._root)
-        polls = HttpClient(address, self._deadlines, one).register(self._root)
+        # Registered with the first poll: most upstreams have no task of this host.
+        polls = HttpClient(address, self._deadlines, one)
         client = HttpUpstream(upstream.id, self._own, requests, polls)
         link = _Link(upstream.address, client, requests, polls)
         self._links[upstream.id] = link
@@ -96,11 +120,12 @@
         link.open = False
         link.client.close()
         link.requests.unregister()
-        link.polls.unregister()
+        if link.follows:
+            link.polls.unregister()
 
     def start(self, effect: StartTasks) -> None:
         """Send starts, once, and follow the results."""
-        link = self._links.get(effect.upstream)
+        link = self._link(effect.upstream)
         tasks = tuple(start.task for start in effect.starts)
         if link is None:
             self._post(StartsLost(effect.upstream, tasks, left=False))
@@ -118,7 +143,7 @@
 
     def ask_status(self, effect: AskStatus) -> None:
         """Ask how far tasks are and bar those that have not started."""
-        link = self._links.get(effect.upstream)
+        link = self._link(effect.upstream)
         if link is None:
             self._post(StatusLost(effect.upstream, effect.tasks))
             return
@@ -133,7 +158,7 @@
 
     def stop(self, effect: StopTasks) -> None:
         """Stop tasks; a lost reply is left to their leases."""
-        link = self._links.get(effect.upstream)
+        link = self._link(effect.upstream)
         if link is None:
             return
 
@@ -147,6 +172,9 @@
         """Wait for results while some task is under way there."""
         if link.polling or not link.open:
             return
+        if not link.follows:
+            link.follows = True
+            link.polls.register(self._root)
         link.polling = True
         link.client.results(
             link.cursor,
--- a/jackdawspur/entry/tests/__init__.py
+++ b/jackdawspur/entry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of entry hosts as real processes."""
