--- a/jackdawspur/entry/measure.py
+++ b/jackdawspur/entry/measure.py
@@ -38,6 +38,8 @@
 STARTS = 5
 IDLE_S = 10.0
 SETTLE_S = 3.0
+# Links to upstreams open one after the other after the start.
+IDLE_AFTER_S = 10.0
 KB = 1000.0
 MB = 1_000_000.0
 IN_FORCE = '"message": "configuration in force"'
@@ -198,6 +200,7 @@
 
 
 def _idle(deployment: Deployment, what: str) -> Idle:
+    time.sleep(IDLE_AFTER_S)
     processes = [psutil.Process(host.pid) for host in deployment.hosts]
     cpu = [_cpu_s(process) for process in processes]
     sent = [_link_bytes(host) for host in deployment.hosts]
