--- a/jackdawspur/bench/_own.py
+++ b/jackdawspur/bench/_own.py
@@ -13,9 +13,14 @@
     """Drive an `EntryCore` with ticks as often as it asks for."""
 
     def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
-        self._core = EntryCore(host, rng, now)
+        self._core = EntryCore(host, rng, now, crosses_zones=True)
         self._ticked_at = now
 
+    @property
+    def core(self) -> EntryCore:
+        """Return the decisions, to be read only."""
+        return self._core
+
     def next_wake(self) -> float:
         due = self._ticked_at + TICK_S
         wanted = self._core.next_wake()
--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from jackdawspur.model import Customer, SubmissionId, TaskSpec
-from jackdawspur.scheduling._job import MS, NextTask, QueuedJob, Reservation
+from jackdawspur.scheduling._job import MS, NextTask, QueuedJob, Reservation, Urgency
 from jackdawspur.scheduling._lanes import CustomerLane, WaitingJob
 from jackdawspur.scheduling._parking import Parking
 
@@ -163,6 +163,14 @@
         lane.dropped()
         return count
 
+    def most_urgent(self) -> Urgency | None:
+        """Return how urgent the first job in order is; None when none may start."""
+        lane = self._first_lane()
+        if lane is None:
+            return None
+        job = lane.head()
+        return Urgency(job.key, len(job.left))
+
     def reservation(self, now: float) -> Reservation | None:
         """Return the task for which one upstream should be left to empty."""
         job = self._parking.overdue(now)
