--- a/jackdawspur/entry/_trial_settings.py
+++ b/jackdawspur/entry/_trial_settings.py
@@ -40,6 +40,7 @@
 OTHER_CALLER = "trial-reporting-token"
 OPERATORS = tuple(f"op{number}" for number in range(8))
 VIEWER = "viewer"
+RACK = 64
 DRAIN_MS = 20_000.0
 
 
@@ -130,11 +131,15 @@
 
 
 def _racks(sizes: Sizes, upstreams) -> tuple[RackStandin, ...]:
-    return tuple(
-        RackStandin(tuple(u.address for u in upstreams if u.zone == zone), seed=place)
-        for place, zone in enumerate(sizes.zones)
-        if sizes.upstreams_a_zone
-    )
+    """Return racks of at most `RACK` upstreams of one zone each."""
+    racks = []
+    for zone in sizes.zones:
+        addresses = [u.address for u in upstreams if u.zone == zone]
+        racks += [
+            RackStandin(tuple(addresses[start : start + RACK]), seed=RACK * len(racks))
+            for start in range(0, len(addresses), RACK)
+        ]
+    return tuple(racks)
 
 
 def _host_list(address: str, sizes: Sizes, hosts, upstreams) -> HostListStandin:
@@ -151,9 +156,9 @@
 
 
 def _absent(sizes: Sizes) -> tuple[UpstreamEntry, ...]:
-    """Return upstreams for the size only, spread over the zones."""
+    """Return upstreams for the size only, spread over the absent zones."""
     ports = count(1)
-    zones = _all_zones(sizes)
+    zones = _all_zones(sizes)[len(sizes.zones) :]
     return tuple(
         UpstreamEntry(
             zone=zones[n % len(zones)],
--- a/jackdawspur/entry/_upstreams.py
+++ b/jackdawspur/entry/_upstreams.py
@@ -27,6 +27,8 @@
 RESULT_WAIT_MS = 5000.0
 POLL_RETRY_S = 0.1
 USAGE_INTERVAL_S = 5.0
+# Large zones are asked less often, so that an idle host's cost stays bounded.
+USAGE_REQUESTS_PER_S = 20.0
 # Polls for results and for usage have connections of their own.
 OWN_CONNECTIONS = 4
 MAX_WAITING_REQUESTS = 256
@@ -212,8 +214,9 @@
         def done(reply: Reply) -> None:
             if isinstance(reply, Ok):
                 self._post(UsageReplied(reply.ok_value))
+            interval_s = max(USAGE_INTERVAL_S, len(self._links) / USAGE_REQUESTS_PER_S)
             self._deadlines.call_after(
-                USAGE_INTERVAL_S, lambda: self._ask_usage(upstream, link)
+                interval_s, lambda: self._ask_usage(upstream, link)
             )
 
         link.client.usage(done)
--- a/jackdawspur/entry/measure.py
+++ b/jackdawspur/entry/measure.py
@@ -26,9 +26,9 @@
 SMALL = Sizes(zones=ZONES, upstreams_a_zone=8)
 FULL = Sizes(
     zones=ZONES,
-    upstreams_a_zone=8,
+    upstreams_a_zone=217,
     absent_zones=15,
-    absent_upstreams=3_876,
+    absent_upstreams=3_249,
     more_customers=138,
 )
 CUT = Sizes(zones=ZONES, upstreams_a_zone=8, cut_from_log=("south",))
--- a/jackdawspur/entry/tests/session.py
+++ b/jackdawspur/entry/tests/session.py
@@ -12,7 +12,8 @@
 # How far a change is when its confirm is answered depends on how soon zones report.
 REACHED = re.compile(
     r"(?P<head>200 ok: confirmed\nversion \d+) (?:confirmed|in_force|accepted) "
-    r"plan (?P<plan><plan \d+>)(?P<rest>[^\n]*\n[^\n]*\n)(?:    (?:in force|not yet) in [^\n]*\n)+"
+    r"plan (?P<plan><plan \d+>)(?P<rest>[^\n]*\n[^\n]*\n)"
+    r"(?:    (?:in force|not yet) in [^\n]*\n)+"
 )
 PROPOSED = ("planned", "void")
 
--- a/jackdawspur/health/_health.py
+++ b/jackdawspur/health/_health.py
@@ -122,7 +122,8 @@
         return tuple(
             upstream
             for upstream, record in self._records.items()
-            if record.ejected or self._evidence(record, now)
+            if record.ejected
+            or ((record.failed or record.lost) and self._evidence(record, now))
         )
 
     def condition(self, upstream: UpstreamId, now: float) -> Condition:
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -281,6 +281,8 @@
     def _lendable(
         self, now: float, excluded: Collection[UpstreamId]
     ) -> dict[UpstreamId, int]:
+        if not excluded and not self._back_offs:
+            return {name: n for name, n in self._own_free.items() if n > 0}
         return {
             name: count
             for name, count in self._own_free.items()
