Judge a new job against the work that starts before it, over all shared slots

Cause: admission set all that waits at a host against the host's own slots. At 90 % that refused jobs of one task, which start first, and let wide ones in.

--- a/jackdawspur/dispatch/_place.py
+++ b/jackdawspur/dispatch/_place.py
@@ -3,6 +3,7 @@
 from jackdawspur.dispatch._answers import give_up
 from jackdawspur.dispatch._delegate import delegate_job
 from jackdawspur.dispatch._job import Job
+from jackdawspur.dispatch._loads import TASK_GUESS_MS
 from jackdawspur.dispatch._state import State
 from jackdawspur.model import Customer
 from jackdawspur.scheduling import (
@@ -15,6 +16,10 @@
 __all__ = ["enqueue"]
 
 NO_WAIT_KNOWN_MS = float("inf")
+# Later jobs that are more urgent start first, so work ahead counts this much.
+OVERTAKING = 2.0
+# Part of what waits elsewhere that is ahead of a job when nothing waits here.
+UNKNOWN_PART = 0.5
 
 
 def enqueue(state: State, job: Job, now: float) -> None:
@@ -24,7 +29,8 @@
     estimates = state.run_times.estimates_ms(
         request.customer, request.job_class, request.tasks
     )
-    load = _load(state, customer, now)
+    job.queued = _queued(job, customer, estimates)
+    load = _load(state, job.queued, now)
     verdict = state.admission.judge(request, estimates, customer, load)
     if _moved(state, job, customer, estimates, verdict, now):
         return
@@ -32,13 +38,12 @@
         retry = verdict.retry_after_ms
         give_up(state, job, verdict.code, verdict.message, now, retry)
         return
-    _queue(state, job, customer, estimates)
+    state.queue.add(job.queued)
+    state.limits.queued(job.customer, len(job.request.tasks))
 
 
-def _queue(
-    state: State, job: Job, customer: Customer, estimates: tuple[float, ...]
-) -> None:
-    job.queued = QueuedJob(
+def _queued(job: Job, customer: Customer, estimates: tuple[float, ...]) -> QueuedJob:
+    return QueuedJob(
         job.submission,
         job.customer,
         job.request.tasks,
@@ -47,8 +52,6 @@
         job.deadline,
         customer.contract,
     )
-    state.queue.add(job.queued)
-    state.limits.queued(job.customer, len(job.request.tasks))
 
 
 def _moved(
@@ -75,19 +78,25 @@
     return True
 
 
-def _load(state: State, customer: Customer, now: float) -> LocalLoad:
+def _load(state: State, job: QueuedJob, now: float) -> LocalLoad:
+    """Describe the slots that a job may meet, and the work that starts before it."""
     queue = state.queue
-    weight = queue.weight(customer.name)
+    weight = queue.weight(job.customer)
     competing = queue.active_weight()
-    if not queue.waiting(customer.name):
+    if not queue.waiting(job.customer):
         competing += weight
-    spare = sum(state.spare(now).values())
+    ahead_ms = queue.ahead_ms(job)
+    backlog_ms = queue.backlog_ms()
+    part = ahead_ms / backlog_ms if backlog_ms else UNKNOWN_PART
+    # What waits elsewhere is taken to be as urgent as what waits here.
+    waiting = state.waiting_elsewhere()
+    ahead_ms += part * waiting * TASK_GUESS_MS
     return LocalLoad(
-        slots=state.slots.capacity() + spare,
-        free_slots=state.slots.free(now) + spare,
-        waiting_tasks=queue.waiting(),
-        backlog_ms=queue.backlog_ms(),
-        own_backlog_ms=queue.backlog_ms(customer.name),
-        own_slots=state.quotas.share(customer.name, now),
+        slots=state.pool_slots(),
+        free_slots=state.slots.free(now) + sum(state.spare(now).values()),
+        waiting_tasks=queue.waiting() + waiting,
+        backlog_ms=OVERTAKING * ahead_ms,
+        own_backlog_ms=queue.backlog_ms(job.customer),
+        own_slots=state.quotas.share(job.customer, now),
         fair_part=weight / competing,
     )
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -201,6 +201,22 @@
             spare.update(dict.fromkeys(hosts, free // max(1, len(hosts))))
         return spare
 
+    def pool_slots(self) -> int:
+        """Return the slots that hosts which share with this one hold together."""
+        if not self.crosses_zones:
+            return self.zone_slots[self.own.zone]
+        zones = {host.zone for host in self.peers} | {self.own.zone}
+        return sum(self.zone_slots[zone] for zone in zones)
+
+    def waiting_elsewhere(self) -> int:
+        """Return the tasks that wait at hosts which share with this one."""
+        loads = (self.view.load_of(host) for host in self.view.siblings())
+        waiting = sum(load.waiting_tasks for load in loads if load is not None)
+        if self.crosses_zones:
+            zones = {host.zone for host in self.peers} - {self.own.zone}
+            waiting += sum(self.view.zone_summary(z).waiting_tasks for z in zones)
+        return waiting
+
     def find_job(self, submission: SubmissionId) -> Job | None:
         """Return a job that is under way or whose answer is still kept."""
         return self.jobs.get(submission)
--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -24,6 +24,8 @@
 # again without a word. Else a job alone in the queue would wait for ever when room came
 # by something that its caller doesn't report, as a lent slot or a re-admitted upstream.
 RECHECK_EVERY = 0.1
+# Waiting jobs above which a new one is taken to come after all of them.
+MAX_COMPARED = 256
 # Entries a customer in the order, all but one stale, before they are cleared away.
 STALE_ENTRIES = 4
 
@@ -163,6 +165,13 @@
         lane.dropped()
         return count
 
+    def ahead_ms(self, job: QueuedJob) -> float:
+        """Return the expected slot-milliseconds that would start before a new job's."""
+        if len(self._jobs) > MAX_COMPARED:
+            return self.backlog_ms()
+        key = WaitingJob(job, range(len(job.tasks))).key
+        return sum(one.left_ms for one in self._jobs.values() if one.key <= key)
+
     def most_urgent(self) -> Urgency | None:
         """Return how urgent the first job in order is; None when none may start."""
         lane = self._first_lane()
--- a/jackdawspur/sharing/_requests.py
+++ b/jackdawspur/sharing/_requests.py
@@ -59,7 +59,8 @@
             for sender, one in self._open.items()
             if now < one.until and one.wanted > 0
         }
-        return sorted(
-            self._open.values(),
-            key=lambda one: (one.urgent == 0, one.latest_start, one.sender),
-        )
+        return sorted(self._open.values(), key=_urgency)
+
+
+def _urgency(one: OpenRequest) -> tuple[bool, float, HostId]:
+    return one.urgent == 0, one.latest_start, one.sender
--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -17,6 +17,7 @@
 
 MS = 1000.0
 NOBODY: frozenset[UpstreamId] = frozenset()
+NO_NEED = Need()
 NO_LIMITS: Mapping[UpstreamId, int] = {}
 
 
@@ -161,7 +162,7 @@
         waiting: int,
         spare: Mapping[HostId, int],
         now: float,
-        need: Need = Need(),
+        need: Need = NO_NEED,
     ) -> tuple[Ask, ...]:
         """Ask others for the slots that `waiting` tasks lack.
 
