--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -17,6 +17,7 @@
 
 MS = 1000.0
 NOBODY: frozenset[UpstreamId] = frozenset()
+NO_NEED = Need()
 NO_LIMITS: Mapping[UpstreamId, int] = {}
 
 NO_NEED = Need()
