--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -1,15 +1,14 @@
 """All that one entry host holds in memory."""
 
-import heapq
 import random
 from collections import Counter, OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from jackdawspur.dispatch._counters import Counters
 from jackdawspur.dispatch._effects import Effect
 from jackdawspur.dispatch._job import Job, Placement
 from jackdawspur.dispatch._room import Room
+from jackdawspur.dispatch._timers import Action, Timers
 from jackdawspur.health import UpstreamHealth
 from jackdawspur.limits import CallLimits, Quotas, RetryBudget
 from jackdawspur.membership import View
@@ -42,8 +41,6 @@
 # A copy of a message can't arrive this long after the deadline: links drop old ones.
 DELEGATE_COPIES_S = 10.0
 
-Action = Callable[[float], None]
-
 
 @dataclass(frozen=True, slots=True)
 class RemoteCall:
@@ -93,7 +90,7 @@
         self.customers: dict[str, Customer] = {}
         self.pack = False
         self.zone_slots: Counter[str] = Counter()
-        self._forget_parts(own, rng, now)
+        self._open_parts(own, rng, now)
         self.jobs: dict[SubmissionId, Job] = {}
         self.claiming: dict[SubmissionId, Job] = {}
         self.retried: dict[SubmissionId, SubmissionId] = {}
@@ -117,14 +114,13 @@
         self.hold_until = now
         self.counters = Counters()
         self._effects: list[Effect] = []
-        self._timers: list[tuple[float, int, Action]] = []
-        self._timer_number = 0
+        self._timers = Timers()
         self._remote_number = 0
         self._job_of_call: dict[int, Job] = {}
         self._kept: OrderedDict[SubmissionId, int] = OrderedDict()
         self._kept_bytes = 0
 
-    def _forget_parts(self, own: HostId, rng: random.Random, now: float) -> None:
+    def _open_parts(self, own: HostId, rng: random.Random, now: float) -> None:
         self.ids = IdIssuer(own)
         self.claims = ClaimTable()
         self.view = View(own, now)
@@ -156,18 +152,15 @@
 
     def schedule(self, at: float, action: Action) -> None:
         """Run an action once the time has come."""
-        self._timer_number += 1
-        heapq.heappush(self._timers, (at, self._timer_number, action))
+        self._timers.add(at, action)
 
     def next_wake(self) -> float | None:
         """Return when the next scheduled action is due."""
-        return self._timers[0][0] if self._timers else None
+        return self._timers.next_due()
 
     def run_due(self, now: float) -> None:
         """Run the scheduled actions whose time has come."""
-        while self._timers and self._timers[0][0] <= now:
-            action = heapq.heappop(self._timers)[-1]
-            action(now)
+        self._timers.run_due(now)
 
     def attach(self, call: int, job: Job) -> None:
         """Let a call wait for a job."""
