Put the ejection policy in force; drop policies that nothing obeyed

heartbeat interval, drain bound and key window are gone (the first follows the byte budget, the second is a host's own setting, the third is fixed in the log's fold). Before: a changed eject_after_failures changed nothing. After: a test ejects at the configured count and probes at the configured wait.

--- a/jackdawspur/configuration/_document.py
+++ b/jackdawspur/configuration/_document.py
@@ -161,12 +161,9 @@
 
     __pydantic_config__ = STRICT
 
-    eject_after_failures: Annotated[int, Field(ge=1, le=1000)] = 3
-    eject_max_share: Annotated[float, Field(ge=0, le=1)] = 0.3
+    eject_after_failures: Annotated[int, Field(ge=1, le=1000)] = 2
+    eject_max_share: Annotated[float, Field(ge=0, le=1)] = 0.34
     readmit_after_s: Annotated[float, Field(ge=0.1, le=3600)] = 5.0
-    heartbeat_interval_ms: Annotated[float, Field(ge=50, le=10_000)] = 500.0
-    drain_bound_s: Annotated[float, Field(ge=1, le=3600)] = 30.0
-    key_window_s: Annotated[float, Field(ge=1, le=604_800)] = 3600.0
     snapshot_after_changes: Annotated[int, Field(ge=10, le=HISTORY_KEPT - 6)] = 200
     snapshot_interval_s: Annotated[float, Field(ge=60, le=86_400)] = 3600.0
 
--- a/jackdawspur/configuration/_world.py
+++ b/jackdawspur/configuration/_world.py
@@ -9,9 +9,17 @@
     CustomerEntry,
     JobClass,
     OperatorEntry,
+    Policies,
     UpstreamEntry,
 )
-from jackdawspur.model import Customer, EntryHost, Upstream, UpstreamId, World
+from jackdawspur.model import (
+    Customer,
+    Ejection,
+    EntryHost,
+    Upstream,
+    UpstreamId,
+    World,
+)
 
 __all__ = [
     "class_of",
@@ -33,6 +41,7 @@
             for host in configuration.entry_hosts
         ),
         upstreams=tuple(map(_upstream, configuration.upstreams)),
+        ejection=_ejection(configuration.policies),
     )
 
 
@@ -84,6 +93,14 @@
     )
 
 
+def _ejection(policies: Policies) -> Ejection:
+    return Ejection(
+        policies.eject_after_failures,
+        policies.eject_max_share,
+        policies.readmit_after_s,
+    )
+
+
 def _upstream(entry: UpstreamEntry) -> Upstream:
     return Upstream(
         UpstreamId(entry.zone, entry.name),
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -277,6 +277,7 @@
         self.sizes = UpstreamSizes(own)
         reached = world.upstreams if self.crosses_zones else own
         self.room.set_upstreams(reached)
+        self.health.set_ejection(world.ejection)
         self.health.set_upstreams(u.id for u in reached)
         self.queue.set_customers(world.customers)
         self.quotas.set_world(world)
--- a/jackdawspur/health/__init__.py
+++ b/jackdawspur/health/__init__.py
@@ -4,7 +4,6 @@
 from jackdawspur.health._limits import (
     FIRST_BACK_OFF,
     LONGEST_BACK_OFF,
-    MAX_EJECTED,
     UNLIMITED,
 )
 from jackdawspur.health._record import Condition
@@ -13,7 +12,6 @@
     "Condition",
     "FIRST_BACK_OFF",
     "LONGEST_BACK_OFF",
-    "MAX_EJECTED",
     "UNLIMITED",
     "UpstreamHealth",
 ]
--- a/jackdawspur/health/_health.py
+++ b/jackdawspur/health/_health.py
@@ -6,11 +6,9 @@
 
 from jackdawspur.health._blame import Blame
 from jackdawspur.health._limits import (
-    FAILED_JOBS_TO_EJECT,
-    FIRST_BACK_OFF,
+    DEFAULT_EJECTION,
     LONGEST_BACK_OFF,
     LOST_TO_EJECT,
-    MAX_EJECTED,
     MAX_SLOWNESS,
     MIN_SAMPLES,
     RAMP_FACTOR,
@@ -20,7 +18,7 @@
     UNLIMITED,
 )
 from jackdawspur.health._record import Condition, FailedJob, Record
-from jackdawspur.model import HostId, SubmissionId, UpstreamId
+from jackdawspur.model import Ejection, HostId, SubmissionId, UpstreamId
 
 __all__ = ["UpstreamHealth"]
 
@@ -32,6 +30,11 @@
         self._own = own
         self._records: dict[UpstreamId, Record] = {}
         self._blame = Blame()
+        self._ejection = DEFAULT_EJECTION
+
+    def set_ejection(self, ejection: Ejection) -> None:
+        """Judge by these limits from now on."""
+        self._ejection = ejection
 
     def set_upstreams(self, upstreams: Iterable[UpstreamId]) -> None:
         """Keep records of exactly these upstreams of the own zone."""
@@ -63,7 +66,7 @@
         if not record.ejected:
             record.ramp = min(RAMP_LIMIT, record.ramp * RAMP_FACTOR)
             if record.ramp == RAMP_LIMIT:
-                record.back_off = FIRST_BACK_OFF
+                record.times_ejected = 0
         elif now >= record.probe_at:
             record.ejected = False
             record.ramp = 1
@@ -221,7 +224,7 @@
         )
         if jobs:
             jobs += len(self._reporters(record, now))
-        enough = jobs >= FAILED_JOBS_TO_EJECT or record.lost >= LOST_TO_EJECT
+        enough = jobs >= self._ejection.after_failures or record.lost >= LOST_TO_EJECT
         zone = upstream.zone
         if enough and self._ejected_in(zone) < self._most_ejected(zone):
             self._eject(record, now)
@@ -233,7 +236,7 @@
         # A shared cause (network, bad release) makes many upstreams fail at once;
         # ejecting them all would turn failures into an outage.
         count = sum(upstream.zone == zone for upstream in self._records)
-        return max(1, math.floor(count * MAX_EJECTED))
+        return max(1, math.floor(count * self._ejection.max_share))
 
     def _room_to_wait(self, zone: str, now: float) -> bool:
         mistrusted = sum(
@@ -246,8 +249,9 @@
     def _eject(self, record: Record, now: float) -> None:
         record.ejected = True
         record.ramp = 1
-        record.probe_at = now + record.back_off
-        record.back_off = min(LONGEST_BACK_OFF, 2 * record.back_off)
+        wait = self._ejection.readmit_after_s * 2**record.times_ejected
+        record.probe_at = now + min(LONGEST_BACK_OFF, wait)
+        record.times_ejected += 1
 
 
 def _measured(record: Record) -> bool:
--- a/jackdawspur/health/_limits.py
+++ b/jackdawspur/health/_limits.py
@@ -1,13 +1,14 @@
 """Named limits of ejection and return; times in seconds."""
 
+from jackdawspur.model import Ejection
+
 __all__ = [
     "BLAME_UPSTREAMS",
     "BLAME_WINDOW",
-    "FAILED_JOBS_TO_EJECT",
+    "DEFAULT_EJECTION",
     "FIRST_BACK_OFF",
     "LONGEST_BACK_OFF",
     "LOST_TO_EJECT",
-    "MAX_EJECTED",
     "MAX_SLOWNESS",
     "MIN_SAMPLES",
     "RAMP_FACTOR",
@@ -18,13 +19,11 @@
     "UNLIMITED",
 ]
 
-# Jobs failed in a row, counted once a job, own and siblings' reports together.
-FAILED_JOBS_TO_EJECT = 2
 LOST_TO_EJECT = 3
-FIRST_BACK_OFF = 5.0
+# In force until a configuration says otherwise.
+DEFAULT_EJECTION = Ejection()
+FIRST_BACK_OFF = DEFAULT_EJECTION.readmit_after_s
 LONGEST_BACK_OFF = 300.0
-# Above this share of a zone's upstreams the cause is likely not the upstreams.
-MAX_EJECTED = 0.34
 # A class that fails on this many upstreams, and more often than not, is to blame.
 BLAME_UPSTREAMS = 3
 BLAME_WINDOW = 10.0
--- a/jackdawspur/health/_record.py
+++ b/jackdawspur/health/_record.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from jackdawspur.health._limits import FIRST_BACK_OFF, RAMP_LIMIT, SMOOTHING
+from jackdawspur.health._limits import RAMP_LIMIT, SMOOTHING
 from jackdawspur.model import HostId, SubmissionId
 
 __all__ = ["Condition", "FailedJob", "Record"]
@@ -30,7 +30,7 @@
 class Record:
     """Keep the evidence on one upstream.
 
-    `back_off` in seconds is the wait before the next probe.
+    `times_ejected` counts since it last proved healthy; each doubles the wait.
     """
 
     running: int = 0
@@ -39,7 +39,7 @@
     failed_at: float = float("-inf")
     ejected: bool = False
     probe_at: float = 0.0
-    back_off: float = FIRST_BACK_OFF
+    times_ejected: int = 0
     ramp: int = RAMP_LIMIT
     samples: int = 0
     pace: float = 1.0
--- a/jackdawspur/health/tests/test_health.py
+++ b/jackdawspur/health/tests/test_health.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jackdawspur.health import FIRST_BACK_OFF, Condition, UpstreamHealth
-from jackdawspur.model import HostId, SubmissionId, UpstreamId
+from jackdawspur.model import Ejection, HostId, SubmissionId, UpstreamId
 
 ZONE = "zone-1"
 UPSTREAMS = tuple(UpstreamId(ZONE, f"up-{n}") for n in range(6))
@@ -201,3 +201,17 @@
             state.succeeded(upstream, "maps", 3.0 if upstream == BAD else 1.0, 0.0)
     assert state.is_straggler(BAD)
     assert state.slowness(UPSTREAMS[1]) == 1.0
+
+
+def test_limits_of_the_configuration_are_in_force():
+    """An operator raises the limits, and the upstream is ejected as before."""
+    state = UpstreamHealth(HostId("north", "e1", 1))
+    state.set_upstreams((BAD,))
+    state.set_ejection(Ejection(after_failures=3, max_share=1.0, readmit_after_s=60.0))
+    for number in range(3):
+        assert state.condition(BAD, 0.0) is not Condition.EJECTED
+        state.started(BAD)
+        state.failed(BAD, _job(HostId("north", "e1", 1), number), "maps", 0.0)
+    assert state.condition(BAD, 0.0) is Condition.EJECTED
+    assert not state.probe_allowed(BAD, 59.0)
+    assert state.probe_allowed(BAD, 60.0)
--- a/jackdawspur/model/__init__.py
+++ b/jackdawspur/model/__init__.py
@@ -20,6 +20,7 @@
 from jackdawspur.model._world import (
     Contract,
     Customer,
+    Ejection,
     EntryHost,
     Objective,
     Upstream,
@@ -31,6 +32,7 @@
     "Answer",
     "Contract",
     "Customer",
+    "Ejection",
     "EntryHost",
     "FailureCode",
     "HostId",
--- a/jackdawspur/model/_world.py
+++ b/jackdawspur/model/_world.py
@@ -5,7 +5,15 @@
 
 from jackdawspur.model._ids import UpstreamId
 
-__all__ = ["Contract", "Customer", "EntryHost", "Objective", "Upstream", "World"]
+__all__ = [
+    "Contract",
+    "Customer",
+    "Ejection",
+    "EntryHost",
+    "Objective",
+    "Upstream",
+    "World",
+]
 
 
 class Objective(enum.StrEnum):
@@ -66,6 +74,18 @@
     rack: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Ejection:
+    """Say when an upstream that fails what it starts gets no more work.
+
+    `max_share` is the largest part of a zone's upstreams ejected at once.
+    """
+
+    after_failures: int = 2
+    max_share: float = 0.34
+    readmit_after_s: float = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class World:
     """Hold what one version of the configuration says of the world.
@@ -77,3 +97,4 @@
     customers: tuple[Customer, ...] = ()
     entry_hosts: tuple[EntryHost, ...] = ()
     upstreams: tuple[Upstream, ...] = ()
+    ejection: Ejection = Ejection()
