--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -33,7 +33,7 @@
 )
 from jackdawspur.sharing import SlotTable
 
-__all__ = ["Action", "Flight", "Forwarded", "RemoteCall", "State"]
+__all__ = ["Action", "Flight", "Forwarded", "RemoteCall", "Reserved", "State"]
 
 ANSWERS_KEPT_S = 600.0
 MAX_KEPT_BYTES = 8_388_608
@@ -62,6 +62,14 @@
     limit: float
 
 
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """Name the upstream that is left to empty for a job's large task."""
+
+    submission: SubmissionId
+    upstream: UpstreamId
+
+
 @dataclass(slots=True)
 class Flight:
     """Tie a task that was sent to its job, until its end is known."""
@@ -91,6 +99,7 @@
         self.retried: dict[SubmissionId, SubmissionId] = {}
         self.flights: dict[TaskId, Flight] = {}
         self.flights_at: dict[UpstreamId, set[TaskId]] = {}
+        self.reserved: Reserved | None = None
         self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
@@ -204,6 +213,22 @@
             spare.update(dict.fromkeys(hosts, free // max(1, len(hosts))))
         return spare
 
+    def pool_slots(self) -> int:
+        """Return the slots that hosts which share with this one hold together."""
+        if not self.crosses_zones:
+            return self.zone_slots[self.own.zone]
+        zones = {host.zone for host in self.peers} | {self.own.zone}
+        return sum(self.zone_slots[zone] for zone in zones)
+
+    def waiting_elsewhere(self) -> int:
+        """Return the tasks that wait at hosts which share with this one."""
+        loads = (self.view.load_of(host) for host in self.view.siblings())
+        waiting = sum(load.waiting_tasks for load in loads if load is not None)
+        if self.crosses_zones:
+            zones = {host.zone for host in self.peers} - {self.own.zone}
+            waiting += sum(self.view.zone_summary(z).waiting_tasks for z in zones)
+        return waiting
+
     def find_job(self, submission: SubmissionId) -> Job | None:
         """Return a job that is under way or whose answer is still kept."""
         return self.jobs.get(submission)
