Serve callers without events between poller and routes; refuse what is no request

Cause: each circuits event costs a pass of the loop, and a request took five of them (read, request, response, two writes). circuits' HTTP component keeps parsers of sockets, takes pipelined requests for a body, waits for ever on a first line split between CR and LF, raises on odd Host headers and closes with bytes unread.

--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -1,30 +1,38 @@
-"""A bounded HTTP server on circuits.web whose replies may come later."""
+"""A bounded HTTP server on circuits whose replies may come later."""
 
 import abc
 import logging
-from collections import defaultdict
-from dataclasses import dataclass
-from time import monotonic
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from email.utils import formatdate
+from http import HTTPStatus
+from socket import socket
 from urllib.parse import parse_qs
 
 from circuits import BaseComponent, Event, Timer, handler
-from circuits.net.events import close, read
-from circuits.web.events import response
 from circuits.web.headers import Headers
-from circuits.web.servers import BaseServer
-from circuits.web.wrappers import Request, Response
 
-from jackdawspur.callers import HttpReply, reply_refusal
-from jackdawspur.model import FailureCode
+from jackdawspur.adapters._requests import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    HttpRequest,
+    RequestError,
+    RequestReader,
+)
+from jackdawspur.adapters._web_sockets import ServerOwner, ServerSockets
+from jackdawspur.callers import HttpReply, reply_answer, reply_refusal
+from jackdawspur.model import Answer, FailureCode, JobState
 
 __all__ = ["Call", "WebServer", "WebService"]
 
-MAX_BODY_BYTES = 1_048_576
-MAX_HEADER_BYTES = 65_536
 MAX_CONNECTIONS = 1024
+# Connections beyond the bound that are told so before they are closed.
+MAX_REFUSED_CONNECTIONS = 64
 REQUEST_TIME_LIMIT_S = 10.0
+LINGER_S = 2.0
 SWEEP_INTERVAL_S = 1.0
-CLIENT_ERROR_FLOOR = 400
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = logging.getLogger(__name__)
 
@@ -67,140 +75,222 @@
     """Look for connections that send too slowly."""
 
 
-class _QuietServer(BaseServer):
-    """Leave shutdown and the terminal to the host that runs the server."""
+class proceed(Event):
+    """Handle the next of the requests that a connection sent at once."""
 
-    @handler("ready", override=True)
-    def _on_ready(self, server, bind) -> None:
-        """Keep circuits' banner out of the log."""
 
-    @handler("signal", override=True)
-    def _on_signal(self, *_signal) -> None:
-        """Go on serving: circuits would close the server and cut off requests."""
+@dataclass(eq=False, slots=True)
+class _Connection:
+    """Hold one connection; `since` is when its unfinished request began."""
 
+    sock: socket
+    since: float
+    reader: RequestReader = field(default_factory=RequestReader)
+    call: int | None = None
+    request: HttpRequest | None = None
+    ended: bool = False
+    lingering: bool = False
 
-class WebServer(BaseComponent):
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing of a request is here."""
+        return self.call is None and not self.reader.partial
+
+
+class WebServer(BaseComponent, ServerOwner):
     """Serve HTTP on one address, with bounded bodies, connections and time."""
 
-    def __init__(self, bind: str, service: WebService, channel: str = "web") -> None:
+    def __init__(
+        self,
+        bind: str,
+        service: WebService,
+        channel: str = "web",
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         super().__init__(channel=channel)
         self._service = service
+        self._clock = clock
         self._next_call = 1
-        self._open: dict[int, Response] = {}
-        self._calls_of: defaultdict[object, set[int]] = defaultdict(set)
-        self._received: defaultdict[object, int] = defaultdict(int)
-        self._reading_since: dict[object, float] = {}
-        self._server = _QuietServer(bind, channel=channel, display_banner=False)
-        self._server.register(self)
+        self._calls: dict[int, _Connection] = {}
+        self._connections: dict[socket, _Connection] = {}
+        self._sockets = ServerSockets(bind, self, channel).register(self)
         Timer(SWEEP_INTERVAL_S, sweep(), channel, persist=True).register(self)
 
     @property
     def port(self) -> int:
         """Return the port the server listens on."""
-        return self._server.port
+        return self._sockets.port
 
     @property
     def open_calls(self) -> int:
         """Return the number of calls without a reply."""
-        return len(self._open)
+        return len(self._calls)
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections that stand."""
+        return len(self._connections)
 
     def reply(self, number: int, reply: HttpReply) -> None:
         """Send the reply of a call; a call whose caller left is ignored."""
-        res = self._open.pop(number, None)
-        if res is None:
+        connection = self._calls.pop(number, None)
+        if connection is None:
             return
-        self._calls_of[res.request.sock].discard(number)
-        self._respond(res, reply)
-
-    def _respond(self, res: Response, reply: HttpReply) -> None:
-        res.status = reply.status
-        res.body = reply.body
-        res.headers["Content-Type"] = reply.content_type
-        if reply.retry_after_s:
-            res.headers["Retry-After"] = str(reply.retry_after_s)
-        self.fire(response(res))
-
-    @handler("connect")
-    def _on_connect(self, sock, *_address) -> None:
-        """Refuse connections beyond the bound, so that open ones stay served."""
-        if len(self._reading_since) >= MAX_CONNECTIONS:
-            self.fire(close(sock))
+        request, connection.request = connection.request, None
+        connection.call = None
+        connection.since = self._clock()
+        self._sockets.send(connection.sock, _encode(reply, request))
+        if not request.keep_alive:
+            self._finish(connection)
+        elif connection.reader.buffered:
+            if not connection.ended:
+                self._sockets.resume(connection.sock)
+            self.fire(proceed(connection))
+        elif connection.ended:
+            self._sockets.end(connection.sock)
+
+    def accepted(self, sock: socket) -> None:
+        """Take a connection; beyond the bound an idle one makes room for it.
+
+        Idle connections that are never used would otherwise lock all callers out.
+        """
+        connection = _Connection(sock, self._clock())
+        self._connections[sock] = connection
+        count = len(self._connections)
+        if count <= MAX_CONNECTIONS:
             return
-        self._reading_since[sock] = monotonic()
-
-    @handler("disconnect")
-    def _on_disconnect(self, sock) -> None:
-        self._reading_since.pop(sock, None)
-        self._received.pop(sock, None)
-        # circuits keeps the parser of a half-sent request; a new socket object that
-        # compares equal would go on with it.
-        self._server.http._buffers.pop(sock, None)
-        for number in self._calls_of.pop(sock, ()):
-            del self._open[number]
-            self._service.closed(number)
-
-    @handler("read", priority=1)
-    def _on_read(self, event, sock, data) -> None:
-        """Bound what one request may make this host hold in memory."""
-        self._received[sock] += len(data)
-        if self._received[sock] <= MAX_BODY_BYTES + MAX_HEADER_BYTES:
+        idle = next((c for c in self._connections.values() if c.idle), connection)
+        if idle is not connection:
+            self._sockets.end(idle.sock)
+        elif count <= MAX_CONNECTIONS + MAX_REFUSED_CONNECTIONS:
+            text = f"more than {MAX_CONNECTIONS} connections"
+            self._refuse(connection, reply_refusal(FailureCode.OVERLOADED, text))
+        else:
+            self._sockets.end(sock)
+
+    def received(self, sock: socket, data: bytes) -> None:
+        """Take what a caller sent."""
+        connection = self._connections[sock]
+        if not data:
+            self._end_of_data(connection)
+        elif not connection.lingering:
+            if connection.idle:
+                connection.since = self._clock()
+            connection.reader.feed(data)
+            self._advance(connection)
+
+    def gone(self, sock: socket) -> None:
+        """Forget a connection, and tell the service of its open call."""
+        connection = self._connections.pop(sock)
+        if self._calls.pop(connection.call, None) is not None:
+            self._service.closed(connection.call)
+
+    def _end_of_data(self, connection: _Connection) -> None:
+        """Answer a caller that shut its sending side, then close.
+
+        It may still read: its open call is answered, and a request that it cut off
+        is refused in words instead of by a close.
+        """
+        connection.ended = True
+        if connection.lingering or connection.idle:
+            self._sockets.end(connection.sock)
             return
-        event.stop()
-        self._server.http._buffers.pop(sock, None)
-        text = f"a request may have at most {MAX_BODY_BYTES} bytes"
-        self._refuse_raw(sock, reply_refusal(FailureCode.TOO_LARGE, text))
-
-    def _refuse_raw(self, sock, reply: HttpReply) -> None:
-        """Answer a request that was not read to its end, and close."""
-        self._received.pop(sock, None)
-        res = Response(Request(sock, server=self._server))
-        res.close = True
-        self._respond(res, reply)
-
-    @handler("request", priority=1)
-    def _on_request(self, event, req, res, *_peer_certificate) -> bool:
-        self._received.pop(req.sock, None)
-        self._reading_since[req.sock] = monotonic()
+        # An ended connection stays readable, and the loop would spin on it.
+        self._sockets.pause(connection.sock)
+        self._advance(connection)
+
+    @handler("proceed")
+    def _advance(self, connection: _Connection) -> None:
+        """Handle one request, if a whole one is here and none is open."""
+        if connection.lingering or connection.sock not in self._connections:
+            return
+        if connection.call is not None:
+            if connection.reader.buffered > MAX_BODY_BYTES + MAX_HEAD_BYTES:
+                self._sockets.pause(connection.sock)
+            return
+        try:
+            request = connection.reader.take()
+        except RequestError as error:
+            self._refuse(connection, reply_refusal(error.code, str(error)))
+            return
+        if request is not None:
+            self._call(connection, request)
+        elif connection.ended:
+            text = "the request ended before it was whole"
+            self._refuse(connection, reply_refusal(FailureCode.INVALID, text))
+        elif connection.reader.wants_continue():
+            self._sockets.send(connection.sock, CONTINUE)
+
+    def _call(self, connection: _Connection, request: HttpRequest) -> None:
         number = self._next_call
         self._next_call += 1
-        self._open[number] = res
-        self._calls_of[req.sock].add(number)
-        call = Call(number, req.method, req.path, req.qs, req.headers, req.body.read())
-        event.stop()
-        self._service.called(call)
-        # circuits sends no reply of its own for a handler that returns a bool.
-        return True
-
-    @handler("httperror", priority=1)
-    def _on_httperror(self, event, req, res, code, **_details) -> None:
-        """Answer what circuits refused in the same form as our own refusals."""
-        event.stop()
-        text = f"the HTTP request could not be read ({code})"
-        res.close = code >= CLIENT_ERROR_FLOOR
-        self._respond(res, reply_refusal(FailureCode.INVALID, text))
+        connection.call = number
+        connection.request = request
+        self._calls[number] = connection
+        call = Call(
+            number,
+            request.method,
+            request.path,
+            request.query,
+            request.headers,
+            request.body,
+        )
+        try:
+            self._service.called(call)
+        except Exception:
+            # circuits drops exceptions in silence, and the caller would wait.
+            log.exception("call failed", extra={"path": call.path})
+            text = "an internal error; whether the job ran is unknown"
+            code = FailureCode.OUTCOME_UNKNOWN
+            failed = Answer(JobState.FAILED, code=code, message=text)
+            self.reply(number, reply_answer(failed))
+
+    def _refuse(self, connection: _Connection, reply: HttpReply) -> None:
+        """Answer what was not read to its end, and close."""
+        self._sockets.send(connection.sock, _encode(reply, None))
+        self._finish(connection)
+
+    def _finish(self, connection: _Connection) -> None:
+        if connection.ended:
+            self._sockets.end(connection.sock)
+            return
+        connection.lingering = True
+        connection.reader = RequestReader()
+        connection.since = self._clock()
+        self._sockets.resume(connection.sock)
+        self._sockets.finish(connection.sock)
 
     @handler("exception", channel="*")
-    def _on_exception(self, _type, error, trace, handler=None, fevent=None) -> None:
-        """Log what a handler raised, and answer a request that can't be read.
-
-        circuits drops exceptions in silence; the caller of such a request would wait.
-        """
+    def _on_exception(self, _type, _error, trace, handler=None, fevent=None) -> None:
+        """Log what a handler raised; circuits drops it in silence."""
         log.error("handler failed", extra={"event": repr(fevent), "trace": trace})
-        if isinstance(fevent, read) and self.channel in fevent.channels:
-            sock = fevent.args[0]
-            self._server.http._buffers.pop(sock, None)
-            self._server.http._clients.pop(sock, None)
-            text = f"the HTTP request could not be read ({error})"
-            self._refuse_raw(sock, reply_refusal(FailureCode.INVALID, text))
 
     @handler("sweep")
     def _on_sweep(self) -> None:
-        """Close connections whose request does not arrive whole in time."""
-        limit = monotonic() - REQUEST_TIME_LIMIT_S
-        late = [s for s, since in self._reading_since.items() if since < limit]
-        for sock in late:
-            if self._received.get(sock):
+        """End connections whose request does not arrive whole in time."""
+        now = self._clock()
+        for connection in list(self._connections.values()):
+            age = now - connection.since
+            if connection.lingering and age > LINGER_S:
+                self._sockets.end(connection.sock)
+            elif connection.call is not None or connection.idle:
+                continue
+            elif age > REQUEST_TIME_LIMIT_S:
                 text = f"the request took over {REQUEST_TIME_LIMIT_S:.0f} s to arrive"
-                self._refuse_raw(sock, reply_refusal(FailureCode.INVALID, text))
-            else:
-                self._reading_since[sock] = monotonic()
+                self._refuse(connection, reply_refusal(FailureCode.INVALID, text))
+
+
+def _encode(reply: HttpReply, request: HttpRequest | None) -> bytes:
+    """Return a reply's bytes; without a request the connection is to close."""
+    lines = [
+        f"HTTP/1.1 {reply.status} {HTTPStatus(reply.status).phrase}",
+        f"Date: {formatdate(usegmt=True)}",
+        f"Content-Type: {reply.content_type}",
+        f"Content-Length: {len(reply.body)}",
+    ]
+    if reply.retry_after_s:
+        lines.append(f"Retry-After: {reply.retry_after_s}")
+    closes = request is None or not request.keep_alive
+    lines.append("Connection: close" if closes else "Connection: keep-alive")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+    return head if request and request.method == "HEAD" else head + reply.body
--- /dev/null
+++ b/jackdawspur/entry/tests/test_bad_input.py
@@ -0,0 +1,474 @@
+"""What callers send wrong, over real loopback sockets, to the server and routes."""
+
+import json
+import socket
+from dataclasses import dataclass
+
+import pytest
+
+import jackdawspur.adapters._web as web
+from jackdawspur.adapters import WebServer
+from jackdawspur.adapters.tests.conftest import Loop
+from jackdawspur.callers import reply_answer
+from jackdawspur.configuration import (
+    Configuration,
+    CustomerEntry,
+    JobClass,
+    Readiness,
+    ReadinessReason,
+    token_hash,
+)
+from jackdawspur.dispatch import Submitted
+from jackdawspur.entry._routes import Routes
+from jackdawspur.model import Answer, JobState
+
+TOKEN = "t"
+JOB = {"job_class": "c", "tasks": [{"payload": "x", "run_ms": 5}]}
+MAX_BODY = 1_048_576
+
+
+class Host:
+    """Stand behind the routes: keep events, answer jobs when told."""
+
+    def __init__(self, loop) -> None:
+        self.events = []
+        self.routes = Routes(self)
+        self.now = 1000.0
+        self.server = WebServer("127.0.0.1:0", self.routes, clock=lambda: self.now)
+        self.server.register(loop.root)
+        self.answers_at_once = True
+
+    def post(self, event) -> None:
+        self.events.append(event)
+        if self.answers_at_once and isinstance(event, Submitted):
+            self.answer(event.call)
+
+    def answer(self, call: int) -> None:
+        self.reply(call, reply_answer(Answer(JobState.COMPLETE, outputs=("x",))))
+
+    def reply(self, number, reply) -> None:
+        self.server.reply(number, reply)
+
+    def readiness(self) -> Readiness:
+        return Readiness(True, ReadinessReason.READY)
+
+    @property
+    def submitted(self):
+        return [each for each in self.events if isinstance(each, Submitted)]
+
+
+@dataclass
+class Reply:
+    """Hold one reply, and what came after it."""
+
+    status: int
+    body: dict
+    rest: bytes
+
+
+class Caller:
+    """Send raw bytes and read raw replies while the loop turns."""
+
+    def __init__(self, loop, port: int) -> None:
+        self._loop = loop
+        self.sock = socket.create_connection(("127.0.0.1", port))
+        self.sock.setblocking(False)
+        self.data = b""
+        self.closed = False
+
+    def send(self, data: bytes) -> None:
+        while data:
+            try:
+                data = data[self.sock.send(data) :]
+            except BlockingIOError:
+                self._loop.settle(1)
+
+    def pull(self) -> None:
+        try:
+            more = self.sock.recv(65536)
+            self.closed = not more
+            self.data += more
+        except BlockingIOError:
+            pass
+
+    def reply(self) -> Reply:
+        def whole() -> bool:
+            self.pull()
+            head, found, body = self.data.partition(b"\r\n\r\n")
+            return bool(found) and len(body) >= _length(head)
+
+        self._loop.until(whole)
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        length = _length(head)
+        self.data = body[length:]
+        read = json.loads(body[:length])
+        return Reply(int(head.split()[1]), read, self.data)
+
+    def until_closed(self) -> None:
+        def closed() -> bool:
+            self.pull()
+            return self.closed
+
+        self._loop.until(closed)
+
+
+def _length(head: bytes) -> int:
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            return int(line.split(b":")[1])
+    return 0
+
+
+def request(body, length=None, extra="", method="POST", path="/v1/jobs?wait=true"):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    length = len(data) if length is None else length
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer {TOKEN}\r\n"
+        f"Content-Length: {length}\r\n{extra}\r\n"
+    )
+    return head.encode() + data
+
+
+@pytest.fixture
+def loop():
+    loop = Loop()
+    yield loop
+    loop.root.stop()
+
+
+@pytest.fixture
+def host(loop):
+    host = Host(loop)
+    classes = (JobClass(name="c", deadline_ms=1000.0),)
+    customer = CustomerEntry(
+        name="a", token_sha256=(token_hash(TOKEN),), quota_slots=8, classes=classes
+    )
+    host.routes.set_configuration(Configuration(customers=(customer,)))
+    loop.settle()
+    return host
+
+
+@pytest.fixture
+def call(loop, host):
+    callers = []
+
+    def make() -> Caller:
+        callers.append(Caller(loop, host.server.port))
+        loop.settle(3)
+        return callers[-1]
+
+    yield make
+    for caller in callers:
+        caller.sock.close()
+
+
+def is_served(caller: Caller) -> bool:
+    caller.send(request(JOB))
+    return caller.reply().body["state"] == "complete"
+
+
+def with_task(**fields) -> dict:
+    return {"job_class": "c", "tasks": [fields]}
+
+
+@pytest.mark.parametrize(
+    ("body", "named"),
+    [
+        (b'{"job_class": "c", "tasks": [{"pay', "body"),
+        (b"", "body"),
+        (b"[" * 100_000, "body"),
+        (b"\xff\xfe\x00", "body"),
+        ([], "body"),
+        ({"job_class": 7, "tasks": [{}]}, "job_class"),
+        ({"job_class": "no-such", "tasks": [{}]}, "job_class"),
+        ({"job_class": "c", "tasks": "many"}, "tasks"),
+        ({"job_class": "c", "tasks": []}, "tasks"),
+        ({"job_class": "c", "tasks": [{}] * 361}, "tasks"),
+        ({**JOB, "deadline_ms": -1}, "deadline_ms"),
+        ({**JOB, "deadline_ms": 1e300}, "deadline_ms"),
+        (b'{"job_class":"c","tasks":[{}],"deadline_ms":NaN}', "deadline_ms"),
+        ({**JOB, "idempotnet": False}, "idempotnet"),
+        (with_task(cpus=-1), "tasks.0.cpus"),
+        (with_task(cpus=10**30), "tasks.0.cpus"),
+        (with_task(run_ms=-5), "tasks.0.run_ms"),
+        (with_task(run_ms=1e300), "tasks.0.run_ms"),
+        (with_task(memory_mb=1e18), "tasks.0.memory_mb"),
+        (with_task(accelerators="2"), "tasks.0.accelerators"),
+        (with_task(payload="x" * 65_537), "tasks.0.payload"),
+    ],
+)
+def test_bad_body_names_its_field_and_ran_nothing(host, call, body, named):
+    """A caller's program sends a job that makes no sense.
+
+    It is told which field is wrong and that nothing ran, on a connection that goes on
+    to serve its next job.
+    """
+    caller = call()
+    caller.send(request(body))
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (400, True)
+    assert named in reply.body["message"]
+    assert not host.submitted
+    assert is_served(caller)
+
+
+def test_unknown_customer_is_refused(host, call):
+    """A token was withdrawn; its holder learns that nothing of its job ran."""
+    caller = call()
+    caller.send(request(JOB).replace(b"Bearer t", b"Bearer u"))
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (401, True)
+    assert not host.submitted
+
+
+HEAD = b"POST /v1/jobs HTTP/1.1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
+        (b"SSH-2.0-OpenSSH_9.2\r\n\r\n", 400),
+        (b"GET \\xZZ HTTP/1.1\r\n\r\n", 400),
+        (HEAD + b"no colon\r\n\r\n", 400),
+        (HEAD + b"\r\n", 400),
+        (b"POST /v1/jobs HTTP/2.0\r\nHost: x\r\n\r\n", 400),
+        (HEAD + b"Host: x\r\nContent-Length: many\r\n\r\n", 400),
+        (HEAD + b"Host: x\r\nContent-Length: -5\r\n\r\n", 400),
+        (HEAD + b"Host: x\r\nContent-Length: 1_0\r\n\r\n", 400),
+        (HEAD + b"Host: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (HEAD + b"Host: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", 400),
+        (HEAD + b"Host: x\r\nContent-Length: 1048577\r\n\r\n", 413),
+        (HEAD + b"Host: x\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n", 413),
+        (b"x" * 70_000, 413),
+        (HEAD + b"Host: x\r\nA: " + b"y" * 70_000 + b"\r\n\r\n", 413),
+    ],
+)
+def test_what_is_no_request_is_refused_and_closed(host, call, data, status):
+    """A scanner, a wrong port or a broken client sends what can't be read as HTTP.
+
+    circuits' parser raises or waits on some of these; the peer would hang.
+    """
+    other, caller = call(), call()
+    caller.send(data)
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (status, True)
+    caller.until_closed()
+    assert not host.submitted and is_served(other)
+
+
+def test_huge_body_in_flight_still_gets_its_refusal(host, call):
+    """A caller sends 8 MB and reads only afterwards.
+
+    Were the connection closed with its bytes unread, the kernel would reset it and
+    the caller would see a broken pipe in place of the reason.
+    """
+    caller = call()
+    caller.send(request(b"x" * 8_000_000))
+    assert caller.reply().status == 413
+    assert is_served(call())
+
+
+def test_body_at_the_bound_is_read(host, call):
+    caller = call()
+    caller.send(request(JOB) + request(b" " * (MAX_BODY - 2) + b"{}"))
+    assert caller.reply().status == 200
+    assert caller.reply().body["code"] == "invalid"
+
+
+@pytest.mark.parametrize("place", [1, len(HEAD) - 1, 60])
+def test_request_in_two_parts_is_read_whole(loop, host, call, place):
+    """A router splits a request between the CR and the LF of its first line.
+
+    circuits' parser never ends such a line, so the caller would wait for ever.
+    """
+    caller, data = call(), request(JOB, path="/v1/jobs")
+    caller.send(data[:place])
+    loop.settle()
+    caller.send(data[place:])
+    assert caller.reply().status == 200
+
+
+@pytest.mark.parametrize("part", [b"POST", request(JOB)[:-3]])
+def test_slow_sender_is_refused_in_time_and_blocks_no_one(loop, host, call, part):
+    """A caller sends a part of its request, then a byte now and then, for hours.
+
+    A thousand of them would use up all connections. Each has ten seconds a request.
+    """
+    caller, other = call(), call()
+    caller.send(part)
+    loop.settle()
+    host.now += 9.0
+    caller.send(b" ")
+    loop.settle()
+    assert is_served(other)
+    host.now += 1.5
+    host.server.fire(web.sweep())
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (400, True)
+    assert "10 s" in reply.body["message"]
+    caller.until_closed()
+
+
+def test_waiting_caller_is_no_slow_sender(loop, host, call):
+    caller = call()
+    host.answers_at_once = False
+    caller.send(request(JOB))
+    loop.until(lambda: host.submitted)
+    host.now += 60.0
+    host.server.fire(web.sweep())
+    loop.settle()
+    host.answer(host.submitted[0].call)
+    assert caller.reply().status == 200
+
+
+def test_half_closed_caller_gets_its_answer(loop, host, call):
+    """A caller shuts its sending side after the job and waits for the answer."""
+    caller = call()
+    host.answers_at_once = False
+    caller.send(request(JOB))
+    caller.sock.shutdown(socket.SHUT_WR)
+    loop.until(lambda: host.submitted)
+    loop.settle()
+    host.answer(host.submitted[0].call)
+    assert caller.reply().status == 200
+    caller.until_closed()
+
+
+def test_request_cut_off_by_a_half_close_is_refused(host, call):
+    """A caller's program ends in mid-request and shuts its sending side."""
+    caller = call()
+    caller.send(request(JOB)[:-3])
+    caller.sock.shutdown(socket.SHUT_WR)
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (400, True)
+    caller.until_closed()
+    assert not host.submitted
+
+
+def test_pipelined_requests_are_answered_in_order(loop, host, call):
+    """A client sends three jobs at once; circuits took the later for one body."""
+    caller = call()
+    host.answers_at_once = False
+    caller.send(request(JOB) + request([]) + request(JOB))
+    loop.until(lambda: host.submitted)
+    loop.settle()
+    assert len(host.submitted) == 1
+    host.answer(host.submitted[0].call)
+    assert [caller.reply().status, caller.reply().status] == [200, 400]
+    loop.until(lambda: len(host.submitted) == 2)
+    host.answer(host.submitted[1].call)
+    assert caller.reply().status == 200
+
+
+def test_pipelined_flood_is_held_back(loop, host, call):
+    """A caller sends without end while its first job runs.
+
+    Beyond one request's bound the rest is left to the kernel, which stops the sender.
+    """
+    caller = call()
+    host.answers_at_once = False
+    caller.send(request(JOB))
+    loop.until(lambda: host.submitted)
+    flood, sent = request(JOB) * 100, 0
+    for _ in range(2000):
+        try:
+            sent += caller.sock.send(flood)
+        except BlockingIOError:
+            loop.settle(1)
+    (connection,) = host.server._connections.values()
+    assert connection.reader.buffered < 2 * MAX_BODY < sent
+    host.answer(host.submitted[0].call)
+    assert caller.reply().status == 200
+    host.answers_at_once = True
+    assert is_served(call())
+
+
+def test_odd_host_header_is_no_error(call):
+    """A Host header without a port number made circuits raise, and the caller wait."""
+    caller = call()
+    caller.send(request(JOB).replace(b"Host: e1", b"Host: x:yy"))
+    assert caller.reply().status == 200
+
+
+def test_caller_that_waits_to_send_its_body_is_told_to(loop, host, call):
+    """curl sends `Expect: 100-continue` before a large body and waits a second."""
+    caller, data = call(), request(JOB, extra="Expect: 100-continue\r\n")
+    end = data.index(b"\r\n\r\n") + 4
+    caller.send(data[:end])
+
+    def told() -> bool:
+        caller.pull()
+        return caller.data.startswith(b"HTTP/1.1 100 ")
+
+    loop.until(told)
+    caller.data = b""
+    caller.send(data[end:])
+    assert caller.reply().status == 200
+
+
+def test_too_many_connections_lock_no_one_out(loop, host, call, monkeypatch):
+    """A caller leaks idle connections until the host's bound.
+
+    An idle one makes room for the next; with all in use the next is told so.
+    """
+    monkeypatch.setattr(web, "MAX_CONNECTIONS", 4)
+    idle = [call() for _ in range(6)]
+    loop.settle()
+    assert host.server.connections == 4
+    idle[0].until_closed()
+    assert is_served(idle[5])
+    host.answers_at_once = False
+    for caller in idle[2:]:
+        caller.send(request(JOB))
+    loop.until(lambda: len(host.submitted) == 5)
+    reply = call().reply()
+    assert (reply.status, reply.body["not_run"]) == (503, True)
+
+
+def reset_in_mid_reply(loop, host, caller: Caller) -> None:
+    """Leave while the kernel holds a part of the reply and this host the rest."""
+    caller.send(request(JOB))
+    loop.until(lambda: host.server.open_calls)
+    large = Answer(JobState.COMPLETE, outputs=("x" * 8_000_000,))
+    host.reply(host.submitted[-1].call, reply_answer(large))
+    loop.settle()
+    caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    caller.sock.close()
+    loop.settle()
+
+
+def test_closed_connections_leave_nothing_behind(loop, host, call):
+    """A host that runs for weeks grows with each connection that ever ended badly.
+
+    circuits keeps parsers, requests and buffers of sockets until a reply is sent.
+    """
+    host.answers_at_once = False
+    parts = [b"", b"POST", request(JOB)[:-3], request(JOB), b"nonsense\r\n\r\n"]
+    for part in parts * 3:
+        caller = call()
+        caller.send(part)
+        loop.settle(4)
+        caller.sock.close()
+    loop.settle()
+    for event in host.submitted:
+        host.answer(event.call)
+    loop.settle()
+    reset_in_mid_reply(loop, host, call())
+    sockets = host.server._sockets
+    assert host.server.connections == host.server.open_calls == 0
+    assert not sockets._buffers and not sockets._clients and not sockets._closeq
+    assert not [s for s in loop.poller._targets if s not in (sockets._sock,)]
+
+
+def test_fault_in_a_route_answers_its_caller(host, call, monkeypatch):
+    """A route raises; the caller hears that the outcome is unknown, not silence."""
+
+    def broken(_call):
+        raise KeyError("boom")
+
+    monkeypatch.setattr(host.routes, "called", broken)
+    caller = call()
+    caller.send(request(JOB))
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (504, False)
--- a/jackdawspur/load/_speed_processes.py
+++ b/jackdawspur/load/_speed_processes.py
@@ -1,4 +1,4 @@
-"""Processes of the speed measurement: an entry host, racks, a log; all ended with it."""
+"""Processes of the speed measurement: an entry host, racks and a log."""
 
 import hashlib
 import json
