Keep full collections, new connections and slow stand-ins out of the tail

Cause: full collections stopped the loop for 40 to 100 ms; each new connection makes circuits rebuild its table of handlers; the stand-ins' HTTP cost as much as the host's. The collector skips what was loaded at the start and looks at old objects less often; connections to upstreams are opened when the upstream is set; stand-ins use WebServer.

--- a/jackdawspur/adapters/_http_client.py
+++ b/jackdawspur/adapters/_http_client.py
@@ -90,6 +90,15 @@
         self._waiting.append(call)
         self._pump()
 
+    def open_all(self) -> None:
+        """Connect in advance with all connections of the limit.
+
+        Each new connection is a component, and the loop then rebuilds its table of
+        handlers event by event; under load that delays everything that waits.
+        """
+        while len(self._connections) < self._limits.connections:
+            self._add_connection()
+
     def close(self) -> None:
         """Drop all connections; what waits or is in flight ends in an error."""
         self._closed = True
@@ -158,13 +167,16 @@
             opening < len(self._waiting)
             and len(self._connections) < self._limits.connections
         ):
-            connection = HttpConnection(
-                self._address, self, self._deadlines, self._limits.connect_s
-            )
-            self._connections.append(connection.register(self))
-            connection.open()
+            self._add_connection()
             opening += 1
 
+    def _add_connection(self) -> None:
+        connection = HttpConnection(
+            self._address, self, self._deadlines, self._limits.connect_s
+        )
+        self._connections.append(connection.register(self))
+        connection.open()
+
     def _late(self, call: _Call) -> None:
         if call in self._waiting:
             self._waiting.remove(call)
--- a/jackdawspur/adapters/_requests.py
+++ b/jackdawspur/adapters/_requests.py
@@ -57,7 +57,8 @@
     It takes pipelined requests for a part of the body, so bodies are cut here.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        self._max_body_bytes = max_body_bytes
         self._buffer = bytearray()
         self._searched = 0
         self._head: _Head | None = None
@@ -111,7 +112,7 @@
         parser = _parse(bytes(self._buffer[:end]))
         del self._buffer[:end]
         self._searched = 0
-        return _Head(parser, _body_length(parser.get_headers()))
+        return _Head(parser, _body_length(parser.get_headers(), self._max_body_bytes))
 
 
 def _parse(head: bytes) -> HttpParser:
@@ -131,15 +132,15 @@
     return parser
 
 
-def _body_length(headers: Headers) -> int:
+def _body_length(headers: Headers, most: int) -> int:
     if headers.get("Transfer-Encoding"):
         raise RequestError("Content-Length is needed; chunked bodies are not taken")
     text = headers.get("Content-Length", "0").strip()
     # int() also takes signs, underscores and other scripts' digits.
     if not (text.isascii() and text.isdigit()):
         raise RequestError("Content-Length: a whole number of bytes expected")
-    if len(text) > len(str(MAX_BODY_BYTES)) or int(text) > MAX_BODY_BYTES:
-        text = f"a request's body may have {MAX_BODY_BYTES} bytes at most"
+    if len(text) > len(str(most)) or int(text) > most:
+        text = f"a request's body may have {most} bytes at most"
         raise RequestError(text, FailureCode.TOO_LARGE)
     return int(text)
 
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -4,15 +4,14 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from email.utils import formatdate
-from http import HTTPStatus
+from dataclasses import dataclass
 from socket import socket
 from urllib.parse import parse_qs
 
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.web.headers import Headers
 
+from jackdawspur.adapters._reply_bytes import encode_reply
 from jackdawspur.adapters._requests import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -85,7 +84,7 @@
 
     sock: socket
     since: float
-    reader: RequestReader = field(default_factory=RequestReader)
+    reader: RequestReader
     call: int | None = None
     request: HttpRequest | None = None
     ended: bool = False
@@ -106,8 +105,10 @@
         service: WebService,
         channel: str = "web",
         clock: Callable[[], float] = time.monotonic,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         super().__init__(channel=channel)
+        self._max_body_bytes = max_body_bytes
         self._service = service
         self._clock = clock
         self._next_call = 1
@@ -139,7 +140,7 @@
         request, connection.request = connection.request, None
         connection.call = None
         connection.since = self._clock()
-        self._sockets.send(connection.sock, _encode(reply, request))
+        self._sockets.send(connection.sock, encode_reply(reply, request))
         if not request.keep_alive:
             self._finish(connection)
         elif connection.reader.buffered:
@@ -149,12 +150,18 @@
         elif connection.ended:
             self._sockets.end(connection.sock)
 
+    def drop(self, number: int) -> None:
+        """Close the connection of a call without a reply."""
+        connection = self._calls.pop(number, None)
+        if connection is not None:
+            self._sockets.end(connection.sock)
+
     def accepted(self, sock: socket) -> None:
         """Take a connection; beyond the bound an idle one makes room for it.
 
         Idle connections that are never used would otherwise lock all callers out.
         """
-        connection = _Connection(sock, self._clock())
+        connection = _Connection(sock, self._clock(), self._reader())
         self._connections[sock] = connection
         count = len(self._connections)
         if count <= MAX_CONNECTIONS:
@@ -185,6 +192,9 @@
         if self._calls.pop(connection.call, None) is not None:
             self._service.closed(connection.call)
 
+    def _reader(self) -> RequestReader:
+        return RequestReader(self._max_body_bytes)
+
     def _end_of_data(self, connection: _Connection) -> None:
         """Answer a caller that shut its sending side, then close.
 
@@ -205,7 +215,7 @@
         if connection.lingering or connection.sock not in self._connections:
             return
         if connection.call is not None:
-            if connection.reader.buffered > MAX_BODY_BYTES + MAX_HEAD_BYTES:
+            if connection.reader.buffered > self._max_body_bytes + MAX_HEAD_BYTES:
                 self._sockets.pause(connection.sock)
             return
         try:
@@ -247,7 +257,7 @@
 
     def _refuse(self, connection: _Connection, reply: HttpReply) -> None:
         """Answer what was not read to its end, and close."""
-        self._sockets.send(connection.sock, _encode(reply, None))
+        self._sockets.send(connection.sock, encode_reply(reply, None))
         self._finish(connection)
 
     def _finish(self, connection: _Connection) -> None:
@@ -255,7 +265,7 @@
             self._sockets.end(connection.sock)
             return
         connection.lingering = True
-        connection.reader = RequestReader()
+        connection.reader = self._reader()
         connection.since = self._clock()
         self._sockets.resume(connection.sock)
         self._sockets.finish(connection.sock)
@@ -278,19 +288,3 @@
             elif age > REQUEST_TIME_LIMIT_S:
                 text = f"the request took over {REQUEST_TIME_LIMIT_S:.0f} s to arrive"
                 self._refuse(connection, reply_refusal(FailureCode.INVALID, text))
-
-
-def _encode(reply: HttpReply, request: HttpRequest | None) -> bytes:
-    """Return a reply's bytes; without a request the connection is to close."""
-    lines = [
-        f"HTTP/1.1 {reply.status} {HTTPStatus(reply.status).phrase}",
-        f"Date: {formatdate(usegmt=True)}",
-        f"Content-Type: {reply.content_type}",
-        f"Content-Length: {len(reply.body)}",
-    ]
-    if reply.retry_after_s:
-        lines.append(f"Retry-After: {reply.retry_after_s}")
-    closes = request is None or not request.keep_alive
-    lines.append("Connection: close" if closes else "Connection: keep-alive")
-    head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-    return head if request and request.method == "HEAD" else head + reply.body
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -1,5 +1,6 @@
 """An entry host on one circuits loop."""
 
+import gc
 import logging
 import random
 from time import monotonic, time
@@ -66,6 +67,8 @@
 HOST_LIST_INTERVAL_S = 1.0
 EXIT_GRACE_S = 0.2
 MS_PER_S = 1000.0
+# Objects until a young collection, then how many of each until the next older one.
+COLLECTOR_THRESHOLDS = (10_000, 20, 100)
 
 log = logging.getLogger(__name__)
 
@@ -339,4 +342,17 @@
     root = Component()
     poller = EPoll().register(root)
     EntryHostProcess(settings, poller).register(root)
+    _calm_collector()
     root.run()
+
+
+def _calm_collector() -> None:
+    """Spare the collector what lives as long as the process.
+
+    A full collection stopped the loop for 40 to 100 ms, and all jobs then in flight
+    were late by it. Its cost grows with what it walks: the modules are frozen out of
+    it. Events of circuits are cycles, which die young, so young ones stay frequent.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
--- a/jackdawspur/entry/_upstreams.py
+++ b/jackdawspur/entry/_upstreams.py
@@ -86,6 +86,8 @@
         one = HttpLimits(connections=1, waiting=MAX_WAITING_REQUESTS)
         requests = HttpClient(address, self._deadlines, limits).register(self._root)
         polls = HttpClient(address, self._deadlines, one).register(self._root)
+        requests.open_all()
+        polls.open_all()
         client = HttpUpstream(upstream.id, self._own, requests, polls)
         link = _Link(upstream.address, client, requests, polls)
         self._links[upstream.id] = link
--- a/jackdawspur/load/_speed_processes.py
+++ b/jackdawspur/load/_speed_processes.py
@@ -37,11 +37,11 @@
         self._folder = folder
         self._processes: list[subprocess.Popen] = []
         self.http = _free_address()
-        self._upstreams = [_free_address() for _ in range(RACKS * WORKERS_A_RACK)]
+        self.upstreams = [_free_address() for _ in range(RACKS * WORKERS_A_RACK)]
         log = _free_address()
         self._start("log", "standin", "log", settings={"address": log})
         for rack in range(RACKS):
-            addresses = self._upstreams[rack::RACKS]
+            addresses = self.upstreams[rack::RACKS]
             settings = {"addresses": addresses, "slots": SLOTS, "cpus": 4096}
             self._start(f"rack{rack}", "standin", "worker", settings=settings)
         entry = self._start(
@@ -173,7 +173,7 @@
                 "cpus": 4096,
                 "rack": f"r{place % RACKS}",
             }
-            for place, address in enumerate(self._upstreams)
+            for place, address in enumerate(self.upstreams)
         ]
         return {
             "schema_version": 1,
--- a/jackdawspur/load/speed.py
+++ b/jackdawspur/load/speed.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from dataclasses import asdict, dataclass, replace
+from http.client import HTTPConnection
 from pathlib import Path
 
 import msgspec
@@ -36,6 +37,7 @@
 HELD_TASKS = 5040
 HELD_MS = 4000.0
 COSTS_SHOWN = 25
+DIRECT_STARTS = 60
 
 FLAGS = flags.FLAGS
 flags.DEFINE_float("seconds", 4.0, "Length of each measurement.", 0.5, 600.0)
@@ -121,6 +123,25 @@
     )
 
 
+def _measure_direct(deployment: Deployment) -> float:
+    """Return what one start and one poll at a stand-in add to a task, at p50."""
+    host, _, port = deployment.upstreams[0].rpartition(":")
+    connection = HTTPConnection(host, int(port))
+    added, cursor = [], 0
+    for place in range(DIRECT_STARTS):
+        start = {"task": f"z1.x.1.1/{place}", "lease_ms": 5000.0}
+        payload = json.dumps({"run_ms": RUN_MS})
+        starts = {"holder": "z1.x.1", "starts": [{**start, "payload": payload}]}
+        since = time.monotonic()
+        connection.request("POST", "/v1/starts", json.dumps(starts))
+        connection.getresponse().read()
+        query = f"holder=z1.x.1&after={cursor}&wait_ms=2000"
+        connection.request("GET", f"/v1/results?{query}")
+        cursor = json.loads(connection.getresponse().read())["cursor"]
+        added.append((time.monotonic() - since) * 1000 - RUN_MS)
+    return percentile(added, 0.5)
+
+
 def _measure_held(deployment: Deployment) -> float:
     """Return the memory while thousands of tasks run upstream."""
     callers = HELD_TASKS // 360
@@ -147,6 +168,8 @@
         try:
             deployment.begin()
             report = {"rss_idle_mb": round(deployment.rss_mb(), 1)}
+            direct = round(_measure_direct(deployment), 2)
+            report["direct_added_p50_ms"] = direct
             held = round(_measure_held(deployment), 1)
             report[f"rss_{HELD_TASKS}_tasks_mb"] = held
             for size in FLAGS.sizes:
--- a/jackdawspur/standins/_http_service.py
+++ b/jackdawspur/standins/_http_service.py
@@ -7,11 +7,9 @@
 import msgspec
 from circuits import BaseComponent, Manager, handler
 from circuits.core.pollers import EPoll
-from circuits.net.events import close
-from circuits.web import BaseServer
-from circuits.web.events import response
 
-from jackdawspur.adapters import Deadlines
+from jackdawspur.adapters import Call, Deadlines, WebServer, WebService
+from jackdawspur.callers import HttpReply
 from jackdawspur.exceptions import JackdawspurError
 
 __all__ = [
@@ -25,7 +23,8 @@
     "split_address",
 ]
 
-JSON_TYPE = "application/json"
+# A batch of starts carries the payloads of many tasks.
+MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
 class StandinError(JackdawspurError):
@@ -39,20 +38,15 @@
 class Exchange:
     """Hold one request until its reply is sent or dropped."""
 
-    __slots__ = ("_query", "_res", "_service", "body", "method", "path")
+    __slots__ = ("_query", "_service", "body", "call", "method", "path")
 
-    def __init__(self, service: "HttpService", req, res) -> None:
-        self.method = req.method
-        self.path = req.path
-        self.body = req.body.getvalue()
-        self._query = parse_qs(req.qs)
+    def __init__(self, service: "HttpService", call: Call) -> None:
+        self.call = call.number
+        self.method = call.method
+        self.path = call.path
+        self.body = call.body
+        self._query = parse_qs(call.query)
         self._service = service
-        self._res = res
-
-    @property
-    def sock(self):
-        """Return the connection's socket; circuits names connections by it."""
-        return self._res.request.sock
 
     def text(self, name: str) -> str:
         """Return a query parameter; raise `BadQuery`."""
@@ -77,12 +71,8 @@
 
     def reply(self, body, status: int = HTTPStatus.OK) -> None:
         """Send a reply, encoded as JSON, if the connection still stands."""
-        if self.sock.fileno() < 0:
-            return
-        self._res.status = int(status)
-        self._res.headers["Content-Type"] = JSON_TYPE
-        self._res.body = msgspec.json.encode(body)
-        self._service.fire(response(self._res))
+        encoded = HttpReply(int(status), msgspec.json.encode(body))
+        self._service.web.reply(self.call, encoded)
 
     def guard(self, answer: "Answer") -> None:
         """Let `answer` answer, and turn a bad request into its reply."""
@@ -93,7 +83,7 @@
 
     def drop(self) -> None:
         """Close the connection without a reply."""
-        self._service.fire(close(self.sock))
+        self._service.web.drop(self.call)
 
 
 Answer = Callable[[Exchange], None]
@@ -105,45 +95,40 @@
     error: str
 
 
-class HttpService(BaseComponent):
+class HttpService(BaseComponent, WebService):
     """Listen on one address and hand each request to `serve`."""
 
     def __init__(self, address: tuple[str, int], channel: str) -> None:
         super().__init__(channel=channel)
-        self._server = _QuietServer(address, channel=channel, display_banner=False)
-        self._server.register(self)
+        host, port = address
+        self.web = WebServer(
+            f"{host}:{port}", self, channel, max_body_bytes=MAX_BODY_BYTES
+        ).register(self)
+        self._host = host
 
     @property
     def address(self) -> tuple[str, int]:
         """Return where it listens; the system chose the port if it was 0."""
-        return self._server.host, self._server.port
+        return self._host, self.web.port
 
     def serve(self, exchange: Exchange) -> None:
         """Answer a request, now or later."""
         raise NotImplementedError
 
-    def gone(self, sock) -> None:
-        """Take note that a connection closed."""
-
-    @handler("request")
-    def _on_request(self, req, res) -> bool:
-        Exchange(self, req, res).guard(self.serve)
-        # True tells circuits.web that the reply comes by an event of its own.
-        return True
-
-    @handler("disconnect")
-    def _on_disconnect(self, sock) -> None:
-        self.gone(sock)
+    def gone(self, number: int) -> None:
+        """Take note that the caller of an open exchange left."""
 
+    def called(self, call: Call) -> None:
+        """Hand a call on as an exchange."""
+        Exchange(self, call).guard(self.serve)
 
-class _QuietServer(BaseServer):
-    @handler("ready", override=True)
-    def _on_ready(self, server, bind) -> None:
-        """Print nothing: the terminal belongs to whoever runs the stand-in."""
+    def closed(self, number: int) -> None:
+        """Pass on that the caller of an open call left."""
+        self.gone(number)
 
-    @handler("signal", override=True)
-    def _on_signal(self, *_) -> None:
-        """Stop at once, where circuits.web would linger for three seconds."""
+    @handler("signal", channel="*")
+    def _on_signal(self, *_signal) -> None:
+        """Stop at once: what is in flight is the other side's to notice."""
         self.root.stop()
 
 
--- a/jackdawspur/standins/_log_service.py
+++ b/jackdawspur/standins/_log_service.py
@@ -65,9 +65,9 @@
         else:
             self._read(exchange, unquote(exchange.path[len(STREAMS) :]))
 
-    def gone(self, sock) -> None:
+    def gone(self, number: int) -> None:
         """Forget the reads of a closed connection."""
-        for poll in [each for each in self._polls if each.exchange.sock is sock]:
+        for poll in [each for each in self._polls if each.exchange.call == number]:
             self._drop_poll(poll)
 
     def _append(self, exchange: Exchange, stream: str) -> None:
--- a/jackdawspur/standins/_worker_service.py
+++ b/jackdawspur/standins/_worker_service.py
@@ -89,9 +89,9 @@
             answer = self._answers.get(exchange.path, not_found)
             self._unless_frozen(lambda: exchange.guard(answer))
 
-    def gone(self, sock) -> None:
-        """Forget the polls of a closed connection."""
-        for poll in [each for each in self._polls if each.exchange.sock is sock]:
+    def gone(self, number: int) -> None:
+        """Forget the poll of a caller that left."""
+        for poll in [each for each in self._polls if each.exchange.call == number]:
             poll.deadline.cancel()
             self._polls.remove(poll)
 
