--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BINARY_ROOT = /dev/shm/jackdawspur
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format demo bench bench-report slopes shares binary fuzz
+.PHONY: install test lint format demo bench bench-report slopes shares binary fuzz speed
 
 install: $(STAMP)
 
@@ -48,3 +48,7 @@
 	  --python '/usr/bin/env python3.11' --root $(BINARY_ROOT) --compressed \
 	  --preamble scripts/binary_preamble.py --output-file dist/jackdawspur
 	$(BIN)/python scripts/check_binary.py dist/jackdawspur
+
+# One entry host as a process, at saturation and at half of it: docs/design/speed.md.
+speed: install
+	$(BIN)/python -m jackdawspur.load.speed
