--- a/jackdawspur/slopes/_core.py
+++ b/jackdawspur/slopes/_core.py
@@ -13,13 +13,13 @@
 
 MICRO = 1e6
 MILLI = 1e3
-JOBS = 6
+JOBS = 4
 RECEIVED = 20
 TASKS = 24
 CONTROL_S = 3.0
 WARM_S = 1.5
 # Long enough for several rounds of the slowest links' heartbeats.
-FULL_S = 10.0
+FULL_S = 7.0
 UPSTREAMS = (8, 64, 217)
 CONTROL = (Tick, Heartbeat, Pulse)
 
@@ -29,7 +29,7 @@
     yield fit("core: job", "us", "task of it", (1, 24, 120, 360), _by_tasks)
     yield fit("core: job of 24", "us", "upstream a zone", UPSTREAMS, _by_upstreams)
     yield fit("core: job of 24", "us", "live host a zone", (1, 6, 12), _by_hosts)
-    yield fit("core: job of 24", "us", "customer", (1, 35, 140), _by_customers)
+    yield fit("core: job of 24", "us", "customer", (1, 140), _by_customers)
     yield fit("core: queued task start", "us", "upstream a zone", UPSTREAMS, _busy)
     yield from _control("live host a zone", "hosts", (2, 6, 12))
     yield from _control("zone", "zones", (1, 6, 18))
