--- a/jackdawspur/dispatch/_core.py
+++ b/jackdawspur/dispatch/_core.py
@@ -13,6 +13,7 @@
     DrainAsked,
     Event,
     HostsListed,
+    HostsNamed,
     IdsAsked,
     PeerReceived,
     Polled,
@@ -28,7 +29,12 @@
 )
 from jackdawspur.dispatch._flights import note_incarnation
 from jackdawspur.dispatch._loads import divide_slots, refresh_view
-from jackdawspur.dispatch._peers import receive, send_heartbeats, trade_slots
+from jackdawspur.dispatch._peers import (
+    lend_urgently,
+    receive,
+    send_heartbeats,
+    trade_slots,
+)
 from jackdawspur.dispatch._resolve import lose_status, reply_status
 from jackdawspur.dispatch._run import (
     lose_starts,
@@ -46,7 +52,7 @@
     read_claims,
     submit,
 )
-from jackdawspur.model import HostId
+from jackdawspur.model import HostId, World
 
 __all__ = ["TICK_S", "EntryCore"]
 
@@ -59,10 +65,17 @@
     """Turn what happens to an entry host into what it shall do.
 
     All times are seconds on one monotonic clock; randomness comes from `rng` alone.
+    With `crosses_zones` upstreams of other zones must be reachable from here too.
     """
 
-    def __init__(self, host: HostId, rng: random.Random, now: float) -> None:
-        self._state = State(host, rng, now)
+    def __init__(
+        self,
+        host: HostId,
+        rng: random.Random,
+        now: float,
+        crosses_zones: bool = False,
+    ) -> None:
+        self._state = State(host, rng, now, crosses_zones)
 
     @property
     def host(self) -> HostId:
@@ -107,6 +120,7 @@
         state.run_due(now)
         for event in events:
             _HANDLERS[type(event)](state, event, now)
+        lend_urgently(state, now)
         start_waiting(state, now)
         trade_slots(state, now)
         return state.take_effects()
@@ -136,6 +150,16 @@
     divide_slots(state, now)
 
 
+def _name_hosts(state: State, event: HostsNamed, now: float) -> None:
+    """Let the view count hosts that no configuration names yet.
+
+    Else a host that starts while the log is down would know of no peer to ask for
+    the configuration, though its siblings' heartbeats arrive.
+    """
+    if state.world is None:
+        state.view.set_world(World(entry_hosts=event.hosts), now)
+
+
 def _tick(state: State, _event: Tick, now: float) -> None:
     state.view.tick(now)
     refresh_view(state, now)
@@ -172,6 +196,7 @@
     StatusLost: lose_status,
     UsageReplied: _note_usage,
     PeerReceived: receive,
+    HostsNamed: _name_hosts,
     WorldSet: _set_world,
     HostsListed: _list_hosts,
     ClaimEnded: end_claim,
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -13,7 +13,7 @@
 from jackdawspur.health import UpstreamHealth
 from jackdawspur.limits import CallLimits, Quotas, RetryBudget
 from jackdawspur.membership import View
-from jackdawspur.messages import CancelForward, Forward
+from jackdawspur.messages import CancelForward, FailedTask, Forward
 from jackdawspur.model import (
     Customer,
     HostId,
@@ -39,6 +39,8 @@
 MAX_KEPT_BYTES = 8_388_608
 ANSWER_BASE_BYTES = 600
 LOG_RETRY_MS = 1000.0
+# A copy of a message can't arrive this long after the deadline: links drop old ones.
+DELEGATE_COPIES_S = 10.0
 
 Action = Callable[[float], None]
 
@@ -72,8 +74,11 @@
 class State:
     """Hold the decisions' memory; functions of this package change it."""
 
-    def __init__(self, own: HostId, rng: random.Random, now: float) -> None:
+    def __init__(
+        self, own: HostId, rng: random.Random, now: float, crosses_zones: bool
+    ) -> None:
         self.own = own
+        self.crosses_zones = crosses_zones
         self.rng = rng
         self.last_event_at = now
         self.world: World | None = None
@@ -86,11 +91,13 @@
         self.retried: dict[SubmissionId, SubmissionId] = {}
         self.flights: dict[TaskId, Flight] = {}
         self.flights_at: dict[UpstreamId, set[TaskId]] = {}
+        self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
         self.forwards: dict[int, Forwarded] = {}
         self.remote_calls: dict[int, RemoteCall] = {}
         self.impatient_calls: set[int] = set()
+        self.dropped_delegations: OrderedDict[SubmissionId, float] = OrderedDict()
         self.log_up = True
         self.claims_blind_until = now
         self.log_retry_ms = LOG_RETRY_MS
@@ -182,13 +189,19 @@
             submission = self.retried[submission]
         return submission
 
-    def sibling_spare(self, now: float) -> dict[HostId, int]:
-        """Return the slots that siblings last said they could lend."""
+    def spare(self, now: float) -> dict[HostId, int]:
+        """Return the slots that others last said they could lend."""
         spare = {}
         for host in self.view.siblings():
             load = self.view.load_of(host)
-            if load is not None and self.view.is_live(host):
+            if load is not None:
                 spare[host] = load.free_slots
+        if not self.crosses_zones:
+            return spare
+        for zone in sorted({host.zone for host in self.peers} - {self.own.zone}):
+            hosts = self.view.accepting(zone)
+            free = self.view.zone_summary(zone).free_slots
+            spare.update(dict.fromkeys(hosts, free // max(1, len(hosts))))
         return spare
 
     def find_job(self, submission: SubmissionId) -> Job | None:
@@ -208,16 +221,30 @@
         self._kept[job.submission] = size
         self._kept_bytes += size
         job.outputs.clear()
-        self.schedule(now + ANSWERS_KEPT_S, lambda _at: self._drop(job.submission))
+        self.schedule(now + ANSWERS_KEPT_S, lambda at: self._drop(job.submission, at))
         while self._kept_bytes > MAX_KEPT_BYTES:
-            self._drop(next(iter(self._kept)))
+            self._drop(next(iter(self._kept)), now)
 
-    def _drop(self, submission: SubmissionId) -> None:
+    def _drop(self, submission: SubmissionId, now: float) -> None:
         size = self._kept.pop(submission, None)
-        if size is not None:
-            self._kept_bytes -= size
-            self.jobs.pop(submission, None)
-            self.retried.pop(submission, None)
+        if size is None:
+            return
+        self._kept_bytes -= size
+        self.retried.pop(submission, None)
+        job = self.jobs.pop(submission)
+        if job.origin is not None:
+            self._remember_delegation(job, now)
+
+    def _remember_delegation(self, job: Job, now: float) -> None:
+        """Remember that a job of another host ended here, though not how.
+
+        Its owner repeats the message until its deadline when the answer got lost. With
+        full memory the answer is gone by then, and the job would run a second time.
+        """
+        dropped = self.dropped_delegations
+        while dropped and next(iter(dropped.values())) < now:
+            dropped.popitem(last=False)
+        dropped[job.submission] = max(now, job.deadline) + DELEGATE_COPIES_S
 
     def set_world(self, world: World, now: float) -> None:
         """Take a newer version of the configuration into force."""
@@ -230,8 +257,9 @@
         for upstream in world.upstreams:
             self.zone_slots[upstream.id.zone] += upstream.slots
         self.sizes = UpstreamSizes(own)
-        self.room.set_upstreams(own)
-        self.health.set_upstreams(u.id for u in own)
+        reached = world.upstreams if self.crosses_zones else own
+        self.room.set_upstreams(reached)
+        self.health.set_upstreams(u.id for u in reached)
         self.queue.set_customers(world.customers)
         self.quotas.set_world(world)
         self.retries.set_customers(frozenset(self.customers))
