--- a/jackdawspur/sharing/_table.py
+++ b/jackdawspur/sharing/_table.py
@@ -17,8 +17,11 @@
 
 MS = 1000.0
 NOBODY: frozenset[UpstreamId] = frozenset()
+NO_NEED = Need()
 NO_LIMITS: Mapping[UpstreamId, int] = {}
 
+NO_NEED = Need()
+
 
 @dataclass(frozen=True, slots=True)
 class _BackOff:
@@ -161,7 +164,7 @@
         waiting: int,
         spare: Mapping[HostId, int],
         now: float,
-        need: Need = Need(),
+        need: Need = NO_NEED,
     ) -> tuple[Ask, ...]:
         """Ask others for the slots that `waiting` tasks lack.
 
@@ -281,6 +284,8 @@
     def _lendable(
         self, now: float, excluded: Collection[UpstreamId]
     ) -> dict[UpstreamId, int]:
+        if not excluded and not self._back_offs:
+            return {name: n for name, n in self._own_free.items() if n > 0}
         return {
             name: count
             for name, count in self._own_free.items()
