Let no session depend on which zone takes a job over

Cause: after a change of admission the overlay's tile ran in the other zone, whose upstream was not set to fail it, and the overlay came out complete.

Conclusion: that tile fails wherever it runs, the zone is alone in that session and the other zone is busy during the wave.

--- a/jackdawspur/sessions/tests/test_sessions.py
+++ b/jackdawspur/sessions/tests/test_sessions.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 
 from jackdawspur.model import TaskState
 from jackdawspur.sessions.tests.session import tasks
@@ -13,17 +14,16 @@
 
 
 def fail_tile(session, index: int) -> None:
-    """Let one tile of whatever the first upstream runs end in a failure."""
-    upstream = session.upstreams[0]
-    report = upstream.ended
+    """Let one tile end in a failure, whichever upstream draws it."""
+    for upstream in session.upstreams:
+        upstream.ended = partial(_ended, upstream.ended, index)
 
-    def ended(holder, outcome) -> None:
-        if outcome.task.index == index:
-            failed = {"state": TaskState.FAILED, "output": "", "error": "no sea here"}
-            outcome = replace(outcome, **failed)
-        report(holder, outcome)
 
-    upstream.ended = ended
+def _ended(report, index: int, holder, outcome) -> None:
+    if outcome.task.index == index:
+        failed = {"state": TaskState.FAILED, "output": "", "error": "no sea here"}
+        outcome = replace(outcome, **failed)
+    report(holder, outcome)
 
 
 def test_supervisor_confirms_an_arrival(session, snapshot):
@@ -112,6 +112,10 @@
 def test_overlay_with_one_failed_tile(session, snapshot):
     """A skipper gets one clear failure, not an overlay with a hole of 359 tiles."""
     fail_tile(session, 217)
+    # Alone, so that no other zone takes the job over.
+    session.note("platform", "z2 is cut off from z1")
+    session.simulation.links.cut("z2", platform=False)
+    session.run(3.0)
     work = tasks(1, 360, run_ms=20.0)
     session.submit("skipper", "z1.e1", "overlay", work, customer="maps")
     session.run(10.0)
@@ -122,14 +126,18 @@
     """A client takes all its requests back; those that waited are truly not run.
 
     The first runs, the others wait; one cancellation meets another host, and one
-    comes before its request, which then never runs.
+    comes before its request, which then never runs. The other zone is too busy to take
+    a job over.
     """
+    busy = tasks(20, 4, run_ms=3000.0)
+    session.submit("captain", "z2.e1", "overlay", busy, customer="maps")
+    session.run(1.5)
     call = session.ask("client", "z1.e1", "POST /v1/submissions", {"count": 5})
     session.run(0.1)
     ids = session.json(call)["ids"]
     path = "{} /v1/submissions/{}"
     for job, one in enumerate(ids[:-1]):
-        work = {"job_class": "overlay", "tasks": tasks(job, 4, run_ms=900.0)}
+        work = {"job_class": "overlay", "tasks": tasks(job, 4, run_ms=400.0)}
         session.ask("client", "z1.e1", path.format("PUT", one) + "?wait=true", work)
         session.run(0.01)
     for job, one in enumerate(ids):
@@ -138,7 +146,7 @@
     session.run(0.1)
     late = {"job_class": "overlay", "tasks": tasks(9)}
     session.ask("client", "z1.e1", path.format("PUT", ids[-1]) + "?wait=true", late)
-    session.run(2.0)
+    session.run(8.0)
     assert session.transcript() == snapshot
 
 
