--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -99,7 +99,7 @@
         self._own = HostId(settings.zone, settings.name, incarnation)
         rng = random.Random(str(self._own))
         now = monotonic()
-        self._core = EntryCore(self._own, rng, now)
+        self._core = EntryCore(self._own, rng, now, settings.crosses_zones)
         self._events: list[Event] = []
         self._flushing = False
         self._wake_at: float | None = None
@@ -143,6 +143,7 @@
             self._deadlines,
             self.post,
             lambda upstream: bool(self._core.state.flights_at.get(upstream)),
+            settings.crosses_zones,
         )
         if settings.host_list is not None:
             client = HttpClient(_split(settings.host_list), self._deadlines)
--- a/jackdawspur/entry/_upstreams.py
+++ b/jackdawspur/entry/_upstreams.py
@@ -29,8 +29,10 @@
 USAGE_INTERVAL_S = 5.0
 # Large zones are asked less often, so that an idle host's cost stays bounded.
 USAGE_REQUESTS_PER_S = 20.0
-# Polls for results and for usage have connections of their own.
-OWN_CONNECTIONS = 4
+# Connections for starts to one upstream, and to all of a zone together: each costs
+# the loop something, and in a large zone little goes to any one upstream.
+MOST_CONNECTIONS = 4
+ZONE_CONNECTIONS = 64
 MAX_WAITING_REQUESTS = 256
 # A new connection makes circuits look for its handlers anew. Hundreds in one pass
 # would stop the loop for longer than its peers wait for a heartbeat.
@@ -56,7 +58,10 @@
 
 
 class UpstreamDriver:
-    """Keep one link to each upstream of the zone and report what comes back."""
+    """Keep a link to each upstream of the zone and report what comes back.
+
+    Upstreams of other zones are linked to when they lend a slot, and left when idle.
+    """
 
     def __init__(
         self,
@@ -65,6 +70,7 @@
         deadlines: Deadlines,
         post: Post,
         has_flights: Callable[[UpstreamId], bool],
+        crosses_zones: bool = True,
     ) -> None:
         self._own = own
         self._root = root
@@ -72,20 +78,25 @@
         self._post = post
         self._has_flights = has_flights
         self._links: dict[UpstreamId, _Link] = {}
+        self._crosses_zones = crosses_zones
+        self._known: dict[UpstreamId, Upstream] = {}
         self._unopened: dict[UpstreamId, Upstream] = {}
+        self._connections = MOST_CONNECTIONS
         self._opening = False
 
     def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Link to the upstreams of the own zone and leave those that went."""
-        own = {u.id: u for u in upstreams if u.id.zone == self._own.zone}
-        for upstream, link in list(self._links.items()):
-            wanted = own.get(upstream)
-            idle = not self._has_flights(upstream)
+        own = [u for u in upstreams if u.id.zone == self._own.zone]
+        reached = upstreams if self._crosses_zones else own
+        self._known = {upstream.id: upstream for upstream in reached}
+        share = ZONE_CONNECTIONS // max(1, len(own))
+        self._connections = max(1, min(MOST_CONNECTIONS, share))
+        for name, link in list(self._links.items()):
+            wanted = self._known.get(name)
+            idle = not self._has_flights(name)
             if (wanted is None or wanted.address != link.address) and idle:
-                self._close(upstream)
-        self._unopened = {
-            name: upstream for name, upstream in own.items() if name not in self._links
-        }
+                self._close(name)
+        self._unopened = {u.id: u for u in own if u.id not in self._links}
         if not self._opening:
             self._open_next()
 
@@ -97,19 +108,20 @@
         self._open(next(iter(self._unopened.values())))
         self._deadlines.call_after(OPEN_GAP_S, self._open_next)
 
-    def _link(self, upstream: UpstreamId) -> _Link | None:
-        """Return the link to an upstream, opened if its turn hasn't come yet."""
-        if upstream in self._unopened:
-            self._open(self._unopened[upstream])
-        return self._links.get(upstream)
+    def _link(self, name: UpstreamId) -> _Link | None:
+        """Return the link to an upstream, opened if it is not open yet."""
+        if name not in self._links and name in self._known:
+            self._open(self._known[name])
+        return self._links.get(name)
 
     def _open(self, upstream: Upstream) -> None:
-        del self._unopened[upstream.id]
+        self._unopened.pop(upstream.id, None)
         address = _split(upstream.address)
-        share = max(1, min(upstream.connections, OWN_CONNECTIONS))
+        share = max(1, min(upstream.connections, self._connections))
         limits = HttpLimits(connections=share, waiting=MAX_WAITING_REQUESTS)
         one = HttpLimits(connections=1, waiting=MAX_WAITING_REQUESTS)
         requests = HttpClient(address, self._deadlines, limits).register(self._root)
+        requests.open_all()
         # Registered with the first poll: most upstreams have no task of this host.
         polls = HttpClient(address, self._deadlines, one)
         client = HttpUpstream(upstream.id, self._own, requests, polls)
@@ -216,11 +228,19 @@
                 self._post(UsageReplied(reply.ok_value))
             interval_s = max(USAGE_INTERVAL_S, len(self._links) / USAGE_REQUESTS_PER_S)
             self._deadlines.call_after(
-                interval_s, lambda: self._ask_usage(upstream, link)
+                interval_s, lambda: self._ask_again(upstream, link)
             )
 
         link.client.usage(done)
 
+    def _ask_again(self, upstream: UpstreamId, link: _Link) -> None:
+        """Leave an idle upstream of another zone, or ask for its load again."""
+        foreign = upstream.zone != self._own.zone
+        if link.open and foreign and not self._has_flights(upstream):
+            self._close(upstream)
+        else:
+            self._ask_usage(upstream, link)
+
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
--- a/jackdawspur/settings/_entry.py
+++ b/jackdawspur/settings/_entry.py
@@ -38,7 +38,8 @@
 class EntrySettings:
     """Say who an entry host is and where it finds the platform.
 
-    `drain_ms` bounds a graceful shutdown, in milliseconds.
+    `drain_ms` bounds a graceful shutdown, in milliseconds. With `crosses_zones` this
+    host may start tasks on upstreams of other zones that lend it a slot.
     """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
@@ -52,5 +53,6 @@
     statsd: Address | None = None
     siblings: tuple[SiblingSettings, ...] = ()
     operators: tuple[OperatorSettings, ...] = ()
+    crosses_zones: bool = True
     drain_ms: Annotated[float, Field(gt=0, le=600_000)] = 15_000.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
