--- a/jackdawspur/dispatch/_place.py
+++ b/jackdawspur/dispatch/_place.py
@@ -17,7 +17,9 @@
 
 NO_WAIT_KNOWN_MS = float("inf")
 # Later jobs that are more urgent start first, so work ahead counts this much.
-OVERTAKING = 2.0
+OVERTAKING = 4.0
+# Work elsewhere that counts as ahead of a job, at most, as a multiple of its own.
+MOST_AHEAD = 20.0
 # Part of what waits elsewhere that is ahead of a job when nothing waits here.
 UNKNOWN_PART = 0.5
 
@@ -90,13 +92,19 @@
     part = ahead_ms / backlog_ms if backlog_ms else UNKNOWN_PART
     # What waits elsewhere is taken to be as urgent as what waits here.
     waiting = state.waiting_elsewhere()
-    ahead_ms += part * waiting * TASK_GUESS_MS
+    # Few large jobs can make up most of what waits, and they come after small ones.
+    most_ms = MOST_AHEAD * sum(job.estimates_ms)
+    elsewhere_ms = min(part * waiting * TASK_GUESS_MS, most_ms)
+    ahead_ms += elsewhere_ms
+    fair_part = weight / competing
+    own_ms = queue.ahead_ms(job, job.customer)
+    own_ms += fair_part * elsewhere_ms
     return LocalLoad(
         slots=state.pool_slots(),
         free_slots=state.slots.free(now) + sum(state.spare(now).values()),
         waiting_tasks=queue.waiting() + waiting,
         backlog_ms=OVERTAKING * ahead_ms,
-        own_backlog_ms=queue.backlog_ms(job.customer),
+        own_backlog_ms=OVERTAKING * own_ms,
         own_slots=state.quotas.share(job.customer, now),
-        fair_part=weight / competing,
+        fair_part=fair_part,
     )
--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -99,8 +99,6 @@
         self.retried: dict[SubmissionId, SubmissionId] = {}
         self.flights: dict[TaskId, Flight] = {}
         self.flights_at: dict[UpstreamId, set[TaskId]] = {}
-        self.reserved: Reserved | None = None
-        self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
         self.forwards: dict[int, Forwarded] = {}
@@ -125,6 +123,8 @@
         self._kept_bytes = 0
 
     def _forget_parts(self, own: HostId, rng: random.Random, now: float) -> None:
+        self.reserved: Reserved | None = None
+        self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.ids = IdIssuer(own)
         self.claims = ClaimTable()
         self.view = View(own, now)
--- a/jackdawspur/scheduling/_queue.py
+++ b/jackdawspur/scheduling/_queue.py
@@ -165,12 +165,19 @@
         lane.dropped()
         return count
 
-    def ahead_ms(self, job: QueuedJob) -> float:
-        """Return the expected slot-milliseconds that would start before a new job's."""
+    def ahead_ms(self, job: QueuedJob, customer: str | None = None) -> float:
+        """Return the expected slot-milliseconds that would start before a new job's.
+
+        With a customer, those of its jobs only.
+        """
         if len(self._jobs) > MAX_COMPARED:
-            return self.backlog_ms()
+            return self.backlog_ms(customer)
         key = WaitingJob(job, range(len(job.tasks))).key
-        return sum(one.left_ms for one in self._jobs.values() if one.key <= key)
+        return sum(
+            one.left_ms
+            for one in self._jobs.values()
+            if one.key <= key and customer in (None, one.customer)
+        )
 
     def most_urgent(self) -> Urgency | None:
         """Return how urgent the first job in order is; None when none may start."""
