--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,9 @@
 # Draws docs/pictures from the steady runs of all policies.
 bench-report: install
 	$(BIN)/python -m jackdawspur.bench --scenario=steady | $(BIN)/python -m jackdawspur.pictures
+# FUZZ_EXAMPLES is the number of examples a test; each run draws new ones.
+fuzz: install
+	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),2000) $(BIN)/python -m pytest jackdawspur/fuzz
 
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
@@ -56,3 +59,9 @@
 # One entry host as a process, at saturation and at half of it: docs/design/speed.md.
 speed: install
 	$(BIN)/python -m jackdawspur.load.speed
+
+slopes: install
+	PYTHON=$(BIN)/python scripts/slopes
+
+shares: install
+	$(BIN)/python -m jackdawspur.shares
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -31,6 +31,7 @@
     PeerRecords,
     PeersSeen,
     Readiness,
+    ReadinessReason,
     Right,
 )
 from jackdawspur.dispatch import (
@@ -43,6 +44,7 @@
     EntryCore,
     Event,
     HostsListed,
+    HostsNamed,
     IssueIds,
     PeerReceived,
     SendPeer,
@@ -54,12 +56,19 @@
 )
 from jackdawspur.entry._claims import ClaimDriver
 from jackdawspur.entry._keeping import ConfigurationDriver
+from jackdawspur.entry._log_lines import (
+    log_answer,
+    log_drained,
+    log_draining,
+    log_started,
+)
 from jackdawspur.entry._meter import Meter
 from jackdawspur.entry._routes import Routes
 from jackdawspur.entry._status import HostStatus, status_of
 from jackdawspur.entry._upstreams import UpstreamDriver
 from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
 from jackdawspur.model import Answer, EntryHost, FailureCode, HostId, JobState
+from jackdawspur.platform import ListedHost
 from jackdawspur.settings import EntrySettings
 
 __all__ = ["EntryHostProcess", "run_entry"]
@@ -96,6 +105,7 @@
         self._wake_at: float | None = None
         self._draining = False
         self._exiting = False
+        self._listed: tuple[ListedHost, ...] = ()
         self._meter = Meter(settings.statsd, str(self._own))
         self._deadlines = Deadlines().register(self)
         self._routes = Routes(self)
@@ -107,7 +117,7 @@
         self._open_platform(settings, rng, now)
         # Connections need the poller, which is found once the loop runs.
         self._deadlines.call_after(0.0, self._begin)
-        log.info("entry host started", extra={"host": str(self._own)})
+        log_started(self._own)
 
     def _open_platform(
         self, settings: EntrySettings, rng: random.Random, now: float
@@ -139,6 +149,8 @@
             self._host_list = HttpHostList(client.register(self))
 
     def _begin(self) -> None:
+        own = EntryHost(self._own.zone, self._own.name, "", "")
+        self.post(HostsNamed((own, *_siblings(self._settings))))
         self._claims.begin()
         if self._settings.host_list is not None:
             self._fetch_list()
@@ -166,13 +178,15 @@
 
     def readiness(self) -> Readiness:
         """Tell whether new jobs are accepted, and why not."""
+        if self._draining:
+            return Readiness(False, ReadinessReason.DRAINING)
         readiness = self._keeper.readiness
-        ready = readiness.ready and self._core.ready and not self._draining
+        ready = readiness.ready and self._core.ready
         return Readiness(ready, readiness.reason)
 
     def status(self) -> HostStatus:
         """Return what operators see of this host."""
-        return status_of(self._core, monotonic())
+        return status_of(self._core, self._meter.link_bytes, monotonic())
 
     @handler("flush")
     def _on_flush(self) -> None:
@@ -227,8 +241,9 @@
 
     def _fetch_list(self) -> None:
         def fetched(done) -> None:
-            if isinstance(done, Ok):
-                self.post(HostsListed(done.ok_value))
+            if isinstance(done, Ok) and done.ok_value is not self._listed:
+                self._listed = done.ok_value
+                self.post(HostsListed(self._listed))
             self._deadlines.call_after(HOST_LIST_INTERVAL_S, self._fetch_list)
 
         self._host_list.fetch(fetched)
@@ -264,19 +279,8 @@
         self._upstreams.stop(effect)
 
     def _answer(self, effect: AnswerCall) -> None:
-        answer = effect.answer
-        if answer.code is not None:
-            log.info(
-                "job not completed",
-                extra={
-                    "submission": str(answer.submission),
-                    "state": str(answer.state),
-                    "code": str(answer.code),
-                    "not_run": answer.not_run,
-                    "reason": answer.message,
-                },
-            )
-        self._web.reply(effect.call, reply_answer(answer))
+        log_answer(effect.answer)
+        self._web.reply(effect.call, reply_answer(effect.answer))
 
     def _issue(self, effect: IssueIds) -> None:
         self._web.reply(effect.call, reply_ids(effect.ids))
@@ -296,7 +300,7 @@
             self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
             return
         self._draining = True
-        log.info("draining", extra={"live_jobs": self._core.state.live_jobs})
+        log_draining(self._core.state.live_jobs)
         self.post(DrainAsked(self._settings.drain_ms))
 
     def _exit_when_drained(self) -> None:
@@ -305,7 +309,7 @@
             return
         if self._core.drained and not self._web.open_calls:
             self._exiting = True
-            log.info("drained")
+            log_drained()
             self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
 
 
--- a/jackdawspur/entry/tests/__init__.py
+++ b/jackdawspur/entry/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the entry host."""
+"""Tests of the entry host, in parts and as real processes."""
--- a/jackdawspur/load/_speed_processes.py
+++ b/jackdawspur/load/_speed_processes.py
@@ -1,4 +1,4 @@
-"""Processes of the speed measurement: an entry host, racks and a log."""
+"""Processes of the speed measurement: entry host, racks, log; all end with it."""
 
 import hashlib
 import json
