--- a/Makefile
+++ b/Makefile
@@ -56,12 +56,12 @@
 	  --preamble scripts/binary_preamble.py --output-file dist/jackdawspur
 	$(BIN)/python scripts/check_binary.py dist/jackdawspur
 
-# One entry host as a process, at saturation and at half of it: docs/design/speed.md.
-speed: install
-	$(BIN)/python -m jackdawspur.load.speed
-
 slopes: install
 	PYTHON=$(BIN)/python scripts/slopes
 
 shares: install
 	$(BIN)/python -m jackdawspur.shares
+
+# One entry host as a process, at saturation and at half of it: docs/design/speed.md.
+speed: install
+	$(BIN)/python -m jackdawspur.load.speed
--- a/jackdawspur/entry/tests/__init__.py
+++ b/jackdawspur/entry/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the entry host, in parts and as real processes."""
+"""Tests of entry hosts as real processes."""
