--- a/jackdawspur/entry/tests/test_bad_input.py
+++ b/jackdawspur/entry/tests/test_bad_input.py
@@ -1,133 +1,28 @@
 """What callers send wrong, over real loopback sockets, to the server and routes."""
 
-import json
 import socket
-from dataclasses import dataclass
 
 import pytest
 
 import jackdawspur.adapters._web as web
-from jackdawspur.adapters import WebServer
 from jackdawspur.adapters.tests.conftest import Loop
 from jackdawspur.callers import reply_answer
 from jackdawspur.configuration import (
     Configuration,
     CustomerEntry,
     JobClass,
-    Readiness,
-    ReadinessReason,
     token_hash,
 )
-from jackdawspur.dispatch import Submitted
-from jackdawspur.entry._routes import Routes
+from jackdawspur.entry.tests.raw_callers import (
+    JOB,
+    MAX_BODY,
+    TOKEN,
+    Caller,
+    Host,
+    request,
+)
 from jackdawspur.model import Answer, JobState
 
-TOKEN = "t"
-JOB = {"job_class": "c", "tasks": [{"payload": "x", "run_ms": 5}]}
-MAX_BODY = 1_048_576
-
-
-class Host:
-    """Stand behind the routes: keep events, answer jobs when told."""
-
-    def __init__(self, loop) -> None:
-        self.events = []
-        self.routes = Routes(self)
-        self.now = 1000.0
-        self.server = WebServer("127.0.0.1:0", self.routes, clock=lambda: self.now)
-        self.server.register(loop.root)
-        self.answers_at_once = True
-
-    def post(self, event) -> None:
-        self.events.append(event)
-        if self.answers_at_once and isinstance(event, Submitted):
-            self.answer(event.call)
-
-    def answer(self, call: int) -> None:
-        self.reply(call, reply_answer(Answer(JobState.COMPLETE, outputs=("x",))))
-
-    def reply(self, number, reply) -> None:
-        self.server.reply(number, reply)
-
-    def readiness(self) -> Readiness:
-        return Readiness(True, ReadinessReason.READY)
-
-    @property
-    def submitted(self):
-        return [each for each in self.events if isinstance(each, Submitted)]
-
-
-@dataclass
-class Reply:
-    """Hold one reply, and what came after it."""
-
-    status: int
-    body: dict
-    rest: bytes
-
-
-class Caller:
-    """Send raw bytes and read raw replies while the loop turns."""
-
-    def __init__(self, loop, port: int) -> None:
-        self._loop = loop
-        self.sock = socket.create_connection(("127.0.0.1", port))
-        self.sock.setblocking(False)
-        self.data = b""
-        self.closed = False
-
-    def send(self, data: bytes) -> None:
-        while data:
-            try:
-                data = data[self.sock.send(data) :]
-            except BlockingIOError:
-                self._loop.settle(1)
-
-    def pull(self) -> None:
-        try:
-            more = self.sock.recv(65536)
-            self.closed = not more
-            self.data += more
-        except BlockingIOError:
-            pass
-
-    def reply(self) -> Reply:
-        def whole() -> bool:
-            self.pull()
-            head, found, body = self.data.partition(b"\r\n\r\n")
-            return bool(found) and len(body) >= _length(head)
-
-        self._loop.until(whole)
-        head, _, body = self.data.partition(b"\r\n\r\n")
-        length = _length(head)
-        self.data = body[length:]
-        read = json.loads(body[:length])
-        return Reply(int(head.split()[1]), read, self.data)
-
-    def until_closed(self) -> None:
-        def closed() -> bool:
-            self.pull()
-            return self.closed
-
-        self._loop.until(closed)
-
-
-def _length(head: bytes) -> int:
-    for line in head.split(b"\r\n"):
-        if line.lower().startswith(b"content-length:"):
-            return int(line.split(b":")[1])
-    return 0
-
-
-def request(body, length=None, extra="", method="POST", path="/v1/jobs?wait=true"):
-    data = body if isinstance(body, bytes) else json.dumps(body).encode()
-    length = len(data) if length is None else length
-    head = (
-        f"{method} {path} HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer {TOKEN}\r\n"
-        f"Content-Length: {length}\r\n{extra}\r\n"
-    )
-    return head.encode() + data
-
 
 @pytest.fixture
 def loop():
