--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -103,9 +103,7 @@
         self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
-        self.forwards: dict[int, Forwarded] = {}
-        self.remote_calls: dict[int, RemoteCall] = {}
-        self.impatient_calls: set[int] = set()
+        self._forget_calls()
         self.dropped_delegations: OrderedDict[SubmissionId, float] = OrderedDict()
         self.log_up = True
         self.claims_blind_until = now
@@ -120,10 +118,15 @@
         self._timers: list[tuple[float, int, Action]] = []
         self._timer_number = 0
         self._remote_number = 0
-        self._job_of_call: dict[int, Job] = {}
         self._kept: OrderedDict[SubmissionId, int] = OrderedDict()
         self._kept_bytes = 0
 
+    def _forget_calls(self) -> None:
+        self.forwards: dict[int, Forwarded] = {}
+        self.remote_calls: dict[int, RemoteCall] = {}
+        self.impatient_calls: set[int] = set()
+        self._job_of_call: dict[int, Job] = {}
+
     def _forget_parts(self, own: HostId, rng: random.Random, now: float) -> None:
         self.ids = IdIssuer(own)
         self.claims = ClaimTable()
