--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -98,9 +98,7 @@
         self.flights_at: dict[UpstreamId, set[TaskId]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
-        self.forwards: dict[int, Forwarded] = {}
-        self.remote_calls: dict[int, RemoteCall] = {}
-        self.impatient_calls: set[int] = set()
+        self._open_calls()
         self.dropped_delegations: OrderedDict[SubmissionId, float] = OrderedDict()
         self.log_up = True
         self.claims_blind_until = now
@@ -114,10 +112,15 @@
         self._effects: list[Effect] = []
         self._timers = Timers()
         self._remote_number = 0
-        self._job_of_call: dict[int, Job] = {}
         self._kept: OrderedDict[SubmissionId, int] = OrderedDict()
         self._kept_bytes = 0
 
+    def _open_calls(self) -> None:
+        self.forwards: dict[int, Forwarded] = {}
+        self.remote_calls: dict[int, RemoteCall] = {}
+        self.impatient_calls: set[int] = set()
+        self._job_of_call: dict[int, Job] = {}
+
     def _open_parts(self, own: HostId, rng: random.Random, now: float) -> None:
         self.reserved: Reserved | None = None
         self.failed: dict[UpstreamId, list[FailedTask]] = {}
