--- a/jackdawspur/dispatch/_state.py
+++ b/jackdawspur/dispatch/_state.py
@@ -1,15 +1,14 @@
 """All that one entry host holds in memory."""
 
-import heapq
 import random
 from collections import Counter, OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from jackdawspur.dispatch._counters import Counters
 from jackdawspur.dispatch._effects import Effect
 from jackdawspur.dispatch._job import Job, Placement
 from jackdawspur.dispatch._room import Room
+from jackdawspur.dispatch._timers import Action, Timers
 from jackdawspur.health import UpstreamHealth
 from jackdawspur.limits import CallLimits, Quotas, RetryBudget
 from jackdawspur.membership import View
@@ -33,7 +32,7 @@
 )
 from jackdawspur.sharing import SlotTable
 
-__all__ = ["Action", "Flight", "Forwarded", "RemoteCall", "State"]
+__all__ = ["Action", "Flight", "Forwarded", "RemoteCall", "Reserved", "State"]
 
 ANSWERS_KEPT_S = 600.0
 MAX_KEPT_BYTES = 8_388_608
@@ -42,8 +41,6 @@
 # A copy of a message can't arrive this long after the deadline: links drop old ones.
 DELEGATE_COPIES_S = 10.0
 
-Action = Callable[[float], None]
-
 
 @dataclass(frozen=True, slots=True)
 class RemoteCall:
@@ -62,6 +59,14 @@
     limit: float
 
 
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """Name the upstream that is left to empty for a job's large task."""
+
+    submission: SubmissionId
+    upstream: UpstreamId
+
+
 @dataclass(slots=True)
 class Flight:
     """Tie a task that was sent to its job, until its end is known."""
@@ -85,12 +90,13 @@
         self.customers: dict[str, Customer] = {}
         self.pack = False
         self.zone_slots: Counter[str] = Counter()
-        self._forget_parts(own, rng, now)
+        self._open_parts(own, rng, now)
         self.jobs: dict[SubmissionId, Job] = {}
         self.claiming: dict[SubmissionId, Job] = {}
         self.retried: dict[SubmissionId, SubmissionId] = {}
         self.flights: dict[TaskId, Flight] = {}
         self.flights_at: dict[UpstreamId, set[TaskId]] = {}
+        self.reserved: Reserved | None = None
         self.failed: dict[UpstreamId, list[FailedTask]] = {}
         self.attempts: dict[UpstreamId, int] = {}
         self.incarnations: dict[UpstreamId, int] = {}
@@ -108,14 +114,13 @@
         self.hold_until = now
         self.counters = Counters()
         self._effects: list[Effect] = []
-        self._timers: list[tuple[float, int, Action]] = []
-        self._timer_number = 0
+        self._timers = Timers()
         self._remote_number = 0
         self._job_of_call: dict[int, Job] = {}
         self._kept: OrderedDict[SubmissionId, int] = OrderedDict()
         self._kept_bytes = 0
 
-    def _forget_parts(self, own: HostId, rng: random.Random, now: float) -> None:
+    def _open_parts(self, own: HostId, rng: random.Random, now: float) -> None:
         self.ids = IdIssuer(own)
         self.claims = ClaimTable()
         self.view = View(own, now)
@@ -147,18 +152,15 @@
 
     def schedule(self, at: float, action: Action) -> None:
         """Run an action once the time has come."""
-        self._timer_number += 1
-        heapq.heappush(self._timers, (at, self._timer_number, action))
+        self._timers.add(at, action)
 
     def next_wake(self) -> float | None:
         """Return when the next scheduled action is due."""
-        return self._timers[0][0] if self._timers else None
+        return self._timers.next_due()
 
     def run_due(self, now: float) -> None:
         """Run the scheduled actions whose time has come."""
-        while self._timers and self._timers[0][0] <= now:
-            action = heapq.heappop(self._timers)[-1]
-            action(now)
+        self._timers.run_due(now)
 
     def attach(self, call: int, job: Job) -> None:
         """Let a call wait for a job."""
@@ -204,6 +206,22 @@
             spare.update(dict.fromkeys(hosts, free // max(1, len(hosts))))
         return spare
 
+    def pool_slots(self) -> int:
+        """Return the slots that hosts which share with this one hold together."""
+        if not self.crosses_zones:
+            return self.zone_slots[self.own.zone]
+        zones = {host.zone for host in self.peers} | {self.own.zone}
+        return sum(self.zone_slots[zone] for zone in zones)
+
+    def waiting_elsewhere(self) -> int:
+        """Return the tasks that wait at hosts which share with this one."""
+        loads = (self.view.load_of(host) for host in self.view.siblings())
+        waiting = sum(load.waiting_tasks for load in loads if load is not None)
+        if self.crosses_zones:
+            zones = {host.zone for host in self.peers} - {self.own.zone}
+            waiting += sum(self.view.zone_summary(z).waiting_tasks for z in zones)
+        return waiting
+
     def find_job(self, submission: SubmissionId) -> Job | None:
         """Return a job that is under way or whose answer is still kept."""
         return self.jobs.get(submission)
--- a/jackdawspur/sessions/tests/test_sessions.py
+++ b/jackdawspur/sessions/tests/test_sessions.py
@@ -14,12 +14,12 @@
 
 
 def fail_tile(session, index: int) -> None:
-    """Let one tile end in a failure, whichever upstream draws it."""
+    """Let one tile end in a failure, whichever upstream runs it."""
     for upstream in session.upstreams:
-        upstream.ended = partial(_ended, upstream.ended, index)
+        upstream.ended = partial(_report, upstream.ended, index)
 
 
-def _ended(report, index: int, holder, outcome) -> None:
+def _report(report, index: int, holder, outcome) -> None:
     if outcome.task.index == index:
         failed = {"state": TaskState.FAILED, "output": "", "error": "no sea here"}
         outcome = replace(outcome, **failed)
