--- a/jackdawspur/adapters/_http_client.py
+++ b/jackdawspur/adapters/_http_client.py
@@ -90,6 +90,15 @@
         self._waiting.append(call)
         self._pump()
 
+    def open_all(self) -> None:
+        """Connect in advance with all connections of the limit.
+
+        Each new connection is a component, and the loop then rebuilds its table of
+        handlers event by event; under load that delays everything that waits.
+        """
+        while len(self._connections) < self._limits.connections:
+            self._add_connection()
+
     def close(self) -> None:
         """Drop all connections; what waits or is in flight ends in an error."""
         self._closed = True
