Ignore late word of an upstream that a task has left; bound keyed deadlines

Cause: replies to starts were matched by task id alone, and a refused task keeps its id at the next upstream; a late copy took the running task back. And a keyed job could wait up to an hour while its key is kept for ten minutes, so a repeat after that would run it again. Both found by reading. Before: with the old _run.py the new test of late word fails (the job gets no answer from the upstream that runs it); the keyed deadline was not tried before the change. After: both tests pass, with all bad-input and dispatch tests.

--- a/jackdawspur/dispatch/_run.py
+++ b/jackdawspur/dispatch/_run.py
@@ -133,8 +133,8 @@
     reply = event.reply
     note_incarnation(state, reply.upstream, reply.incarnation, now)
     for verdict in reply.verdicts:
-        flight = state.flights.get(verdict.task)
-        if flight is None or flight.placement.phase is not TaskPhase.SENT:
+        flight = _sent_to(state, verdict.task, reply.upstream)
+        if flight is None:
             continue
         if verdict.refusal is None:
             flight.placement.phase = TaskPhase.RUNNING
@@ -147,6 +147,18 @@
             _refused(state, flight, verdict, now)
 
 
+def _sent_to(state: State, task: TaskId, upstream: UpstreamId) -> Flight | None:
+    """Return the flight of a task whose start waits for this upstream's reply.
+
+    A refused task goes to another upstream under the same id. Word of the first one
+    that comes late must not free, or send again, what the second one runs.
+    """
+    flight = state.flights.get(task)
+    if flight is None or flight.placement.phase is not TaskPhase.SENT:
+        return None
+    return flight if flight.placement.upstream == upstream else None
+
+
 def _refused(state: State, flight: Flight, verdict: StartVerdict, now: float) -> None:
     upstream = flight.placement.upstream
     state.counters.starts_refused += 1
@@ -166,8 +178,8 @@
         return
     state.slots.refused(event.upstream, now)
     for task in event.tasks:
-        flight = state.flights.get(task)
-        if flight is not None and flight.placement.phase is TaskPhase.SENT:
+        flight = _sent_to(state, task, event.upstream)
+        if flight is not None:
             state.health.lost(event.upstream, now)
             take_back(state, task, flight, now)
 
@@ -182,8 +194,8 @@
     """
     unsure = []
     for task in tasks:
-        flight = state.flights.get(task)
-        if flight is not None and flight.placement.phase is TaskPhase.SENT:
+        flight = _sent_to(state, task, upstream)
+        if flight is not None:
             flight.placement.phase = TaskPhase.UNSURE
             unsure.append(task)
     if unsure:
--- a/jackdawspur/dispatch/tests/test_at_most_once.py
+++ b/jackdawspur/dispatch/tests/test_at_most_once.py
@@ -199,3 +199,21 @@
         FailureCode.OUTCOME_UNKNOWN,
         FailureCode.DEADLINE,
     }
+
+
+def test_late_word_of_an_earlier_upstream_frees_nothing(bench):
+    """A crew is sent out twice after a refusal that came in two copies.
+
+    The first upstream refuses, the second one gets the task under the same id, and a
+    late copy of the refusal, or of its loss, comes in.
+    """
+    (first,) = bench.submit(make_request(1))
+    (second,) = starts_in(bench.verdicts(first, RefusalReason.FULL))
+    assert second.upstream != first.upstream
+    effects = bench.verdicts(first, RefusalReason.FULL)
+    effects += lose(bench, first, left=False)
+    effects += lose(bench, first, left=True)
+    assert not starts_in(effects)
+    assert not any(isinstance(e, AskStatus) for e in effects)
+    bench.verdicts(second)
+    assert answers_in(bench.results(second))[0].state is JobState.COMPLETE
--- a/jackdawspur/entry/_routes.py
+++ b/jackdawspur/entry/_routes.py
@@ -42,12 +42,16 @@
     Submitted,
 )
 from jackdawspur.entry._status import HostStatus, text_of_status
-from jackdawspur.model import FailureCode, InvalidId, SubmissionId
+from jackdawspur.model import FailureCode, InvalidId, JobRequest, SubmissionId
+from jackdawspur.ownership import KEY_WINDOW_S
 
 __all__ = ["HostFace", "Routes"]
 
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 200
+# A key is forgotten after its window; a job that outlived it would run again on a
+# repeat. Half of the window leaves room for hosts that read the claim late.
+MAX_KEYED_DEADLINE_MS = KEY_WINDOW_S / 2 * 1000.0
 TEXT = "text/plain; charset=utf-8"
 
 
@@ -188,6 +192,7 @@
             body = read_job_body(call.body)
             standing = _standing(customer, body.job_class)
             request = to_request(body, customer.name, standing, key, submission)
+            _check_keyed(request)
         except BodyError as error:
             self._refuse(call, FailureCode.INVALID, str(error))
             return
@@ -267,6 +272,12 @@
     configuration: object
 
 
+def _check_keyed(request: JobRequest) -> None:
+    if request.key is not None and request.deadline_ms > MAX_KEYED_DEADLINE_MS:
+        most = f"{MAX_KEYED_DEADLINE_MS:.0f}"
+        raise BodyError(f"deadline_ms: at most {most} with an {KEY_HEADER}")
+
+
 def _standing(customer: CustomerEntry, name: str) -> Standing:
     settings = class_of(customer, name)
     if settings is None:
--- a/jackdawspur/entry/tests/test_bad_input.py
+++ b/jackdawspur/entry/tests/test_bad_input.py
@@ -116,6 +116,20 @@
     assert not host.submitted
 
 
+def test_keyed_job_may_not_outlive_its_key(host, call):
+    """A reassignment with an hour's deadline is repeated and sends a second crew.
+
+    The repeat comes after the key's ten minutes, while the first job still waits.
+    """
+    caller = call()
+    long_job = JOB | {"deadline_ms": 3_600_000}
+    caller.send(request(long_job, extra="Idempotency-Key: order-17\r\n"))
+    reply = caller.reply()
+    assert (reply.status, reply.body["not_run"]) == (400, True)
+    assert "deadline_ms" in reply.body["message"]
+    assert not host.submitted
+
+
 HEAD = b"POST /v1/jobs HTTP/1.1\r\n"
 
 
