--- a/jackdawspur/slopes/_mesh.py
+++ b/jackdawspur/slopes/_mesh.py
@@ -50,7 +50,7 @@
         peer = peer_of(0, 1)
         self._sequence += 1
         beat = self._beat(peer, True)
-        pulse = Pulse(self._sequence, 10, 100, 500.0)
+        pulse = Pulse(self._sequence, 10, 0, 0.0)
         self._host.hear(peer, beat if full else pulse)
 
     def _echo(self, effect: SendPeer) -> None:
@@ -66,7 +66,7 @@
 
     def _beat(self, peer: HostId, full: bool) -> Heartbeat:
         self._sequence += 1
-        beat = Heartbeat(peer, self._sequence, True, False, 1, 10, 100, 500.0)
+        beat = Heartbeat(peer, self._sequence, True, False, 1, 10, 0, 0.0)
         if peer.zone != self._host.core.host.zone:
             zone = int(peer.zone.rpartition("-")[2])
             return self._with(beat, (zone,), full)
@@ -84,7 +84,7 @@
         hosts = self._host.sizes.hosts
         usage = self._usage(USAGE_REPORTED) if full else ()
         summaries = tuple(
-            ZoneVersion(peer_of(zone, 0).zone, 1, 100, 100, hosts, usage)
+            ZoneVersion(peer_of(zone, 0).zone, 1, 100, 0, hosts, usage)
             for zone in zones
         )
         if not full:
