Let make bench measure the processes too

Cause: make bench ran the decisions in virtual time only; one host's speed and the configuration's times had commands of their own that it did not call. After: make bench calls all three; bench-decisions keeps the flags. Not run as a whole: it takes about half an hour; its parts were run one by one.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 BINARY_ROOT = /dev/shm/jackdawspur
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format demo bench bench-report slopes shares binary fuzz speed
+.PHONY: install test lint format demo bench bench-decisions bench-configuration \
+	bench-report slopes shares binary fuzz speed
 
 install: $(STAMP)
 
@@ -27,10 +28,16 @@
 test: lint
 	$(BIN)/python -m pytest
 
-# Without DEPLOYMENT=... from outside this runs both deployments' sizes.
-bench: install
+# The decisions in virtual time against their bounds, then real processes: one host's
+# speed, and configuration. About half an hour; bench-decisions takes DEPLOYMENT=...
+bench: bench-decisions speed bench-configuration
+
+bench-decisions: install
 	$(BIN)/python -m jackdawspur.bench --deployment=$(if $(filter default undefined file,$(origin DEPLOYMENT)),all,$(DEPLOYMENT)) $(BENCH_FLAGS)
 
+bench-configuration: install
+	$(BIN)/python -m jackdawspur.entry.measure
+
 # Draws docs/pictures from the steady runs of all policies.
 bench-report: install
 	$(BIN)/python -m jackdawspur.bench --scenario=steady | $(BIN)/python -m jackdawspur.pictures
