Split addresses in one place; drop what nothing used

Cause: reading the whole change, 'IP:port' was split by hand in nine places, and the host asked for a flush of its events by the same three lines twice. adapters has split_address now, and the host _flush_soon. Two counters that were never counted, a task phase that was never set and an unused constant are gone. The command line keeps its own split, since it names the flag that was wrong, and the two validators keep theirs.

--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -1,5 +1,6 @@
 """Adapters between the decisions and everything that talks."""
 
+from jackdawspur.adapters._addresses import split_address
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
 from jackdawspur.adapters._hostlist_http import HttpHostList
 from jackdawspur.adapters._http_client import HttpClient, HttpLimits, Replied
@@ -25,4 +26,5 @@
     "Links",
     "WebServer",
     "WebService",
+    "split_address",
 ]
--- a/jackdawspur/dispatch/_counters.py
+++ b/jackdawspur/dispatch/_counters.py
@@ -15,7 +15,6 @@
 class Counters:
     """Count jobs, starts and messages; response times in milliseconds."""
 
-    submitted: int = 0
     complete: int = 0
     failed: int = 0
     refused: int = 0
@@ -24,7 +23,6 @@
     starts_lost: int = 0
     status_queries: int = 0
     delegated: int = 0
-    forwarded: int = 0
     loans_asked: int = 0
     codes: dict[FailureCode, int] = field(default_factory=dict)
     responses: Histograms = field(default_factory=Histograms)
--- a/jackdawspur/dispatch/_job.py
+++ b/jackdawspur/dispatch/_job.py
@@ -30,7 +30,6 @@
 class TaskPhase(enum.Enum):
     """Tell what this host knows of one task."""
 
-    WAITING = "waiting"
     SENT = "sent"
     RUNNING = "running"
     UNSURE = "unsure"
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -16,6 +16,7 @@
     HttpLog,
     Links,
     WebServer,
+    split_address,
 )
 from jackdawspur.callers import HttpReply, reply_answer, reply_ids
 from jackdawspur.configuration import (
@@ -146,7 +147,7 @@
             settings.crosses_zones,
         )
         if settings.host_list is not None:
-            client = HttpClient(_split(settings.host_list), self._deadlines)
+            client = HttpClient(split_address(settings.host_list), self._deadlines)
             self._host_list = HttpHostList(client.register(self))
 
     def _begin(self) -> None:
@@ -158,16 +159,14 @@
         self._tick()
 
     def _open_log(self, address: str) -> HttpLog:
-        appends = HttpClient(_split(address), self._deadlines).register(self)
-        reads = HttpClient(_split(address), self._deadlines).register(self)
+        appends = HttpClient(split_address(address), self._deadlines).register(self)
+        reads = HttpClient(split_address(address), self._deadlines).register(self)
         return HttpLog(appends, reads)
 
     def post(self, event: Event) -> None:
         """Hand an event to the decisions, with all others of this pass."""
         self._events.append(event)
-        if not self._flushing:
-            self._flushing = True
-            self.fire(flush())
+        self._flush_soon()
 
     def ask_desk(self, request: DeskRequest) -> None:
         """Hand a request to the operators' desk."""
@@ -227,6 +226,9 @@
 
     def _wake(self) -> None:
         self._wake_at = None
+        self._flush_soon()
+
+    def _flush_soon(self) -> None:
         if not self._flushing:
             self._flushing = True
             self.fire(flush())
@@ -337,11 +339,6 @@
     )
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def run_entry(settings: EntrySettings) -> None:
     """Run an entry host until it is told to stop and has drained."""
     root = Component()
--- a/jackdawspur/entry/_meter.py
+++ b/jackdawspur/entry/_meter.py
@@ -2,6 +2,7 @@
 
 from statsd import StatsClient
 
+from jackdawspur.adapters import split_address
 from jackdawspur.dispatch import EntryCore
 
 __all__ = ["Meter"]
@@ -15,9 +16,8 @@
     def __init__(self, address: str | None, host: str) -> None:
         self._client: StatsClient | None = None
         if address is not None:
-            ip, _, port = address.rpartition(":")
             prefix = f"jackdawspur.{host.replace('.', '_')}"
-            self._client = StatsClient(ip, int(port), prefix=prefix)
+            self._client = StatsClient(*split_address(address), prefix=prefix)
         self._ticks = 0
         self._last: dict[str, int] = {}
         self.link_bytes = 0
--- a/jackdawspur/entry/_upstreams.py
+++ b/jackdawspur/entry/_upstreams.py
@@ -6,7 +6,13 @@
 from circuits import BaseComponent
 from result import Ok, Result
 
-from jackdawspur.adapters import Deadlines, HttpClient, HttpLimits, HttpUpstream
+from jackdawspur.adapters import (
+    Deadlines,
+    HttpClient,
+    HttpLimits,
+    HttpUpstream,
+    split_address,
+)
 from jackdawspur.dispatch import (
     AskStatus,
     Event,
@@ -116,7 +122,7 @@
 
     def _open(self, upstream: Upstream) -> None:
         self._unopened.pop(upstream.id, None)
-        address = _split(upstream.address)
+        address = split_address(upstream.address)
         share = max(1, min(upstream.connections, self._connections))
         limits = HttpLimits(connections=share, waiting=MAX_WAITING_REQUESTS)
         one = HttpLimits(connections=1, waiting=MAX_WAITING_REQUESTS)
@@ -240,8 +246,3 @@
             self._close(upstream)
         else:
             self._ask_usage(upstream, link)
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/jackdawspur/entry/trial.py
+++ b/jackdawspur/entry/trial.py
@@ -13,6 +13,7 @@
 import msgspec
 from pydantic import TypeAdapter
 
+from jackdawspur.adapters import split_address
 from jackdawspur.configuration import (
     Configuration,
     Intent,
@@ -66,8 +67,8 @@
     headers = {"Authorization": f"Bearer {token}"} if token else {}
     if key is not None:
         headers["Idempotency-Key"] = key
-    host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=BOUND_S)
+    where = split_address(address)
+    connection = http.client.HTTPConnection(*where, timeout=BOUND_S)
     try:
         connection.request(method, path, b"" if body is None else data, headers)
         response = connection.getresponse()
--- a/jackdawspur/load/_closed_loop.py
+++ b/jackdawspur/load/_closed_loop.py
@@ -10,7 +10,13 @@
 from circuits import BaseComponent
 from result import Ok, Result
 
-from jackdawspur.adapters import Deadlines, HttpClient, HttpLimits, HttpReply
+from jackdawspur.adapters import (
+    Deadlines,
+    HttpClient,
+    HttpLimits,
+    HttpReply,
+    split_address,
+)
 from jackdawspur.platform import PlatformError
 
 __all__ = ["CallersPlan", "CallersReport", "EqualCallers", "percentile"]
@@ -73,9 +79,8 @@
         self._finished = finished
         self._rng = random.Random(plan.seed)
         self._body = _body(plan)
-        host, _, port = plan.host.rpartition(":")
         limits = HttpLimits(connections=plan.callers, waiting=4096)
-        client = HttpClient((host, int(port)), deadlines, limits)
+        client = HttpClient(split_address(plan.host), deadlines, limits)
         self._client = client.register(self)
         self._headers = (("Authorization", f"Bearer {plan.token}"),)
         self._open = 0
--- a/jackdawspur/load/_driver.py
+++ b/jackdawspur/load/_driver.py
@@ -8,7 +8,13 @@
 from circuits import BaseComponent
 from result import Ok, Result
 
-from jackdawspur.adapters import Deadlines, HttpClient, HttpLimits, HttpReply
+from jackdawspur.adapters import (
+    Deadlines,
+    HttpClient,
+    HttpLimits,
+    HttpReply,
+    split_address,
+)
 from jackdawspur.load._mix import Mix, PlannedJob, plan_job
 from jackdawspur.load._report import Tally, UpstreamCounts
 from jackdawspur.platform import PlatformError
@@ -85,8 +91,7 @@
         deadlines.call_after(0.0, lambda: self._ask_counters(self._before, self._begin))
 
     def _client(self, address: str, limits: HttpLimits) -> HttpClient:
-        host, _, port = address.rpartition(":")
-        client = HttpClient((host, int(port)), self._deadlines, limits)
+        client = HttpClient(split_address(address), self._deadlines, limits)
         return client.register(self)
 
     def _begin(self) -> None:
--- a/jackdawspur/load/_speed_processes.py
+++ b/jackdawspur/load/_speed_processes.py
@@ -12,6 +12,7 @@
 
 import psutil
 
+from jackdawspur.adapters import split_address
 from jackdawspur.exceptions import JackdawspurError
 
 __all__ = ["JOB_CLASS", "TOKEN", "Deployment", "SpeedError"]
@@ -137,8 +138,7 @@
     def _ready(self) -> bool:
         from http.client import HTTPConnection
 
-        host, _, port = self.http.rpartition(":")
-        connection = HTTPConnection(host, int(port), timeout=5)
+        connection = HTTPConnection(*split_address(self.http), timeout=5)
         connection.request("GET", "/readyz")
         return connection.getresponse().status == 200
 
--- a/jackdawspur/load/speed.py
+++ b/jackdawspur/load/speed.py
@@ -19,7 +19,7 @@
 from circuits import Component
 from circuits.core.pollers import EPoll
 
-from jackdawspur.adapters import Deadlines
+from jackdawspur.adapters import Deadlines, split_address
 from jackdawspur.load._closed_loop import (
     CallersPlan,
     CallersReport,
@@ -125,8 +125,7 @@
 
 def _measure_direct(deployment: Deployment) -> float:
     """Return what one start and one poll at a stand-in add to a task, at p50."""
-    host, _, port = deployment.upstreams[0].rpartition(":")
-    connection = HTTPConnection(host, int(port))
+    connection = HTTPConnection(*split_address(deployment.upstreams[0]))
     added, cursor = [], 0
     for place in range(DIRECT_STARTS):
         start = {"task": f"z1.x.1.1/{place}", "lease_ms": 5000.0}
--- a/jackdawspur/slopes/_configuration.py
+++ b/jackdawspur/slopes/_configuration.py
@@ -8,7 +8,6 @@
 
 SMALL = (140, 24, 3)
 FULL = (140, 3900, 18)
-KB_PER_MB = 1e3
 
 
 def configuration_lines() -> Iterator[str]:
--- a/jackdawspur/standins/_hostlist_service.py
+++ b/jackdawspur/standins/_hostlist_service.py
@@ -5,7 +5,7 @@
 import msgspec
 from circuits import Manager
 
-from jackdawspur.adapters import Deadlines
+from jackdawspur.adapters import Deadlines, split_address
 from jackdawspur.standins._hostlist import (
     HostListFaults,
     HostListSettings,
@@ -17,7 +17,6 @@
     HttpService,
     not_found,
     serve_until_stopped,
-    split_address,
 )
 from jackdawspur.wire import HostBody, HostsBody
 
--- a/jackdawspur/standins/_http_service.py
+++ b/jackdawspur/standins/_http_service.py
@@ -20,7 +20,6 @@
     "StandinError",
     "not_found",
     "serve_until_stopped",
-    "split_address",
 ]
 
 # A batch of starts carries the payloads of many tasks.
@@ -137,12 +136,6 @@
     exchange.reply(ErrorBody(f"nothing at {exchange.path}"), HTTPStatus.NOT_FOUND)
 
 
-def split_address(text: str) -> tuple[str, int]:
-    """Return host and port of ``IP:port``."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 def serve_until_stopped(make: Callable[[Manager, Deadlines], object]) -> None:
     """Run a loop with what `make` registers at it.
 
--- a/jackdawspur/standins/_log_service.py
+++ b/jackdawspur/standins/_log_service.py
@@ -7,7 +7,7 @@
 import msgspec
 from circuits import Manager
 
-from jackdawspur.adapters import Deadline, Deadlines
+from jackdawspur.adapters import Deadline, Deadlines, split_address
 from jackdawspur.standins._http_service import (
     BadQuery,
     ErrorBody,
@@ -15,7 +15,6 @@
     HttpService,
     not_found,
     serve_until_stopped,
-    split_address,
 )
 from jackdawspur.standins._log import LogFaults, LogSettings, LogStore
 from jackdawspur.wire import AppendReply, ReadReply, TrimmedReply
--- a/jackdawspur/standins/_worker_service.py
+++ b/jackdawspur/standins/_worker_service.py
@@ -7,13 +7,12 @@
 import msgspec
 from circuits import Manager
 
-from jackdawspur.adapters import Deadline, Deadlines
+from jackdawspur.adapters import Deadline, Deadlines, split_address
 from jackdawspur.standins._http_service import (
     Exchange,
     HttpService,
     not_found,
     serve_until_stopped,
-    split_address,
 )
 from jackdawspur.standins._worker import Worker
 from jackdawspur.standins._worker_types import (
