--- a/jackdawspur/adapters/_hostlist_http.py
+++ b/jackdawspur/adapters/_hostlist_http.py
@@ -8,7 +8,7 @@
 from jackdawspur.adapters._http_client import HttpClient
 from jackdawspur.adapters._http_connection import HttpReply
 from jackdawspur.adapters._json_reply import MS, reading, success
-from jackdawspur.platform import HostList, ListedHost, PlatformError
+from jackdawspur.external import HostList, ListedHost, PlatformError
 from jackdawspur.wire import HostsBody
 
 __all__ = ["HttpHostList"]
--- a/jackdawspur/adapters/_http_client.py
+++ b/jackdawspur/adapters/_http_client.py
@@ -9,7 +9,7 @@
 
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
 from jackdawspur.adapters._http_connection import HttpConnection, HttpReply
-from jackdawspur.platform import OutcomeUnknown, PlatformError, Unavailable
+from jackdawspur.external import OutcomeUnknown, PlatformError, Unavailable
 
 __all__ = ["HttpClient", "HttpLimits", "Replied"]
 
--- a/jackdawspur/adapters/_json_reply.py
+++ b/jackdawspur/adapters/_json_reply.py
@@ -7,8 +7,8 @@
 from result import Err, Ok, Result
 
 from jackdawspur.adapters._http_connection import HttpReply
+from jackdawspur.external import OutcomeUnknown, PlatformError
 from jackdawspur.model import InvalidId
-from jackdawspur.platform import OutcomeUnknown, PlatformError
 
 __all__ = ["MS", "ForeignReply", "reading", "success"]
 
--- a/jackdawspur/adapters/_log_http.py
+++ b/jackdawspur/adapters/_log_http.py
@@ -10,7 +10,7 @@
 from jackdawspur.adapters._http_client import HttpClient
 from jackdawspur.adapters._http_connection import HttpReply
 from jackdawspur.adapters._json_reply import MS, reading, success
-from jackdawspur.platform import Log, LogRecord, LogTrimmed, PlatformError, Unavailable
+from jackdawspur.external import Log, LogRecord, LogTrimmed, PlatformError, Unavailable
 from jackdawspur.wire import AppendReply, ReadReply, TrimmedReply
 
 __all__ = ["HttpLog", "LogTimeouts"]
--- a/jackdawspur/adapters/_upstream_http.py
+++ b/jackdawspur/adapters/_upstream_http.py
@@ -10,8 +10,7 @@
 from jackdawspur.adapters._http_client import HttpClient
 from jackdawspur.adapters._http_connection import HttpReply
 from jackdawspur.adapters._json_reply import MS, ForeignReply, reading, success
-from jackdawspur.model import HostId, TaskId, TaskOutcome, UpstreamId
-from jackdawspur.platform import (
+from jackdawspur.external import (
     PlatformError,
     StartVerdict,
     TaskStart,
@@ -19,6 +18,7 @@
     UpstreamReply,
     Usage,
 )
+from jackdawspur.model import HostId, TaskId, TaskOutcome, UpstreamId
 from jackdawspur.wire import (
     StartBody,
     StartsReply,
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -4,7 +4,7 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from socket import socket
 from urllib.parse import parse_qs
 
@@ -112,6 +112,7 @@
         self._service = service
         self._clock = clock
         self._next_call = 1
+        self._draining = False
         self._calls: dict[int, _Connection] = {}
         self._connections: dict[socket, _Connection] = {}
         self._sockets = ServerSockets(bind, self, channel).register(self)
@@ -139,6 +140,8 @@
             return
         request, connection.request = connection.request, None
         connection.call = None
+        if self._draining:
+            request = replace(request, keep_alive=False)
         connection.since = self._clock()
         self._sockets.send(connection.sock, encode_reply(reply, request))
         if not request.keep_alive:
@@ -150,6 +153,15 @@
         elif connection.ended:
             self._sockets.end(connection.sock)
 
+    def drain(self) -> None:
+        """Close each connection with its next reply, and idle ones when asked to."""
+        self._draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing of a request has come."""
+        for connection in [c for c in self._connections.values() if c.idle]:
+            self._sockets.end(connection.sock)
+
     def drop(self, number: int) -> None:
         """Close the connection of a call without a reply."""
         connection = self._calls.pop(number, None)
--- a/jackdawspur/adapters/tests/conftest.py
+++ b/jackdawspur/adapters/tests/conftest.py
@@ -10,8 +10,8 @@
 from circuits.net.sockets import TCPServer
 
 from jackdawspur.adapters import Deadlines, HttpClient, HttpLimits, HttpUpstream
+from jackdawspur.external import TaskStart
 from jackdawspur.model import HostId, SubmissionId, TaskId, UpstreamId
-from jackdawspur.platform import TaskStart
 from jackdawspur.standins import RackSettings, make_rack
 
 ANY_PORT = "127.0.0.1:0"
--- a/jackdawspur/adapters/tests/test_http_client.py
+++ b/jackdawspur/adapters/tests/test_http_client.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jackdawspur.platform import OutcomeUnknown, Unavailable
+from jackdawspur.external import OutcomeUnknown, Unavailable
 
 OK_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nA1"
 EMPTY_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
--- a/jackdawspur/adapters/tests/test_log_and_list_http.py
+++ b/jackdawspur/adapters/tests/test_log_and_list_http.py
@@ -4,7 +4,7 @@
 
 from jackdawspur.adapters import HttpHostList, HttpLog
 from jackdawspur.adapters.tests.conftest import ANY_PORT
-from jackdawspur.platform import (
+from jackdawspur.external import (
     HostRole,
     LogRecord,
     LogTrimmed,
--- a/jackdawspur/adapters/tests/test_upstream_http.py
+++ b/jackdawspur/adapters/tests/test_upstream_http.py
@@ -3,8 +3,8 @@
 import pytest
 
 from jackdawspur.adapters.tests.conftest import start, task
+from jackdawspur.external import OutcomeUnknown, RefusalReason
 from jackdawspur.model import TaskState
-from jackdawspur.platform import OutcomeUnknown, RefusalReason
 from jackdawspur.standins import WorkerFaults
 
 WAIT_MS = 1000.0
--- a/jackdawspur/bench/_baselines.py
+++ b/jackdawspur/bench/_baselines.py
@@ -31,6 +31,7 @@
     UsageReplied,
     WorldSet,
 )
+from jackdawspur.external import RefusalReason, TaskStart, UpstreamReply, Usage
 from jackdawspur.model import (
     Answer,
     FailureCode,
@@ -42,7 +43,6 @@
     TaskState,
     UpstreamId,
 )
-from jackdawspur.platform import RefusalReason, TaskStart, UpstreamReply, Usage
 
 __all__ = ["BASELINES", "Baseline"]
 
--- a/jackdawspur/bench/_host.py
+++ b/jackdawspur/bench/_host.py
@@ -26,9 +26,9 @@
     Tick,
     WorldSet,
 )
+from jackdawspur.external import UpstreamReply
 from jackdawspur.messages import Heartbeat, RecordsPassed, RecordsWanted
 from jackdawspur.model import HostId, TaskId, TaskOutcome, TaskState, World
-from jackdawspur.platform import UpstreamReply
 
 if TYPE_CHECKING:
     from jackdawspur.bench._simulation import Simulation
--- a/jackdawspur/bench/_platform.py
+++ b/jackdawspur/bench/_platform.py
@@ -6,7 +6,7 @@
 
 from jackdawspur.bench._loop import VirtualLoop
 from jackdawspur.dispatch import Claim
-from jackdawspur.platform import ListedHost
+from jackdawspur.external import ListedHost
 
 __all__ = ["FakeHostList", "FakeLog"]
 
--- a/jackdawspur/bench/_simulation.py
+++ b/jackdawspur/bench/_simulation.py
@@ -15,8 +15,8 @@
 from jackdawspur.bench._upstream import FakeUpstream
 from jackdawspur.bench._workload import Job
 from jackdawspur.dispatch import DrainAsked, UsageReplied, WorldSet
+from jackdawspur.external import HostRole, ListedHost, UpstreamReply
 from jackdawspur.model import HostId, TaskOutcome, UpstreamId, World
-from jackdawspur.platform import HostRole, ListedHost, UpstreamReply
 
 __all__ = ["Simulation"]
 
--- a/jackdawspur/bench/_upstream.py
+++ b/jackdawspur/bench/_upstream.py
@@ -7,8 +7,8 @@
 from jackdawspur.bench._checks import Checker
 from jackdawspur.bench._loop import VirtualLoop
 from jackdawspur.bench._workload import Payload, expected_output
+from jackdawspur.external import RefusalReason, StartVerdict, TaskStart, Usage
 from jackdawspur.model import HostId, TaskId, TaskOutcome, TaskState, Upstream
-from jackdawspur.platform import RefusalReason, StartVerdict, TaskStart, Usage
 
 __all__ = ["FakeUpstream", "UpstreamFaults"]
 
--- a/jackdawspur/bench/tests/test_fakes.py
+++ b/jackdawspur/bench/tests/test_fakes.py
@@ -7,6 +7,7 @@
 from jackdawspur.bench import DEPLOYMENTS, Checker, Workload, draw_jobs
 from jackdawspur.bench._loop import VirtualLoop
 from jackdawspur.bench._upstream import FakeUpstream
+from jackdawspur.external import RefusalReason, TaskStart
 from jackdawspur.model import (
     HostId,
     JobRequest,
@@ -15,7 +16,6 @@
     Upstream,
     UpstreamId,
 )
-from jackdawspur.platform import RefusalReason, TaskStart
 
 HOLDER = HostId("z1", "e1", 1)
 LOAD_ERROR = 0.07
--- /dev/null
+++ b/jackdawspur/cli/_front.py
@@ -0,0 +1,45 @@
+"""The command that runs a host on the customers' platform."""
+
+from collections.abc import Sequence
+
+from absl import flags
+
+from jackdawspur.cli._exit import ExitCode
+from jackdawspur.cli._logs import set_up_bounded_logs
+from jackdawspur.settings import HostSettings, load_settings
+
+__all__ = ["define", "run"]
+
+
+def define(values: flags.FlagValues) -> None:
+    """Define the flags of ``front``."""
+    text = "Settings file in JSON; without it the platform's own file is read."
+    flags.DEFINE_string("settings", None, text, flag_values=values)
+
+
+def run(values: flags.FlagValues, _rest: Sequence[str]) -> ExitCode:
+    """Run until told to stop."""
+    from jackdawspur.adapters import Deadlines
+    from jackdawspur.front import Ports, run_front
+    from jackdawspur.platform import (
+        PlatformCallers,
+        PlatformStore,
+        PlatformUpstreams,
+        read_platform_settings,
+    )
+
+    if values.settings:
+        settings = load_settings(HostSettings, values.settings)
+    else:
+        settings = read_platform_settings()
+    set_up_bounded_logs(settings.log_level, settings.name)
+
+    def make_ports(owner, deadlines: Deadlines) -> Ports:
+        return Ports(
+            PlatformCallers(),
+            PlatformUpstreams(owner, deadlines),
+            PlatformStore(settings.store, owner, deadlines),
+        )
+
+    run_front(settings, make_ports)
+    return ExitCode.OK
--- a/jackdawspur/cli/_logs.py
+++ b/jackdawspur/cli/_logs.py
@@ -4,7 +4,9 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["json_lines", "set_up_logs"]
+from jackdawspur.cli._bounded_output import BoundedOutput
+
+__all__ = ["json_lines", "set_up_bounded_logs", "set_up_logs"]
 
 FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -20,7 +22,15 @@
 
 def set_up_logs(level: str, host: str) -> None:
     """Write one JSON object a line to standard error."""
-    output = logging.StreamHandler()
+    _use(logging.StreamHandler(), level, host)
+
+
+def set_up_bounded_logs(level: str, host: str) -> None:
+    """Write JSON lines to standard output, at a bounded rate and without blocking."""
+    _use(BoundedOutput(), level, host)
+
+
+def _use(output: logging.Handler, level: str, host: str) -> None:
     output.setFormatter(json_lines(host))
     root = logging.getLogger()
     root.handlers = [output]
--- a/jackdawspur/cli/_main.py
+++ b/jackdawspur/cli/_main.py
@@ -7,7 +7,15 @@
 from absl import flags
 
 from jackdawspur import __version__
-from jackdawspur.cli import _caller, _check, _entry, _load, _operator, _standin
+from jackdawspur.cli import (
+    _caller,
+    _check,
+    _entry,
+    _front,
+    _load,
+    _operator,
+    _standin,
+)
 from jackdawspur.cli._exit import ExitCode, UsageError
 from jackdawspur.settings import SettingsError
 
@@ -35,6 +43,13 @@
         _entry.run,
         ("entry --settings=examples/ramdenee/north-a-e1.json",),
     ),
+    Command(
+        "front",
+        "Run a host on the customers' platform.",
+        _front.define,
+        _front.run,
+        ("front", "front --settings=host.json"),
+    ),
     Command(
         "submit",
         "Submit a job and print its answer.",
--- a/jackdawspur/cli/_standin.py
+++ b/jackdawspur/cli/_standin.py
@@ -60,7 +60,7 @@
 
 
 def _hostlist(path: str) -> None:
-    from jackdawspur.platform import HostRole
+    from jackdawspur.external import HostRole
     from jackdawspur.standins import HostListSettings, run_hostlist
     from jackdawspur.wire import HostBody
 
--- a/jackdawspur/configuration/_fold.py
+++ b/jackdawspur/configuration/_fold.py
@@ -19,7 +19,7 @@
     decode_record,
 )
 from jackdawspur.configuration._reports import Skipped, Void
-from jackdawspur.platform import LogRecord
+from jackdawspur.external import LogRecord
 
 __all__ = ["NOTHING", "Fold"]
 
--- a/jackdawspur/configuration/_keeper.py
+++ b/jackdawspur/configuration/_keeper.py
@@ -31,9 +31,9 @@
 from jackdawspur.configuration._tail import WHOLE_STATE, Tail, snapshot_of, state_in
 from jackdawspur.configuration._world import rebuilt_world
 from jackdawspur.configuration._zones import ZoneReports
+from jackdawspur.external import LogRecord
 from jackdawspur.messages import RecordsWanted
 from jackdawspur.model import HostId, World
-from jackdawspur.platform import LogRecord
 
 __all__ = ["Keeper"]
 
--- a/jackdawspur/configuration/_keeping.py
+++ b/jackdawspur/configuration/_keeping.py
@@ -5,9 +5,9 @@
 from jackdawspur.configuration._budget import Purpose
 from jackdawspur.configuration._document import Configuration
 from jackdawspur.configuration._reports import Skipped
+from jackdawspur.external import LogRecord
 from jackdawspur.messages import Heartbeat, RecordsPassed, RecordsWanted
 from jackdawspur.model import HostId, World
-from jackdawspur.platform import LogRecord
 
 __all__ = [
     "ActivateWorld",
--- a/jackdawspur/configuration/_tail.py
+++ b/jackdawspur/configuration/_tail.py
@@ -11,8 +11,8 @@
     decode_record,
     encode_record,
 )
+from jackdawspur.external import LogRecord
 from jackdawspur.messages import RecordsPassed
-from jackdawspur.platform import LogRecord
 
 __all__ = ["WHOLE_STATE", "Tail", "snapshot_of", "state_in"]
 
--- a/jackdawspur/configuration/slopes.py
+++ b/jackdawspur/configuration/slopes.py
@@ -28,8 +28,8 @@
 from jackdawspur.configuration._records import Confirm, encode_record
 from jackdawspur.configuration._tail import snapshot_of
 from jackdawspur.configuration._world import token_hash, world_of
+from jackdawspur.external import LogRecord
 from jackdawspur.model import HostId
-from jackdawspur.platform import LogRecord
 
 __all__ = ["SizeCost", "configuration_of_size", "main", "measure_size"]
 
--- a/jackdawspur/configuration/tests/conftest.py
+++ b/jackdawspur/configuration/tests/conftest.py
@@ -38,9 +38,9 @@
     load_configuration,
     token_hash,
 )
+from jackdawspur.external import LogRecord
 from jackdawspur.messages import Heartbeat
 from jackdawspur.model import HostId
-from jackdawspur.platform import LogRecord
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 STEP_S = 0.05
--- a/jackdawspur/configuration/tests/test_fold.py
+++ b/jackdawspur/configuration/tests/test_fold.py
@@ -19,7 +19,7 @@
 )
 from jackdawspur.configuration._changes import PutOperator, PutZone
 from jackdawspur.configuration._tail import snapshot_of
-from jackdawspur.platform import LogRecord
+from jackdawspur.external import LogRecord
 
 OPERATOR = OperatorEntry(
     name="ann", token_sha256=("0" * 64,), rights=(Right.PLAN, Right.CONFIRM)
--- a/jackdawspur/dispatch/_effects.py
+++ b/jackdawspur/dispatch/_effects.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from jackdawspur.dispatch._events import Claim
+from jackdawspur.external import TaskStart
 from jackdawspur.messages import Message
 from jackdawspur.model import Answer, HostId, SubmissionId, TaskId, UpstreamId
-from jackdawspur.platform import TaskStart
 
 __all__ = [
     "AnswerCall",
--- a/jackdawspur/dispatch/_events.py
+++ b/jackdawspur/dispatch/_events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from jackdawspur.external import ListedHost, UpstreamReply
 from jackdawspur.messages import Message
 from jackdawspur.model import (
     EntryHost,
@@ -12,7 +13,6 @@
     UpstreamId,
     World,
 )
-from jackdawspur.platform import ListedHost, UpstreamReply
 
 __all__ = [
     "CallClosed",
--- a/jackdawspur/dispatch/_run.py
+++ b/jackdawspur/dispatch/_run.py
@@ -10,9 +10,9 @@
 from jackdawspur.dispatch._job import TaskPhase
 from jackdawspur.dispatch._resolve import ask_status
 from jackdawspur.dispatch._state import Flight, Reserved, State
+from jackdawspur.external import RefusalReason, StartVerdict, TaskStart
 from jackdawspur.health import UNLIMITED
 from jackdawspur.model import JobRequest, TaskId, UpstreamId
-from jackdawspur.platform import RefusalReason, StartVerdict, TaskStart
 from jackdawspur.scheduling import NextTask
 
 __all__ = ["lose_starts", "reply_results", "reply_starts", "start_waiting"]
--- a/jackdawspur/dispatch/tests/conftest.py
+++ b/jackdawspur/dispatch/tests/conftest.py
@@ -17,6 +17,7 @@
     Tick,
     WorldSet,
 )
+from jackdawspur.external import StartVerdict, UpstreamReply
 from jackdawspur.messages import Heartbeat
 from jackdawspur.model import (
     Answer,
@@ -32,7 +33,6 @@
     UpstreamId,
     World,
 )
-from jackdawspur.platform import StartVerdict, UpstreamReply
 
 OWN = HostId("north", "e1", 100)
 SIBLING = HostId("north", "e2", 200)
--- a/jackdawspur/dispatch/tests/test_at_most_once.py
+++ b/jackdawspur/dispatch/tests/test_at_most_once.py
@@ -17,8 +17,8 @@
     make_request,
     starts_in,
 )
+from jackdawspur.external import RefusalReason, UpstreamReply
 from jackdawspur.model import FailureCode, JobState, TaskOutcome, TaskState
-from jackdawspur.platform import RefusalReason, UpstreamReply
 
 
 def lose(bench, start, left):
--- a/jackdawspur/dispatch/tests/test_told_delegated.py
+++ b/jackdawspur/dispatch/tests/test_told_delegated.py
@@ -28,6 +28,7 @@
     Case,
     Told,
 )
+from jackdawspur.external import UpstreamReply
 from jackdawspur.messages import Delegate, DelegateAnswer
 from jackdawspur.model import (
     Answer,
@@ -36,7 +37,6 @@
     TaskOutcome,
     TaskState,
 )
-from jackdawspur.platform import UpstreamReply
 
 
 def delegate(bench: Bench) -> Delegate:
--- a/jackdawspur/dispatch/tests/test_told_first.py
+++ b/jackdawspur/dispatch/tests/test_told_first.py
@@ -35,11 +35,11 @@
     status,
     wait_in_queue,
 )
+from jackdawspur.external import RefusalReason
 from jackdawspur.model import (
     FailureCode,
     TaskState,
 )
-from jackdawspur.platform import RefusalReason
 
 
 def taken_and_done(bench, kind):
--- a/jackdawspur/dispatch/tests/told.py
+++ b/jackdawspur/dispatch/tests/told.py
@@ -21,6 +21,7 @@
     make_request,
     starts_in,
 )
+from jackdawspur.external import UpstreamReply
 from jackdawspur.model import (
     FailureCode,
     JobRequest,
@@ -28,7 +29,6 @@
     TaskOutcome,
     TaskState,
 )
-from jackdawspur.platform import UpstreamReply
 
 __all__ = [
     "COMPLETE",
--- a/jackdawspur/entry/_claims.py
+++ b/jackdawspur/entry/_claims.py
@@ -10,8 +10,7 @@
 from jackdawspur.adapters import Deadlines
 from jackdawspur.configuration import LogBudget, Purpose
 from jackdawspur.dispatch import Claim, ClaimEnded, ClaimsRead, Event
-from jackdawspur.model import InvalidId, SubmissionId
-from jackdawspur.platform import (
+from jackdawspur.external import (
     Log,
     LogRecord,
     LogTrimmed,
@@ -19,6 +18,7 @@
     PlatformError,
     Stream,
 )
+from jackdawspur.model import InvalidId, SubmissionId
 
 __all__ = ["ClaimDriver"]
 
--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -67,9 +67,9 @@
 from jackdawspur.entry._routes import Routes
 from jackdawspur.entry._status import HostStatus, status_of
 from jackdawspur.entry._upstreams import UpstreamDriver
+from jackdawspur.external import ListedHost
 from jackdawspur.messages import Heartbeat, Message, RecordsPassed, RecordsWanted
 from jackdawspur.model import Answer, EntryHost, FailureCode, HostId, JobState
-from jackdawspur.platform import ListedHost
 from jackdawspur.settings import EntrySettings
 
 __all__ = ["EntryHostProcess", "run_entry"]
--- a/jackdawspur/entry/_keeping.py
+++ b/jackdawspur/entry/_keeping.py
@@ -25,9 +25,7 @@
     ReportSkipped,
     SendRecords,
 )
-from jackdawspur.messages import Message
-from jackdawspur.model import HostId
-from jackdawspur.platform import (
+from jackdawspur.external import (
     Log,
     LogRecord,
     LogTrimmed,
@@ -35,6 +33,8 @@
     PlatformError,
     Stream,
 )
+from jackdawspur.messages import Message
+from jackdawspur.model import HostId
 
 __all__ = ["ConfigurationDriver"]
 
--- a/jackdawspur/entry/_upstreams.py
+++ b/jackdawspur/entry/_upstreams.py
@@ -25,8 +25,8 @@
     StopTasks,
     UsageReplied,
 )
+from jackdawspur.external import OutcomeUnknown, PlatformError, UpstreamReply
 from jackdawspur.model import HostId, Upstream, UpstreamId
-from jackdawspur.platform import OutcomeUnknown, PlatformError, UpstreamReply
 
 __all__ = ["UpstreamDriver"]
 
--- a/jackdawspur/platform/_hostlist.py
+++ b/jackdawspur/external/_hostlist.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from jackdawspur.platform._errors import PlatformError
+from jackdawspur.external._errors import PlatformError
 
 __all__ = ["HostList", "HostRole", "ListedHost"]
 
--- a/jackdawspur/platform/_upstream.py
+++ b/jackdawspur/external/_upstream.py
@@ -7,8 +7,8 @@
 
 from result import Result
 
+from jackdawspur.external._errors import PlatformError
 from jackdawspur.model import TaskId, TaskOutcome, UpstreamId
-from jackdawspur.platform._errors import PlatformError
 
 __all__ = [
     "RefusalReason",
--- /dev/null
+++ b/jackdawspur/front/__init__.py
@@ -0,0 +1,25 @@
+"""A host that serves callers on the customers' platform."""
+
+from jackdawspur.front._ports import (
+    CallerPort,
+    CallerQuestion,
+    QuestionKind,
+    StoreListener,
+    StorePort,
+    UpstreamPort,
+)
+from jackdawspur.front._process import Ports, run_front
+from jackdawspur.front._routes import RouteTable, UnreadableConfiguration
+
+__all__ = [
+    "CallerPort",
+    "CallerQuestion",
+    "Ports",
+    "QuestionKind",
+    "RouteTable",
+    "StoreListener",
+    "StorePort",
+    "UnreadableConfiguration",
+    "UpstreamPort",
+    "run_front",
+]
--- /dev/null
+++ b/jackdawspur/front/_lead.py
@@ -0,0 +1,210 @@
+"""The leading host's part: decisions, and the calls they ask for."""
+
+import logging
+from typing import Protocol
+
+from jackdawspur.front._clock import now_s
+from jackdawspur.front._gauges import Gauges
+from jackdawspur.front._ports import UpstreamPort
+from jackdawspur.front._service import CallerService
+from jackdawspur.front._views import StoreView
+from jackdawspur.group import (
+    Group,
+    GroupMessage,
+    HostAddress,
+    JobAnswered,
+    JobOffered,
+    JobProgress,
+)
+from jackdawspur.model import HostId
+from jackdawspur.runs import (
+    AnswerJob,
+    Dispatcher,
+    Effect,
+    LookAt,
+    Note,
+    Offer,
+    StartRun,
+    StopRun,
+)
+
+__all__ = ["LeadDriver"]
+
+MS_PER_S = 1000.0
+
+log = logging.getLogger("jackdawspur.decisions")
+
+
+class LeadOwner(Protocol):
+    """Carry what the leading host says."""
+
+    address: HostAddress
+    group: Group
+    gauges: Gauges
+    views: StoreView
+    callers: CallerService
+
+    def send(self, host: str, message: GroupMessage) -> None:
+        """Send a message to another host."""
+
+    def flush_soon(self) -> None:
+        """Let the decisions act at the end of this pass."""
+
+
+class LeadDriver:
+    """Feed the dispatcher and carry out its effects."""
+
+    def __init__(self, owner: LeadOwner, upstreams: UpstreamPort, now: float) -> None:
+        self._owner = owner
+        self._upstreams = upstreams
+        address = owner.address
+        own = HostId(address.zone, address.name, address.started_ms)
+        self._dispatcher = Dispatcher(own, now)
+        self._told: dict[str, tuple[str, ...]] = {}
+        self._actions = {
+            StartRun: self._start,
+            StopRun: self._stop,
+            LookAt: self._look,
+            AnswerJob: self._answer,
+            Note: self._note,
+        }
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Return the decisions."""
+        return self._dispatcher
+
+    def leadership_changed(self, now: float) -> None:
+        """Begin or cease to lead."""
+        group = self._owner.group
+        log.info(
+            "leadership",
+            extra={
+                "leads": group.leads,
+                "fence": group.fence,
+                "leader": group.leader(now),
+            },
+        )
+        if group.leads:
+            self.upstreams_changed(now)
+            self._dispatcher.lead(group.fence, now)
+        else:
+            self._dispatcher.resign(now)
+            self._upstreams.keep_only(set())
+
+    def upstreams_changed(self, now: float) -> None:
+        """Use the newest list of upstreams."""
+        entries = self._owner.views.entries
+        self._dispatcher.set_upstreams(entries, now)
+        if self._dispatcher.leads:
+            held = {one.entry.address for one in self._dispatcher.fleet.held}
+            self._upstreams.keep_only({e.address for e in entries} | held)
+        self._owner.flush_soon()
+
+    def offered(self, message: JobOffered, now: float) -> None:
+        """Take a job of another host, unless this one does not lead any more."""
+        if not self._dispatcher.leads:
+            return
+        arrived = now - message.age_ms / MS_PER_S
+        deadline = now + message.left_ms / MS_PER_S
+        self.take(
+            Offer(
+                message.job,
+                message.sender,
+                message.call,
+                arrived,
+                deadline,
+                message.handed,
+                message.done,
+            ),
+            now,
+        )
+
+    def take(self, offer: Offer, now: float) -> None:
+        """Take a job, and decide at the end of this pass."""
+        self._dispatcher.offer(offer, now)
+        self._owner.flush_soon()
+
+    def dropped(self, host: str, job: str, call: int, now: float) -> None:
+        """Stop a job whose caller left."""
+        self._dispatcher.drop(host, job, call, now)
+        self._owner.flush_soon()
+
+    def fenced_for(self, now: float) -> float:
+        """Return for how long an upstream has obeyed a higher fence."""
+        since = self._dispatcher.fleet.fenced_since
+        return now - since if since is not None else 0.0
+
+    def done_by_host(self) -> dict[str, tuple[JobProgress, ...]]:
+        """Return what is new of tasks done, by the host whose caller waits."""
+        if not self._dispatcher.leads:
+            return {}
+        news: dict[str, tuple[JobProgress, ...]] = {}
+        told: dict[str, tuple[str, ...]] = {}
+        for host, jobs in self._dispatcher.done_since().items():
+            told.update(jobs)
+            fresh = [j for j, done in jobs.items() if self._told.get(j) != done]
+            news[host] = tuple(JobProgress(job, jobs[job]) for job in fresh)
+        self._told = told
+        return news
+
+    def tick(self, now: float) -> None:
+        """Give up what is late or gone."""
+        if not self._dispatcher.leads:
+            return
+        group = self._owner.group
+        for host in self._dispatcher.hosts():
+            if not group.alive(host, now):
+                self._dispatcher.drop_host(host, now)
+        self._dispatcher.tick(now)
+
+    def flush(self, now: float) -> None:
+        """Carry out what the decisions ask for."""
+        for effect in self._dispatcher.flush(now):
+            self._act(effect)
+
+    def _act(self, effect: Effect) -> None:
+        self._actions[type(effect)](effect)
+
+    def _start(self, order: StartRun) -> None:
+        self._owner.gauges.count("starts")
+
+        def replied(outcome) -> None:
+            self._dispatcher.start_replied(order.upstream, order.run, outcome, now_s())
+            self._owner.flush_soon()
+
+        self._upstreams.start(order, replied)
+
+    def _stop(self, order: StopRun) -> None:
+        self._owner.gauges.count("stops")
+
+        def replied(outcome) -> None:
+            self._dispatcher.stop_replied(order.upstream, order.run, outcome, now_s())
+            self._owner.flush_soon()
+
+        self._upstreams.stop(order, replied)
+
+    def _look(self, order: LookAt) -> None:
+        self._owner.gauges.count("looks")
+
+        def replied(result) -> None:
+            self._dispatcher.look_replied(
+                order.upstream, order.fence, order.number, result, now_s()
+            )
+            self._owner.flush_soon()
+
+        self._upstreams.look(order, replied)
+
+    def _answer(self, answer: AnswerJob) -> None:
+        if answer.host == self._owner.address.name:
+            self._owner.callers.answered(answer.call, answer.job, answer.outcome)
+            return
+        message = JobAnswered(answer.job, answer.call, answer.outcome)
+        self._owner.send(answer.host, message)
+
+    def _note(self, note: Note) -> None:
+        inputs = dict(note.inputs)
+        log.info(
+            note.decision.value,
+            extra={"job": note.job, "upstream": note.upstream, "inputs": inputs},
+        )
--- /dev/null
+++ b/jackdawspur/front/_mesh.py
@@ -0,0 +1,109 @@
+"""Messages between the hosts of a group over pynng, polled by the circuits loop."""
+
+import logging
+from collections.abc import Callable
+
+import pynng
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+
+from jackdawspur.group import (
+    GroupMessage,
+    HostAddress,
+    UnreadableGroupMessage,
+    decode_message,
+    encode_message,
+)
+
+__all__ = ["Mesh"]
+
+SEND_QUEUE = 128
+RECEIVE_QUEUE = 1024
+MAX_MESSAGE_BYTES = 4_194_304
+RECONNECT_MIN_MS = 20
+RECONNECT_MAX_MS = 300
+MESSAGES_A_PASS = 200
+
+log = logging.getLogger(__name__)
+
+
+class Mesh(BaseComponent):
+    """Send messages to hosts and receive theirs, in bounded queues."""
+
+    channel = "mesh"
+
+    def __init__(
+        self, bind: str, poller: BasePoller, deliver: Callable[[GroupMessage], None]
+    ) -> None:
+        super().__init__()
+        self._poller = poller
+        self._deliver = deliver
+        self._out: dict[str, tuple[HostAddress, pynng.Push0]] = {}
+        self._in = pynng.Pull0(
+            recv_buffer_size=RECEIVE_QUEUE, recv_max_size=MAX_MESSAGE_BYTES
+        )
+        self._in.listen(f"tcp://{bind}")
+        self._poller.addReader(self, self._in.recv_fd)
+        self.dropped = 0
+        self.bytes_sent = 0
+
+    def set_peers(self, hosts: tuple[HostAddress, ...]) -> None:
+        """Dial the hosts known by address, and drop earlier runs of them."""
+        wanted = {host.name: host for host in hosts}
+        for name, (host, _socket) in list(self._out.items()):
+            if wanted.get(name) != host:
+                self._close(name)
+        for name, host in wanted.items():
+            if name not in self._out:
+                self._dial(host)
+
+    def redial(self, name: str) -> None:
+        """Connect anew to a host that went silent.
+
+        A channel can go silent for good without a reset while new ones work; what is
+        queued for it would wait for ever.
+        """
+        known = self._out.get(name)
+        if known is not None:
+            self._close(name)
+            self._dial(known[0])
+
+    def send(self, name: str, message: GroupMessage) -> bool:
+        """Queue a message; False when the host is unknown or its queue is full."""
+        known = self._out.get(name)
+        if known is None:
+            self.dropped += 1
+            return False
+        data = encode_message(message)
+        try:
+            known[1].send(data, block=False)
+        except pynng.TryAgain:
+            self.dropped += 1
+            return False
+        self.bytes_sent += len(data)
+        return True
+
+    def _dial(self, host: HostAddress) -> None:
+        push = pynng.Push0(
+            send_buffer_size=SEND_QUEUE,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        push.dial(f"tcp://{host.link}", block=False)
+        self._out[host.name] = (host, push)
+
+    def _close(self, name: str) -> None:
+        self._out.pop(name)[1].close()
+
+    @handler("_read")
+    def _on_readable(self, _descriptor: int) -> None:
+        """Take what has arrived, a bounded number a pass so that callers get a turn."""
+        for _ in range(MESSAGES_A_PASS):
+            try:
+                data = self._in.recv(block=False)
+            except pynng.TryAgain:
+                return
+            try:
+                self._deliver(decode_message(data))
+            except UnreadableGroupMessage as error:
+                log.warning("message dropped", extra={"reason": str(error)})
--- /dev/null
+++ b/jackdawspur/front/_own_jobs.py
@@ -0,0 +1,89 @@
+"""The jobs whose callers wait on this host."""
+
+from dataclasses import dataclass, field
+
+from jackdawspur.runs import JobEnd, JobOutcome, JobRequest
+
+__all__ = ["OwnJob", "OwnJobs"]
+
+# A host that finds no leading host for this long can't serve the job.
+LEADERLESS_S = 0.8
+# Answers to what ran out of time leave this much before the caller's limit.
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class OwnJob:
+    """Keep one waiting caller; times in seconds of this host's clock."""
+
+    call: int
+    request: JobRequest
+    arrived: float
+    deadline: float
+    handed: int = 0
+    offered_to: str | None = None
+    done: set[str] = field(default_factory=set)
+
+
+class OwnJobs:
+    """Keep the waiting callers by call and by job."""
+
+    def __init__(self) -> None:
+        self._by_call: dict[int, OwnJob] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_call)
+
+    def all(self) -> tuple[OwnJob, ...]:
+        """Return the jobs of all waiting callers."""
+        return tuple(self._by_call.values())
+
+    def add(self, job: OwnJob) -> None:
+        """Keep a caller that waits."""
+        self._by_call[job.call] = job
+
+    def take(self, call: int) -> OwnJob | None:
+        """Forget a caller and return its job."""
+        return self._by_call.pop(call, None)
+
+    def by_job(self, job_id: str) -> OwnJob | None:
+        """Return a waiting caller's job by its id."""
+        for job in self._by_call.values():
+            if job.request.id == job_id:
+                return job
+        return None
+
+    def waiting_for(self, term: str) -> list[OwnJob]:
+        """Return the jobs that the leading host of a term does not have yet."""
+        return [job for job in self._by_call.values() if job.offered_to != term]
+
+    def note_done(self, job_id: str, done: tuple[str, ...]) -> None:
+        """Keep which tasks are done, for the next leading host."""
+        job = self.by_job(job_id)
+        if job is not None:
+            job.done.update(done)
+
+    def given_up(self, leaderless: bool, now: float) -> list[tuple[OwnJob, JobOutcome]]:
+        """Return the jobs that end here, with their outcome."""
+        ended = []
+        for job in self._by_call.values():
+            outcome = _outcome(job, leaderless, now)
+            if outcome is not None:
+                ended.append((job, outcome))
+        return ended
+
+
+def _outcome(job: OwnJob, leaderless: bool, now: float) -> JobOutcome | None:
+    """Return the end of a job that no leading host answered in time.
+
+    A job that was handed to a host may have run there, so only one that never was is
+    refused as not run.
+    """
+    never_offered = job.offered_to is None and not job.handed
+    if now >= job.deadline:
+        if never_offered:
+            return JobOutcome(JobEnd.REFUSED, True, RETRY_AFTER_S, "no leading host")
+        return JobOutcome(JobEnd.OUT_OF_TIME, False, 0.0, "the caller's time is over")
+    if leaderless and never_offered and now - job.arrived > LEADERLESS_S:
+        return JobOutcome(JobEnd.REFUSED, True, RETRY_AFTER_S, "no leading host")
+    return None
--- /dev/null
+++ b/jackdawspur/front/_ports.py
@@ -0,0 +1,135 @@
+"""What a host needs of the platform, to be fitted by an adapter."""
+
+import abc
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from jackdawspur.adapters import Call
+from jackdawspur.callers import HttpReply
+from jackdawspur.front._routes import RouteTable
+from jackdawspur.group import HostAddress
+from jackdawspur.leases import CallOutcome, LookReport, UpstreamEntry
+from jackdawspur.runs import (
+    JobOutcome,
+    JobRequest,
+    LookAt,
+    Route,
+    StartRun,
+    StopRun,
+)
+
+__all__ = [
+    "CallerPort",
+    "CallerQuestion",
+    "QuestionKind",
+    "StoreListener",
+    "StorePort",
+    "UpstreamPort",
+]
+
+
+class UpstreamPort(abc.ABC):
+    """Carry calls to upstreams; each `done` is called once, never at once."""
+
+    @abc.abstractmethod
+    def start(self, order: StartRun, done: Callable[[CallOutcome], None]) -> None:
+        """Start a run."""
+
+    @abc.abstractmethod
+    def stop(self, order: StopRun, done: Callable[[CallOutcome], None]) -> None:
+        """Stop a run."""
+
+    @abc.abstractmethod
+    def look(
+        self, order: LookAt, done: Callable[[LookReport | CallOutcome], None]
+    ) -> None:
+        """Ask for all runs and prolong the lease."""
+
+    @abc.abstractmethod
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the connections to all other addresses."""
+
+
+class StoreListener(abc.ABC):
+    """Hear what stands in the platform's store."""
+
+    @abc.abstractmethod
+    def configuration_read(self, version: int, document: bytes) -> None:
+        """Take in the newest configuration, as published."""
+
+    @abc.abstractmethod
+    def upstreams_read(self, entries: tuple[UpstreamEntry, ...]) -> None:
+        """Take in the whole list of upstreams."""
+
+    @abc.abstractmethod
+    def hosts_read(self, hosts: tuple[HostAddress, ...]) -> None:
+        """Take in the hosts that announced themselves."""
+
+    @abc.abstractmethod
+    def store_changed(self, reachable: bool, reason: str) -> None:
+        """Take in that the store is lost or regained."""
+
+
+class StorePort(abc.ABC):
+    """Follow the platform's store."""
+
+    @abc.abstractmethod
+    def follow(self, listener: StoreListener) -> None:
+        """Begin to read, and never stop."""
+
+    @abc.abstractmethod
+    def announce(self, host: HostAddress) -> None:
+        """Publish where this host is, until it worked."""
+
+
+class QuestionKind(Enum):
+    """Say what a caller wants."""
+
+    SUBMIT = "submit"
+    STATE = "state"
+    CANCEL = "cancel"
+    COUNT = "count"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerQuestion:
+    """Carry one caller's request; `patience_s` is how long it waits, if it said so."""
+
+    kind: QuestionKind
+    route: Route
+    job: str
+    request: JobRequest | None
+    patience_s: float | None
+
+
+class CallerPort(abc.ABC):
+    """Translate between callers and the product."""
+
+    @abc.abstractmethod
+    def read_call(self, call: Call, routes: RouteTable) -> CallerQuestion | HttpReply:
+        """Return what a caller asks, or the refusal of what can't be understood."""
+
+    @abc.abstractmethod
+    def reply_outcome(self, outcome: JobOutcome) -> HttpReply:
+        """Return the reply to a submission."""
+
+    @abc.abstractmethod
+    def reply_count(self, waiting: int) -> HttpReply:
+        """Return the reply to a question how many jobs wait."""
+
+    @abc.abstractmethod
+    def reply_unknown_job(self) -> HttpReply:
+        """Return the reply to a question about a job that is not here."""
+
+    @abc.abstractmethod
+    def reply_cancelled(self) -> HttpReply:
+        """Return the reply to a cancel that was carried out."""
+
+    @abc.abstractmethod
+    def reply_not_ready(self, reason: str) -> HttpReply:
+        """Return the refusal of a host that can't serve yet."""
+
+    @abc.abstractmethod
+    def read_configuration(self, document: bytes) -> RouteTable:
+        """Return the routes of a configuration; raise `UnreadableConfiguration`."""
--- /dev/null
+++ b/jackdawspur/front/_process.py
@@ -0,0 +1,316 @@
+"""A host on one circuits loop."""
+
+import gc
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from circuits import Component, Event as LoopEvent, handler
+from circuits.core.pollers import EPoll
+
+from jackdawspur.adapters import Deadlines, WebServer
+from jackdawspur.front._clock import now_s, unix_ms
+from jackdawspur.front._gauges import Gauges, MetricsPage
+from jackdawspur.front._lead import LeadDriver
+from jackdawspur.front._mesh import Mesh
+from jackdawspur.front._ports import CallerPort, StorePort, UpstreamPort
+from jackdawspur.front._routes import NO_ROUTES, RouteTable
+from jackdawspur.front._service import CallerService, ReadyService
+from jackdawspur.front._views import StoreView
+from jackdawspur.group import (
+    ConfigurationPassed,
+    Group,
+    GroupMessage,
+    HostAddress,
+    HostBeat,
+    JobAnswered,
+    JobDropped,
+    JobOffered,
+    UpstreamsPassed,
+)
+from jackdawspur.settings import HostSettings
+
+__all__ = ["Ports", "run_front"]
+
+TICK_S = 0.025
+BEAT_TICKS = 4
+# A pass that comes this much late on average shows a processor that can't keep up.
+SLOW_LATE_S = 0.035
+LATE_SMOOTHING = 0.1
+# A peer silent for this long gets a new connection, before it counts as lost.
+REDIAL_S = 0.2
+# What a peer lacks is passed on to it at most this often.
+PASS_EVERY_TICKS = 20
+# An own list of upstreams older than this is refreshed from a peer's.
+STALE_LIST_S = 2.0
+# The balancer stops sending after two missed looks at readiness, a second apart.
+LEAST_DRAIN_S = 2.2
+EXIT_GRACE_S = 0.2
+# The last of the time until SIGKILL is left for closing.
+DRAIN_MARGIN_S = 0.6
+FENCED_CLAIM_S = 0.5
+COLLECTOR_THRESHOLDS = (10_000, 20, 100)
+
+log = logging.getLogger("jackdawspur.host")
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """Carry the adapter's ways to the platform."""
+
+    callers: CallerPort
+    upstreams: UpstreamPort
+    store: StorePort
+
+
+class flush(LoopEvent):
+    """Let the decisions handle what came in during this pass of the loop."""
+
+
+class FrontProcess(Component):
+    """Connect one host's decisions to its sockets."""
+
+    channel = "front"
+
+    def init(
+        self,
+        settings: HostSettings,
+        poller: EPoll,
+        make_ports: Callable[[Component, Deadlines], Ports],
+    ) -> None:
+        """Open the sockets; circuits passes the constructor's arguments."""
+        self._settings = settings
+        now = now_s()
+        self.address = HostAddress(
+            settings.name, settings.zone, settings.link, unix_ms()
+        )
+        self.routes: RouteTable = NO_ROUTES
+        self.gauges = Gauges()
+        self._deadlines = Deadlines(now_s).register(self)
+        self._ports = make_ports(self, self._deadlines)
+        self.group = Group(self.address, now)
+        self.views = StoreView(self, now)
+        self._mesh = Mesh(settings.link, poller, self._on_message).register(self)
+        self.lead = LeadDriver(self, self._ports.upstreams, now)
+        self.callers = CallerService(self, self._ports.callers)
+        self._web = WebServer(settings.callers, self.callers, "callers").register(self)
+        self._ready_web = WebServer(
+            settings.ready, ReadyService(self), "ready"
+        ).register(self)
+        if settings.metrics is not None:
+            page = MetricsPage(self)
+            self._metrics_web = WebServer(settings.metrics, page, "metrics")
+            self._metrics_web.register(self)
+            page.reply = self._metrics_web.reply
+        self._flushing = False
+        self._ticks = 0
+        self._tick_due = now
+        self._late_s = 0.0
+        self._drain_from: float | None = None
+        self._exiting = False
+        self._deadlines.call_after(0.0, self._begin)
+        log.info("host started", extra={"host": settings.name, "zone": settings.zone})
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new connections are wanted."""
+        return self.can_serve and not self.group.draining
+
+    @property
+    def can_serve(self) -> bool:
+        """Tell whether there are routes and a leading host."""
+        return bool(self.routes.version) and self.group.leader(now_s()) is not None
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether this host was told to stop."""
+        return self.group.draining
+
+    @property
+    def late_s(self) -> float:
+        """Return how late passes of the loop come on average."""
+        return self._late_s
+
+    def reply(self, number: int, reply) -> None:
+        """Reply to a caller."""
+        self._web.reply(number, reply)
+
+    def reply_ready(self, number: int, reply) -> None:
+        """Reply to a look at readiness."""
+        self._ready_web.reply(number, reply)
+
+    def send(self, host: str, message: GroupMessage) -> None:
+        """Send a message to another host."""
+        self._mesh.send(host, message)
+
+    def upstreams_changed(self) -> None:
+        """Use a new list of upstreams."""
+        self.lead.upstreams_changed(now_s())
+
+    def waiting_jobs(self, route: str) -> int:
+        """Return the number of a route's jobs that wait, as far as known here."""
+        return self.lead.dispatcher.waiting_jobs(route)
+
+    def gauge_lines(self) -> list[str]:
+        """Return one line for each figure of this moment."""
+        now = now_s()
+        dispatcher = self.lead.dispatcher
+        return [
+            f"jackdawspur_leads {int(self.group.leads)}",
+            f"jackdawspur_configuration_version {self.routes.version}",
+            f"jackdawspur_upstreams {len(self.views.entries)}",
+            f"jackdawspur_upstreams_age_s {self.views.age_s(now):.3f}",
+            f"jackdawspur_hosts_alive {len(self.group.live_beats(now)) + 1}",
+            f"jackdawspur_open_jobs {dispatcher.jobs}",
+            f"jackdawspur_callers_waiting {self.callers.waiting}",
+            f"jackdawspur_loop_late_ms {self._late_s * 1000:.3f}",
+        ]
+
+    def set_routes(self, routes: RouteTable) -> None:
+        """Serve these routes from now on; older versions are ignored."""
+        if routes.version > self.routes.version:
+            log.info(
+                "configuration in force",
+                extra={"version": routes.version, "before": self.routes.version},
+            )
+            self.routes = routes
+
+    def read_configuration(self, document: bytes) -> RouteTable:
+        """Return the routes of a document; raise `UnreadableConfiguration`."""
+        return self._ports.callers.read_configuration(document)
+
+    def flush_soon(self) -> None:
+        """Let the decisions act at the end of this pass."""
+        if not self._flushing:
+            self._flushing = True
+            self.fire(flush())
+
+    @handler("flush")
+    def _on_flush(self) -> None:
+        self._flushing = False
+        self.lead.flush(now_s())
+
+    def _begin(self) -> None:
+        self._ports.store.follow(self.views)
+        self._ports.store.announce(self.address)
+        self._tick_due = now_s()
+        self._tick()
+
+    def _tick(self) -> None:
+        now = now_s()
+        late = min(1.0, max(0.0, now - self._tick_due))
+        self._late_s += LATE_SMOOTHING * (late - self._late_s)
+        self._tick_due = now + TICK_S
+        self._ticks += 1
+        self.group.slow = self._late_s > SLOW_LATE_S
+        self._mesh.set_peers(self.group.known)
+        self._follow_leader(now)
+        self.callers.tick(now)
+        self.lead.tick(now)
+        if self._ticks % BEAT_TICKS == 0:
+            self._beat(now)
+        if self._ticks % PASS_EVERY_TICKS == 0:
+            self._pass_on(now)
+        self._exit_when_drained(now)
+        self.flush_soon()
+        self._deadlines.call_after(TICK_S, self._tick)
+
+    def _follow_leader(self, now: float) -> None:
+        able = bool(self.routes.version) and bool(self.views.entries)
+        if self.group.decide(able, unix_ms(), now):
+            self.lead.leadership_changed(now)
+        fenced = self.lead.fenced_for(now)
+        if self.group.leads and fenced > FENCED_CLAIM_S:
+            self.group.claim_again(unix_ms())
+            self.lead.leadership_changed(now)
+        self.callers.offer_waiting(now)
+
+    def _beat(self, now: float) -> None:
+        done = self.lead.done_by_host()
+        for peer in self.group.known:
+            beat = HostBeat(
+                host=self.address,
+                sent_at=now,
+                leads=self.group.leads,
+                fence=self.group.fence if self.group.leads else 0,
+                ready=bool(self.routes.version) and bool(self.views.entries),
+                draining=self.group.draining,
+                slow=self.group.slow,
+                configuration=self.routes.version,
+                upstreams_age_s=self.views.age_s(now),
+                knows=self.group.known if self._ticks % PASS_EVERY_TICKS == 0 else (),
+                progress=done.get(peer.name, ()),
+            )
+            self._mesh.send(peer.name, beat)
+            silent = self.group.silent_s(peer.name, now)
+            if REDIAL_S < silent and self._ticks % (2 * BEAT_TICKS) == 0:
+                self._mesh.redial(peer.name)
+
+    def _pass_on(self, now: float) -> None:
+        """Give peers what the store refuses them: a newer configuration, the list."""
+        for beat in self.group.live_beats(now):
+            if beat.configuration < self.routes.version and self.views.document:
+                passed = ConfigurationPassed(self.routes.version, self.views.document)
+                self._mesh.send(beat.host.name, passed)
+            age = self.views.age_s(now)
+            if beat.upstreams_age_s > STALE_LIST_S > age:
+                passed = UpstreamsPassed(age, self.views.entries)
+                self._mesh.send(beat.host.name, passed)
+
+    def _on_message(self, message: GroupMessage) -> None:
+        now = now_s()
+        if isinstance(message, HostBeat):
+            self.group.heard(message, now)
+            for progress in message.progress:
+                self.callers.note_done(progress)
+        elif isinstance(message, JobOffered):
+            self.lead.offered(message, now)
+        elif isinstance(message, JobDropped):
+            self.lead.dropped(message.sender, message.job, message.call, now)
+        elif isinstance(message, JobAnswered):
+            self.callers.answered(message.call, message.job, message.outcome)
+        elif isinstance(message, ConfigurationPassed):
+            self.views.configuration_read(message.version, message.document)
+        elif isinstance(message, UpstreamsPassed):
+            self.views.upstreams_passed(message, now)
+        self.flush_soon()
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, signo, _stack) -> None:
+        """Drain at the first signal that asks to stop."""
+        event.stop()
+        if signo == 1:
+            log.info("settings read again", extra={"changed": False})
+            return
+        if self._drain_from is None:
+            self._drain_from = now_s()
+            self.group.draining = True
+            self._web.drain()
+            log.info("draining", extra={"waiting_callers": self.callers.waiting})
+
+    def _exit_when_drained(self, now: float) -> None:
+        """Stop once no caller waits and the balancer sends nobody any more."""
+        if self._drain_from is None or self._exiting:
+            return
+        passed = now - self._drain_from
+        idle = not self._web.open_calls and not self.group.leads
+        over = passed > self._settings.grace_s - DRAIN_MARGIN_S
+        if over or (idle and passed > LEAST_DRAIN_S):
+            self._exiting = True
+            log.info("host stopped", extra={"waiting_callers": self.callers.waiting})
+            self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
+
+
+def run_front(
+    settings: HostSettings, make_ports: Callable[[Component, Deadlines], Ports]
+) -> None:
+    """Run a host until it is told to stop and has drained."""
+    root = Component()
+    poller = EPoll().register(root)
+    FrontProcess(settings, poller, make_ports).register(root)
+    # Full collections stop the loop for tens of milliseconds: the modules, which live
+    # as long as the process, are frozen out of them.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    root.run()
--- /dev/null
+++ b/jackdawspur/front/_routes.py
@@ -0,0 +1,36 @@
+"""The routes in force, and which of them a request takes."""
+
+from dataclasses import dataclass, field
+
+from jackdawspur.exceptions import JackdawspurError
+from jackdawspur.runs import Route
+
+__all__ = ["NO_ROUTES", "RouteTable", "UnreadableConfiguration"]
+
+
+class UnreadableConfiguration(JackdawspurError):
+    """Raise when a configuration can't be used; names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Keep the routes of one version, longest prefix first."""
+
+    version: int
+    routes: tuple[Route, ...]
+    max_body_bytes: int = 262_144
+    _by_host: dict[str, list[Route]] = field(default_factory=dict, repr=False)
+
+    def __post_init__(self) -> None:
+        for route in sorted(self.routes, key=lambda one: -len(one.path_prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that the path begins with."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+NO_ROUTES = RouteTable(0, ())
--- /dev/null
+++ b/jackdawspur/front/_service.py
@@ -0,0 +1,219 @@
+"""Callers' requests on this host, and the platform's looks at its readiness."""
+
+import logging
+from typing import Protocol
+
+from jackdawspur.adapters import Call, WebService
+from jackdawspur.callers import HttpReply
+from jackdawspur.front._clock import now_s
+from jackdawspur.front._gauges import Gauges
+from jackdawspur.front._own_jobs import OwnJob, OwnJobs
+from jackdawspur.front._ports import CallerPort, CallerQuestion, QuestionKind
+from jackdawspur.front._routes import RouteTable
+from jackdawspur.group import (
+    Group,
+    GroupMessage,
+    HostAddress,
+    JobDropped,
+    JobOffered,
+    JobProgress,
+)
+from jackdawspur.runs import JobEnd, JobOutcome, Offer
+
+__all__ = ["CallerService", "ReadyService"]
+
+MS_PER_S = 1000.0
+# The answer must have left this host this long before its caller's time is over.
+ANSWER_S = 0.012
+READY = HttpReply(200, b"{}")
+NOT_READY = HttpReply(503, b"{}")
+
+log = logging.getLogger("jackdawspur.callers")
+
+
+class ServiceOwner(Protocol):
+    """Serve callers together with the rest of the host."""
+
+    address: HostAddress
+    group: Group
+    gauges: Gauges
+    routes: RouteTable
+    can_serve: bool
+    ready: bool
+
+    def reply(self, number: int, reply: HttpReply) -> None:
+        """Reply to a caller."""
+
+    def send(self, host: str, message: GroupMessage) -> None:
+        """Send a message to another host."""
+
+
+class ReadyService(WebService):
+    """Tell the platform whether new connections are wanted."""
+
+    def __init__(self, owner) -> None:
+        self._owner = owner
+
+    def called(self, call: Call) -> None:
+        """Answer one look."""
+        reply = READY if self._owner.ready else NOT_READY
+        self._owner.reply_ready(call.number, reply)
+
+    def closed(self, number: int) -> None:
+        """Do nothing; a look keeps nothing."""
+
+
+class CallerService(WebService):
+    """Keep callers waiting while the leading host runs their jobs."""
+
+    def __init__(self, owner, port: CallerPort) -> None:
+        self._owner = owner
+        self._port = port
+        self._jobs = OwnJobs()
+        self._next_handed: dict[int, int] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of callers that wait."""
+        return len(self._jobs)
+
+    def called(self, call: Call) -> None:
+        """Take one request."""
+        if not self._owner.routes.version:
+            reply = self._port.reply_not_ready("no configuration yet")
+            self._owner.reply(call.number, reply)
+            return
+        asked = self._port.read_call(call, self._owner.routes)
+        if isinstance(asked, HttpReply):
+            log.info(
+                "request refused",
+                extra={"path": call.path, "status": asked.status},
+            )
+            self._owner.reply(call.number, asked)
+            return
+        self._asked(call, asked)
+
+    def closed(self, number: int) -> None:
+        """Stop the job of a caller that left, at once."""
+        job = self._jobs.take(number)
+        if job is None:
+            return
+        self._owner.gauges.count("callers_left")
+        log.info("caller left", extra={"job": job.request.id})
+        self._drop(job)
+
+    def answered(self, call: int, job_id: str, outcome: JobOutcome) -> None:
+        """Pass the leading host's answer on to the caller."""
+        job = self._jobs.take(call)
+        if job is not None and job.request.id == job_id:
+            self._reply(job, outcome)
+
+    def note_done(self, progress: JobProgress) -> None:
+        """Keep which tasks are done."""
+        self._jobs.note_done(progress.job, progress.done)
+
+    def tick(self, now: float) -> None:
+        """Answer callers whose time is over."""
+        leaderless = self._owner.group.leader(now) is None
+        for job, outcome in self._jobs.given_up(leaderless, now):
+            self._jobs.take(job.call)
+            self._drop(job)
+            self._reply(job, outcome)
+
+    def offer_waiting(self, now: float) -> None:
+        """Hand the jobs that the leading host does not have to it."""
+        leader = self._owner.group.leader(now)
+        if leader is None:
+            return
+        term = self._owner.group.term(now)
+        for job in self._jobs.waiting_for(term):
+            if job.offered_to is not None:
+                job.handed += 1
+            job.offered_to = term
+            self._offer(job, leader, now)
+
+    def _asked(self, call: Call, asked: CallerQuestion) -> None:
+        if asked.kind is QuestionKind.SUBMIT:
+            self._submit(call, asked)
+        elif asked.kind is QuestionKind.COUNT:
+            waiting = self._owner.waiting_jobs(asked.route.name)
+            self._owner.reply(call.number, self._port.reply_count(waiting))
+        elif asked.kind is QuestionKind.CANCEL and self._cancel(asked.job):
+            self._owner.reply(call.number, self._port.reply_cancelled())
+        else:
+            self._owner.reply(call.number, self._port.reply_unknown_job())
+
+    def _submit(self, call: Call, asked: CallerQuestion) -> None:
+        now = now_s()
+        patience = asked.route.timeout_ms / MS_PER_S
+        if asked.patience_s is not None:
+            patience = min(patience, asked.patience_s)
+        deadline = now + patience - ANSWER_S
+        self._jobs.add(OwnJob(call.number, asked.request, now, deadline))
+        self.offer_waiting(now)
+
+    def _offer(self, job: OwnJob, leader: str, now: float) -> None:
+        done = tuple(job.done)
+        own = self._owner.address.name
+        if leader == own:
+            self._owner.lead.take(
+                Offer(
+                    job.request,
+                    own,
+                    job.call,
+                    job.arrived,
+                    job.deadline,
+                    job.handed,
+                    done,
+                ),
+                now,
+            )
+            return
+        message = JobOffered(
+            sender=own,
+            sent_at=now,
+            job=job.request,
+            call=job.call,
+            age_ms=(now - job.arrived) * MS_PER_S,
+            left_ms=(job.deadline - now) * MS_PER_S,
+            handed=job.handed,
+            done=done,
+        )
+        self._owner.send(leader, message)
+
+    def _cancel(self, job_id: str) -> bool:
+        job = self._jobs.by_job(job_id)
+        if job is None:
+            return False
+        self._jobs.take(job.call)
+        self._drop(job)
+        outcome = JobOutcome(JobEnd.FAILED, not_run=False, reason="cancelled")
+        self._reply(job, outcome)
+        return True
+
+    def _drop(self, job: OwnJob) -> None:
+        now = now_s()
+        leader = self._owner.group.leader(now)
+        own = self._owner.address.name
+        if leader == own:
+            self._owner.lead.dropped(own, job.request.id, job.call, now)
+        elif leader is not None:
+            self._owner.send(leader, JobDropped(own, job.request.id, job.call))
+
+    def _reply(self, job: OwnJob, outcome: JobOutcome) -> None:
+        took_ms = (now_s() - job.arrived) * MS_PER_S
+        route = job.request.route.name
+        self._owner.gauges.ended(route, outcome.end, took_ms)
+        log.info(
+            "job ended",
+            extra={
+                "job": job.request.id,
+                "route": route,
+                "end": outcome.end.value,
+                "not_run": outcome.not_run,
+                "took_ms": round(took_ms, 1),
+                "hand_overs": job.handed,
+                "reason": outcome.reason,
+            },
+        )
+        self._owner.reply(job.call, self._port.reply_outcome(outcome))
--- /dev/null
+++ b/jackdawspur/front/_views.py
@@ -0,0 +1,88 @@
+"""What this host knows of the store."""
+
+import logging
+from typing import Protocol
+
+from jackdawspur.front._clock import now_s
+from jackdawspur.front._ports import StoreListener
+from jackdawspur.front._routes import RouteTable, UnreadableConfiguration
+from jackdawspur.group import Group, HostAddress, UpstreamsPassed
+from jackdawspur.leases import UpstreamEntry
+
+__all__ = ["StoreView"]
+
+NEVER_S = 1e9
+
+log = logging.getLogger("jackdawspur.host")
+
+
+class ViewOwner(Protocol):
+    """Use what the store holds."""
+
+    group: Group
+
+    def read_configuration(self, document: bytes) -> RouteTable:
+        """Return the routes of a document."""
+
+    def set_routes(self, routes: RouteTable) -> None:
+        """Serve these routes."""
+
+    def upstreams_changed(self) -> None:
+        """Use a new list of upstreams."""
+
+
+class StoreView(StoreListener):
+    """Keep the newest configuration and the list of upstreams, with their age."""
+
+    def __init__(self, owner: "ViewOwner", now: float) -> None:
+        self._owner = owner
+        self._read_at = now - NEVER_S
+        self._version = 0
+        self.document = b""
+        self.entries: tuple[UpstreamEntry, ...] = ()
+
+    def age_s(self, now: float) -> float:
+        """Return how old the list of upstreams is."""
+        return now - self._read_at
+
+    def configuration_read(self, version: int, document: bytes) -> None:
+        """Put a newer configuration in force; an unreadable one changes nothing."""
+        if version <= self._version:
+            return
+        try:
+            routes = self._owner.read_configuration(document)
+        except UnreadableConfiguration as error:
+            log.error(
+                "configuration refused",
+                extra={"version": version, "reason": str(error)},
+            )
+            return
+        self._version = version
+        self.document = document
+        self._owner.set_routes(routes)
+
+    def upstreams_read(self, entries: tuple[UpstreamEntry, ...]) -> None:
+        """Take in the list as the store has it."""
+        self._read_at = now_s()
+        self._set_entries(entries)
+
+    def upstreams_passed(self, passed: UpstreamsPassed, now: float) -> None:
+        """Take in another host's list if it is newer."""
+        if passed.age_s < self.age_s(now):
+            self._read_at = now - passed.age_s
+            self._set_entries(passed.entries)
+
+    def hosts_read(self, hosts: tuple[HostAddress, ...]) -> None:
+        """Learn where the other hosts are."""
+        for host in hosts:
+            self._owner.group.learn(host)
+
+    def store_changed(self, reachable: bool, reason: str) -> None:
+        """Say in the log that the store is lost or regained."""
+        text = "store regained" if reachable else "store lost"
+        log.info(text, extra={"reason": reason, "list_age_s": self.age_s(now_s())})
+
+    def _set_entries(self, entries: tuple[UpstreamEntry, ...]) -> None:
+        if entries != self.entries:
+            self.entries = entries
+            self._owner.upstreams_changed()
--- a/jackdawspur/fuzz/tests/test_log_records.py
+++ b/jackdawspur/fuzz/tests/test_log_records.py
@@ -25,8 +25,8 @@
 from jackdawspur.configuration.tests.conftest import EXAMPLES
 from jackdawspur.dispatch import Claim
 from jackdawspur.entry._claims import _claims_of
+from jackdawspur.external import LogRecord
 from jackdawspur.fuzz.tests.mutations import FUZZ, NESTED, mutated_bytes, mutated_json
-from jackdawspur.platform import LogRecord
 
 DOCUMENT = load_configuration((EXAMPLES / "ramdenee.json").read_bytes())
 CHANGES = changes_between(Configuration(), DOCUMENT)
--- a/jackdawspur/fuzz/tests/test_two_hosts.py
+++ b/jackdawspur/fuzz/tests/test_two_hosts.py
@@ -14,10 +14,10 @@
     StatusLost,
     Submitted,
 )
+from jackdawspur.external import UpstreamReply
 from jackdawspur.fuzz.tests.mutations import FUZZ, MORE
 from jackdawspur.fuzz.tests.two_hosts import TwoHosts
 from jackdawspur.model import JobRequest, TaskOutcome, TaskSpec, TaskState
-from jackdawspur.platform import UpstreamReply
 
 NAMES = st.sampled_from(["e1", "e2"])
 PLACES = st.integers(0, 10**6)
--- a/jackdawspur/fuzz/tests/two_hosts.py
+++ b/jackdawspur/fuzz/tests/two_hosts.py
@@ -24,9 +24,9 @@
     WorldSet,
 )
 from jackdawspur.dispatch.tests.conftest import OWN, SIBLING, UPSTREAMS, WORLD
+from jackdawspur.external import RefusalReason, StartVerdict, UpstreamReply
 from jackdawspur.messages import Heartbeat, Pulse
 from jackdawspur.model import Answer, HostId, TaskId, TaskOutcome, TaskState, UpstreamId
-from jackdawspur.platform import RefusalReason, StartVerdict, UpstreamReply
 
 __all__ = ["Rack", "TwoHosts"]
 
--- /dev/null
+++ b/jackdawspur/group/__init__.py
@@ -0,0 +1,34 @@
+"""The group of hosts that work under one leading host."""
+
+from jackdawspur.group._group import SILENCE_S, Group
+from jackdawspur.group._messages import (
+    ConfigurationPassed,
+    GroupMessage,
+    HostAddress,
+    HostBeat,
+    JobAnswered,
+    JobDropped,
+    JobOffered,
+    JobProgress,
+    UnreadableGroupMessage,
+    UpstreamsPassed,
+    decode_message,
+    encode_message,
+)
+
+__all__ = [
+    "ConfigurationPassed",
+    "Group",
+    "GroupMessage",
+    "HostAddress",
+    "HostBeat",
+    "JobAnswered",
+    "JobDropped",
+    "JobOffered",
+    "JobProgress",
+    "SILENCE_S",
+    "UnreadableGroupMessage",
+    "UpstreamsPassed",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/jackdawspur/group/_group.py
@@ -0,0 +1,155 @@
+"""Which hosts are alive, and which of them leads."""
+
+from jackdawspur.group._messages import HostAddress, HostBeat
+from jackdawspur.leases import FENCE_STEP, Fence, fence_at
+
+__all__ = ["BEAT_S", "SILENCE_S", "Group"]
+
+BEAT_S = 0.1
+# Four heartbeats: a host whose share of the processor is used up stands still for up
+# to 0.1 s, and a lost message must not cost a change of the leading host.
+SILENCE_S = 0.4
+# How long no host may lead before another takes over: all have then heard the same.
+VACANT_S = 0.1
+# At a start all hosts are to find each other before one leads.
+FIRST_VACANT_S = 1.0
+# A host just started is likely to be one that fails; it leads if no other can.
+SETTLED_MS = 2000
+# By how many milliseconds' worth a fence rises over one that an upstream refused: more
+# than clocks of hosts are known to differ.
+CLAIM_STEPS = 5000
+
+
+class Group:
+    """Follow the live host with the highest fence; lead when there is none.
+
+    Two hosts that both lead cost refused calls and nothing worse: upstreams obey the
+    higher fence alone, and the lower one gives up as soon as it hears of the other.
+    """
+
+    def __init__(self, own: HostAddress, now: float) -> None:
+        self._own = own
+        self._beats: dict[str, HostBeat] = {}
+        self._heard: dict[str, float] = {}
+        self._known: dict[str, HostAddress] = {}
+        self._vacant_since = now + FIRST_VACANT_S - VACANT_S
+        self._highest: Fence = 0
+        self.fence: Fence = 0
+        self.leads = False
+        self.draining = False
+        self.slow = False
+
+    @property
+    def known(self) -> tuple[HostAddress, ...]:
+        """Return all other hosts known by address."""
+        return tuple(self._known.values())
+
+    def learn(self, host: HostAddress) -> None:
+        """Take in a host's address, unless a later run of it is known."""
+        known = self._known.get(host.name)
+        if host.name == self._own.name:
+            return
+        if known is None or known.started_ms < host.started_ms:
+            self._known[host.name] = host
+
+    def forget(self, name: str) -> None:
+        """Drop a host that is gone for good."""
+        self._known.pop(name, None)
+        self._beats.pop(name, None)
+        self._heard.pop(name, None)
+
+    def heard(self, beat: HostBeat, now: float) -> None:
+        """Take in a heartbeat."""
+        self.learn(beat.host)
+        for host in beat.knows:
+            self.learn(host)
+        self._beats[beat.host.name] = beat
+        self._heard[beat.host.name] = now
+        self._highest = max(self._highest, beat.fence)
+
+    def alive(self, name: str, now: float) -> bool:
+        """Tell whether a host was heard of lately; this one always is."""
+        if name == self._own.name:
+            return True
+        return now - self._heard.get(name, -SILENCE_S) < SILENCE_S
+
+    def silent_s(self, name: str, now: float) -> float:
+        """Return for how long a host was not heard."""
+        return now - self._heard.get(name, now - SILENCE_S)
+
+    def live_beats(self, now: float) -> list[HostBeat]:
+        """Return the last heartbeats of the other hosts that are alive."""
+        return [b for b in self._beats.values() if self.alive(b.host.name, now)]
+
+    def leader(self, now: float) -> str | None:
+        """Return the name of the host that leads, None without one."""
+        best, fence = (self._own.name, self.fence) if self.leads else (None, 0)
+        for beat in self.live_beats(now):
+            if beat.leads and beat.fence > fence:
+                best, fence = beat.host.name, beat.fence
+        return best
+
+    def term(self, now: float) -> str | None:
+        """Return a name of the leading host's present term, None without one."""
+        leader = self.leader(now)
+        if leader is None:
+            return None
+        fence = self.fence if leader == self._own.name else self._beats[leader].fence
+        return f"{leader}/{fence}"
+
+    def decide(self, ready: bool, unix_ms: float, now: float) -> bool:
+        """Take the lead or give it up; tell whether that changed."""
+        leader = self.leader(now)
+        if self.leads:
+            return self._give_up(leader, now)
+        if leader is not None:
+            self._vacant_since = now
+            return False
+        vacant = now - self._vacant_since >= VACANT_S
+        if not vacant or not ready or not self._is_first(unix_ms, now):
+            return False
+        self._lead(unix_ms)
+        return True
+
+    def claim_again(self, unix_ms: float) -> None:
+        """Lead on under a higher fence, when an upstream has seen a higher one."""
+        self._highest = max(self._highest, self.fence + CLAIM_STEPS * FENCE_STEP)
+        self._lead(unix_ms)
+
+    def _lead(self, unix_ms: float) -> None:
+        self.leads = True
+        self.fence = fence_at(unix_ms, self._own.name, self._highest)
+        self._highest = self.fence
+
+    def _give_up(self, leader: str | None, now: float) -> bool:
+        outranked = leader != self._own.name
+        unfit = self.draining or self.slow
+        if not outranked and not (unfit and self._others_fit(now)):
+            return False
+        self.leads = False
+        self._vacant_since = now
+        return True
+
+    def _others_fit(self, now: float) -> bool:
+        return any(_fit(beat) for beat in self.live_beats(now))
+
+    def _is_first(self, unix_ms: float, now: float) -> bool:
+        fit = [beat.host for beat in self.live_beats(now) if _fit(beat)]
+        if self.draining or self.slow:
+            return not fit
+        own = _rank(self._own, unix_ms)
+        return all(own <= _rank(other, unix_ms) for other in fit)
+
+
+def _fit(beat: HostBeat) -> bool:
+    return beat.ready and not beat.draining and not beat.slow
+
+
+def _rank(host: HostAddress, unix_ms: float) -> tuple[bool, int, str]:
+    """Return a key whose lowest leads: the host restarted last, but not just now.
+
+    While all hosts are restarted one after the other, that is the one whose turn comes
+    last again.
+    """
+    fresh = unix_ms - host.started_ms < SETTLED_MS
+    return (fresh, -(host.started_ms // SETTLED_MS), host.name)
--- /dev/null
+++ b/jackdawspur/group/_messages.py
@@ -0,0 +1,136 @@
+"""Messages between the hosts of a group, in MessagePack."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from jackdawspur.exceptions import JackdawspurError
+from jackdawspur.leases import UpstreamEntry
+from jackdawspur.runs import JobOutcome, JobRequest
+
+__all__ = [
+    "ConfigurationPassed",
+    "GroupMessage",
+    "HostAddress",
+    "HostBeat",
+    "JobAnswered",
+    "JobDropped",
+    "JobOffered",
+    "JobProgress",
+    "UnreadableGroupMessage",
+    "UpstreamsPassed",
+    "decode_message",
+    "encode_message",
+]
+
+
+class UnreadableGroupMessage(JackdawspurError):
+    """Raise when bytes are no message of a host."""
+
+
+@dataclass(frozen=True, slots=True)
+class HostAddress:
+    """Say where a host's link listens; `started_ms` (since 1970) names its run."""
+
+    name: str
+    zone: str
+    link: str
+    started_ms: int
+
+
+class HostBeat(msgspec.Struct, frozen=True, tag="beat"):
+    """Tell the other hosts how this one is; `sent_at` is on its own clock.
+
+    `fence` is that of the leading host it follows, its own when it leads.
+    """
+
+    host: HostAddress
+    sent_at: float
+    leads: bool
+    fence: int
+    ready: bool
+    draining: bool
+    slow: bool
+    configuration: int
+    upstreams_age_s: float
+    knows: tuple[HostAddress, ...]
+    progress: tuple["JobProgress", ...] = ()
+
+
+class JobProgress(msgspec.Struct, frozen=True):
+    """Tell a job's host which of its tasks are done."""
+
+    job: str
+    done: tuple[str, ...]
+
+
+class JobOffered(msgspec.Struct, frozen=True, tag="offer"):
+    """Hand a job to the leading host; times in milliseconds, left or passed.
+
+    `handed` counts earlier hand-overs, `done` names the tasks known to be done.
+    """
+
+    sender: str
+    sent_at: float
+    job: JobRequest
+    call: int
+    age_ms: float
+    left_ms: float
+    handed: int
+    done: tuple[str, ...]
+
+
+class JobDropped(msgspec.Struct, frozen=True, tag="drop"):
+    """Tell the leading host that nobody waits for a job any more."""
+
+    sender: str
+    job: str
+    call: int
+
+
+class JobAnswered(msgspec.Struct, frozen=True, tag="answer"):
+    """Tell a job's host how the job ended."""
+
+    job: str
+    call: int
+    outcome: JobOutcome
+
+
+class ConfigurationPassed(msgspec.Struct, frozen=True, tag="configuration"):
+    """Pass a configuration on as it was published."""
+
+    version: int
+    document: bytes
+
+
+class UpstreamsPassed(msgspec.Struct, frozen=True, tag="upstreams"):
+    """Pass the list of upstreams on; `age_s` is how old it is."""
+
+    age_s: float
+    entries: tuple[UpstreamEntry, ...]
+
+
+GroupMessage = (
+    HostBeat
+    | JobOffered
+    | JobDropped
+    | JobAnswered
+    | ConfigurationPassed
+    | UpstreamsPassed
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(GroupMessage)
+
+
+def encode_message(message: GroupMessage) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> GroupMessage:
+    """Return the message of bytes; raise `UnreadableGroupMessage`."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise UnreadableGroupMessage(str(error)) from error
--- /dev/null
+++ b/jackdawspur/leases/_fence.py
@@ -0,0 +1,25 @@
+"""Fencing tokens that grow from one leading host to the next."""
+
+import zlib
+
+__all__ = ["FENCE_STEP", "Fence", "fence_at"]
+
+# A token is milliseconds since 2020 (40 bits), a hash of the host (10 bits) and room
+# for the holder's own steps (12 bits): 62 bits in all, which upstreams keep exactly.
+EPOCH_MS = 1_577_836_800_000
+HOST_BITS = 10
+STEP_BITS = 12
+FENCE_STEP = 1 << (HOST_BITS + STEP_BITS)
+
+Fence = int
+
+
+def fence_at(unix_ms: float, host: str, above: Fence) -> Fence:
+    """Return a token of this host alone that is higher than `above`.
+
+    Clocks of hosts differ, so the time alone could fall behind a token in use.
+    """
+    own = (zlib.crc32(host.encode()) % (1 << HOST_BITS)) << STEP_BITS
+    at = max(0, int(unix_ms) - EPOCH_MS)
+    at = max(at, above // FENCE_STEP + 1)
+    return at * FENCE_STEP + own
--- /dev/null
+++ b/jackdawspur/leases/_held.py
@@ -0,0 +1,150 @@
+"""One upstream under the lease of the leading host."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from jackdawspur.leases._fence import Fence
+from jackdawspur.leases._resources import NO_RESOURCES, Resources
+from jackdawspur.leases._types import LookReport, RunId, UpstreamEntry
+
+__all__ = ["HeldUpstream", "LEASE_S", "Phase", "Run"]
+
+# How far ahead a lease reaches. A task of a lost host must be gone before its caller
+# asks again, 1.3 s after the break: 0.4 s until the silence is noticed, then this.
+LEASE_S = 0.6
+# An upstream's clock may run this much slower than ours.
+CLOCK_DRIFT = 0.02
+MS_PER_S = 1000.0
+
+
+class Phase(Enum):
+    """Say how far a run is, as far as this host knows."""
+
+    STARTING = "starting"
+    UNSURE = "unsure"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(eq=False, slots=True)
+class Run:
+    """Keep one run that takes room; `resources` is None when not known.
+
+    `sure_after` is the number of the first look that must list the run.
+    """
+
+    id: RunId
+    resources: Resources | None
+    phase: Phase
+    since: float
+    percent: float = 0.0
+    sure_after: int = 0
+    claimed: bool = True
+    stop_acked: bool = False
+
+
+class HeldUpstream:
+    """Keep what occupies one upstream, its fence and what it was granted.
+
+    Nothing starts before a look under this host's own token was answered: the list of
+    what runs is then complete, since older tokens can start nothing any more.
+    """
+
+    def __init__(self, entry: UpstreamEntry, fence: Fence, now: float) -> None:
+        self.entry = entry
+        self.fence = fence
+        self.runs: dict[str, Run] = {}
+        self.last_seen = 0
+        self.heard_at = now
+        self.asked_since = now
+        self.looks = 0
+        self.looks_open = 0
+        self.sure_look = 0
+        self.held = False
+        self.answered = True
+        self.refused_until = 0.0
+        self._taken = NO_RESOURCES
+        self._opaque = 0
+        self._clock_ms: int | None = None
+        self._clock_read_at = now
+        self._granted_ms = 0
+        self._granted_at = now
+
+    @property
+    def free(self) -> Resources:
+        """Return what is left, nothing while a run of unknown size is there."""
+        if self._opaque:
+            return NO_RESOURCES
+        return self.entry.capacity - self._taken
+
+    @property
+    def taken(self) -> Resources:
+        """Return what the known runs take."""
+        return self._taken
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.id.task] = run
+        if run.resources is None:
+            self._opaque += 1
+        else:
+            self._taken = self._taken + run.resources
+
+    def drop(self, run: Run) -> None:
+        """Give the room of a run back."""
+        del self.runs[run.id.task]
+        if run.resources is None:
+            self._opaque -= 1
+        else:
+            self._taken = self._taken - run.resources
+
+    def size(self, run: Run, resources: Resources) -> None:
+        """Note the size of a run that another host started."""
+        if run.resources is None:
+            self._opaque -= 1
+            run.resources = resources
+            self._taken = self._taken + resources
+
+    def next_look(self) -> int:
+        """Number a look that is sent now."""
+        self.looks += 1
+        self.looks_open += 1
+        return self.looks
+
+    def raise_fence(self) -> None:
+        """Bar every call sent so far from taking effect later.
+
+        A start without a reply may be carried out seconds later. Under a higher token
+        it can't, so the next look shows for good whether it runs.
+        """
+        self.fence += 1
+        self.sure_look = self.looks + 1
+
+    def grant_until(self, now: float) -> int | None:
+        """Return the end of a new lease on the upstream's clock, None before a look."""
+        if self._clock_ms is None:
+            return None
+        passed_ms = (now - self._clock_read_at) * MS_PER_S
+        until = self._clock_ms + int(passed_ms + LEASE_S * MS_PER_S)
+        if until > self._granted_ms:
+            self._granted_ms = until
+            self._granted_at = now
+        return until
+
+    def note_report(self, look: int, report: LookReport, now: float) -> None:
+        """Take in an answered look: the clock, and that the upstream is there."""
+        self.answered = True
+        self.heard_at = now
+        if self._clock_ms is None or report.clock_ms >= self._clock_ms:
+            self._clock_ms = report.clock_ms
+            self._clock_read_at = now
+        if look >= self.sure_look:
+            self.held = True
+
+    def lapsed(self, now: float) -> bool:
+        """Tell whether all leases granted must have ended, answers or not."""
+        if self._clock_ms is None:
+            bound = LEASE_S * (1.0 + CLOCK_DRIFT) + LEASE_S
+            return now - self.asked_since > bound
+        passed_ms = (now - self._clock_read_at) * MS_PER_S * (1.0 - CLOCK_DRIFT)
+        return self._clock_ms + passed_ms > self._granted_ms
--- /dev/null
+++ b/jackdawspur/leases/_resources.py
@@ -0,0 +1,39 @@
+"""What a task takes of an upstream and what an upstream has."""
+
+from dataclasses import dataclass
+
+__all__ = ["NO_RESOURCES", "Resources"]
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Count thousandths of a core, megabytes and accelerators."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room: "Resources") -> bool:
+        """Tell whether there is room for all of it."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+NO_RESOURCES = Resources()
--- a/jackdawspur/load/_closed_loop.py
+++ b/jackdawspur/load/_closed_loop.py
@@ -17,7 +17,7 @@
     HttpReply,
     split_address,
 )
-from jackdawspur.platform import PlatformError
+from jackdawspur.external import PlatformError
 
 __all__ = ["CallersPlan", "CallersReport", "EqualCallers", "percentile"]
 
--- a/jackdawspur/load/_driver.py
+++ b/jackdawspur/load/_driver.py
@@ -15,9 +15,9 @@
     HttpReply,
     split_address,
 )
+from jackdawspur.external import PlatformError
 from jackdawspur.load._mix import Mix, PlannedJob, plan_job
 from jackdawspur.load._report import Tally, UpstreamCounts
-from jackdawspur.platform import PlatformError
 from jackdawspur.standins import WorkerCounters
 
 __all__ = ["LoadDriver", "LoadPlan"]
--- a/jackdawspur/membership/_leaving.py
+++ b/jackdawspur/membership/_leaving.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
+from jackdawspur.external import HostRole, ListedHost
 from jackdawspur.membership._limits import DIRECT_HOLD, STALE_USAGE, TOLD_HOLD
 from jackdawspur.model import UpstreamId
-from jackdawspur.platform import HostRole, ListedHost
 
 __all__ = ["Leaving"]
 
--- a/jackdawspur/membership/_view.py
+++ b/jackdawspur/membership/_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from jackdawspur.external import ListedHost
 from jackdawspur.membership._beats import Beats
 from jackdawspur.membership._leaving import Leaving
 from jackdawspur.membership._members import Members
@@ -11,7 +12,6 @@
 from jackdawspur.membership._zones import Addressed, Reports, ZoneSummary
 from jackdawspur.messages import Heartbeat, Pulse
 from jackdawspur.model import HostId, UpstreamId, World
-from jackdawspur.platform import ListedHost
 
 __all__ = ["View"]
 
--- a/jackdawspur/membership/tests/test_view.py
+++ b/jackdawspur/membership/tests/test_view.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from jackdawspur.external import HostRole, ListedHost
 from jackdawspur.membership import GONE_AFTER, RESUME_GAP, OwnerState, View, traffic
 from jackdawspur.membership.tests.conftest import STEP, build
 from jackdawspur.messages import CustomerUsage, Heartbeat
 from jackdawspur.model import UpstreamId
-from jackdawspur.platform import HostRole, ListedHost
 
 LEAVING = UpstreamId("zone-00", "up-1")
 
--- a/jackdawspur/messages/_messages.py
+++ b/jackdawspur/messages/_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from jackdawspur.external import LogRecord
 from jackdawspur.model import Answer, HostId, JobRequest, SubmissionId, UpstreamId
-from jackdawspur.platform import LogRecord
 
 __all__ = [
     "CancelForward",
--- a/jackdawspur/platform/__init__.py
+++ b/jackdawspur/platform/__init__.py
@@ -1,37 +1,14 @@
-"""Interfaces of the outside systems, to be fitted to a customer's platform."""
+"""Translation between the customers' platform and the product."""
 
-from jackdawspur.platform._errors import (
-    LogTrimmed,
-    OutcomeUnknown,
-    PlatformError,
-    Unavailable,
-)
-from jackdawspur.platform._hostlist import HostList, HostRole, ListedHost
-from jackdawspur.platform._log import Log, LogRecord, Stream
-from jackdawspur.platform._upstream import (
-    RefusalReason,
-    StartVerdict,
-    TaskStart,
-    UpstreamClient,
-    UpstreamReply,
-    Usage,
-)
+from jackdawspur.platform._callers import PlatformCallers
+from jackdawspur.platform._settings import SETTINGS_VARIABLE, read_platform_settings
+from jackdawspur.platform._store import PlatformStore
+from jackdawspur.platform._upstreams import PlatformUpstreams
 
 __all__ = [
-    "HostList",
-    "HostRole",
-    "ListedHost",
-    "Log",
-    "LogRecord",
-    "LogTrimmed",
-    "OutcomeUnknown",
-    "PlatformError",
-    "RefusalReason",
-    "StartVerdict",
-    "Stream",
-    "TaskStart",
-    "Unavailable",
-    "UpstreamClient",
-    "UpstreamReply",
-    "Usage",
+    "PlatformCallers",
+    "PlatformStore",
+    "PlatformUpstreams",
+    "SETTINGS_VARIABLE",
+    "read_platform_settings",
 ]
--- /dev/null
+++ b/jackdawspur/platform/_callers.py
@@ -0,0 +1,186 @@
+"""Callers' requests and replies as the platform's clients speak them."""
+
+import math
+
+import msgspec
+
+from jackdawspur.adapters import Call
+from jackdawspur.callers import HttpReply
+from jackdawspur.front import (
+    CallerPort,
+    CallerQuestion,
+    QuestionKind,
+    RouteTable,
+    UnreadableConfiguration,
+)
+from jackdawspur.leases import Resources
+from jackdawspur.platform._bodies import ConfigurationBody, JobBody, RouteBody, StepBody
+from jackdawspur.runs import JobEnd, JobOutcome, JobRequest, JobStep, Route
+
+__all__ = ["PlatformCallers"]
+
+MAX_SPEC_BYTES = 4000
+MAX_TASKS = 10_000
+JOB_ID_DIGITS = 16
+MS_PER_S = 1000.0
+STATUS_OF_END = {
+    JobEnd.COMPLETE: 200,
+    JobEnd.FAILED: 200,
+    JobEnd.REFUSED: 429,
+    JobEnd.OUT_OF_TIME: 504,
+    JobEnd.LOST: 502,
+}
+STATE_OF_END = {JobEnd.COMPLETE: "completed", JobEnd.FAILED: "failed"}
+
+_decode_job = msgspec.json.Decoder(JobBody).decode
+_decode_configuration = msgspec.json.Decoder(ConfigurationBody).decode
+
+
+class _StateReply(msgspec.Struct):
+    state: str
+
+
+class _WaitingReply(msgspec.Struct):
+    waiting: int
+
+
+class _ErrorReply(msgspec.Struct):
+    error: str
+    not_run: bool = True
+
+
+class PlatformCallers(CallerPort):
+    """Read clients' calls and write their replies."""
+
+    def read_call(self, call: Call, routes: RouteTable) -> CallerQuestion | HttpReply:
+        """Return what a caller asks, or the refusal of what can't be understood."""
+        host = call.headers.get("Host", "").partition(":")[0]
+        route = routes.find(host, call.path)
+        if route is None:
+            return _error(404, "no route has this host and path")
+        job = call.path[len(route.path_prefix) :]
+        if not job:
+            if call.method != "GET":
+                return _error(405, "expected GET of a route, or a job's id")
+            return CallerQuestion(QuestionKind.COUNT, route, "", None, None)
+        if not _is_id(job):
+            return _error(400, f"id: {JOB_ID_DIGITS} hexadecimal digits expected")
+        return self._read_job_call(call, route, job)
+
+    def _read_job_call(
+        self, call: Call, route: Route, job: str
+    ) -> CallerQuestion | HttpReply:
+        if call.method == "GET":
+            return CallerQuestion(QuestionKind.STATE, route, job, None, None)
+        if call.method == "DELETE":
+            return CallerQuestion(QuestionKind.CANCEL, route, job, None, None)
+        if call.method != "POST":
+            return _error(405, "expected POST, GET or DELETE")
+        try:
+            request = _request(job, route, _decode_job(call.body))
+        except (msgspec.DecodeError, ValueError) as error:
+            return _error(400, str(error))
+        if isinstance(request, HttpReply):
+            return request
+        patience = _patience_s(call.headers.get("X-Deadline-Ms"))
+        return CallerQuestion(QuestionKind.SUBMIT, route, job, request, patience)
+
+    def reply_outcome(self, outcome: JobOutcome) -> HttpReply:
+        """Return the reply to a submission."""
+        status = STATUS_OF_END[outcome.end]
+        if outcome.not_run and outcome.end is JobEnd.OUT_OF_TIME:
+            status = 503
+        state = STATE_OF_END.get(outcome.end)
+        if state is not None:
+            return HttpReply(status, msgspec.json.encode(_StateReply(state)))
+        body = _ErrorReply(outcome.reason, outcome.not_run)
+        retry = math.ceil(outcome.retry_after_s)
+        return HttpReply(status, msgspec.json.encode(body), retry)
+
+    def reply_count(self, waiting: int) -> HttpReply:
+        """Return the reply to a question how many jobs wait."""
+        return HttpReply(200, msgspec.json.encode(_WaitingReply(waiting)))
+
+    def reply_unknown_job(self) -> HttpReply:
+        """Return the reply to a question about a job that is not here."""
+        return _error(410, "no such job")
+
+    def reply_cancelled(self) -> HttpReply:
+        """Return the reply to a cancel that was carried out."""
+        return HttpReply(200, msgspec.json.encode(_StateReply("cancelled")))
+
+    def reply_not_ready(self, reason: str) -> HttpReply:
+        """Return the refusal of a host that can't serve yet."""
+        body = msgspec.json.encode(_ErrorReply(reason))
+        return HttpReply(503, body, retry_after_s=1)
+
+    def read_configuration(self, document: bytes) -> RouteTable:
+        """Return the routes of a configuration; raise `UnreadableConfiguration`."""
+        try:
+            body = _decode_configuration(document)
+        except msgspec.DecodeError as error:
+            raise UnreadableConfiguration(str(error)) from error
+        routes = tuple(_route(one) for one in body.routes)
+        return RouteTable(body.version, routes, body.limits.max_body_bytes)
+
+
+def _route(body: RouteBody) -> Route:
+    return Route(
+        name=body.name,
+        host=body.host,
+        path_prefix=body.path_prefix,
+        service=body.service,
+        timeout_ms=body.timeout_ms,
+        margin_ms=body.slo_ms,
+        stretch=body.stretch,
+        priority=body.priority,
+        max_attempts=max(1, body.max_attempts),
+    )
+
+
+def _request(job: str, route: Route, body: JobBody) -> JobRequest | HttpReply:
+    if len(body.spec.encode()) > MAX_SPEC_BYTES:
+        raise ValueError(f"spec: at most {MAX_SPEC_BYTES} bytes expected")
+    if not body.steps:
+        raise ValueError("steps: at least one expected")
+    lasting = body.long_running or any(step.long_running for step in body.steps)
+    together = any(step.gang or step.speculative for step in body.steps)
+    if not body.best_effort or body.repeat_count or lasting or together:
+        return _error(503, "this kind of job is not served here")
+    steps = tuple(_step(number, step) for number, step in enumerate(body.steps))
+    if sum(step.count for step in steps) > MAX_TASKS:
+        raise ValueError(f"steps: at most {MAX_TASKS} tasks expected")
+    return JobRequest(job, body.spec, steps, route)
+
+
+def _step(number: int, body: StepBody) -> JobStep:
+    if body.count < 1:
+        raise ValueError(f"steps[{number}].count: at least 1 expected")
+    if min(body.cpu, body.mem_mb, body.gpus, body.max_per_server) < 0:
+        raise ValueError(f"steps[{number}]: negative numbers are not taken")
+    if any(not 0 <= earlier < number for earlier in body.after):
+        raise ValueError(f"steps[{number}].after: numbers of earlier steps expected")
+    return JobStep(
+        count=body.count,
+        resources=Resources(body.cpu, body.mem_mb, body.gpus),
+        estimate_ms=body.estimate_ms,
+        after=tuple(body.after),
+        label=body.requires,
+        near=body.affinity,
+        most_per_upstream=body.max_per_server,
+    )
+
+
+def _is_id(text: str) -> bool:
+    digits = "0123456789abcdefABCDEF"
+    return len(text) == JOB_ID_DIGITS and all(c in digits for c in text)
+
+
+def _patience_s(text: str | None) -> float | None:
+    if text is None or not text.strip().isdigit():
+        return None
+    return int(text) / MS_PER_S
+
+
+def _error(status: int, text: str) -> HttpReply:
+    return HttpReply(status, msgspec.json.encode(_ErrorReply(text)))
--- /dev/null
+++ b/jackdawspur/platform/_settings.py
@@ -0,0 +1,87 @@
+"""The platform's settings file, as the product's own settings."""
+
+import os
+from pathlib import Path
+
+from pydantic import TypeAdapter, ValidationError
+
+from jackdawspur.settings import HostSettings, SettingsError
+
+__all__ = ["SETTINGS_VARIABLE", "read_platform_settings"]
+
+SETTINGS_VARIABLE = "JACKDAWSPUR_CONFIG"
+# Where the deploy file says that counters are served; links use the first port of the
+# range that is free for hosts.
+METRICS_PORT = 9464
+
+
+def read_platform_settings(path: str | None = None) -> HostSettings:
+    """Return the checked settings of a file; raise `SettingsError`.
+
+    Without a path the environment names the file.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE}: expected the path of a file")
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return settings_of(_fields(text), path)
+
+
+def settings_of(fields: dict[str, str], path: str) -> HostSettings:
+    """Return the product's settings of the platform's fields; name wrong ones."""
+    missing = [name for name in _NEEDED if not fields.get(name)]
+    if missing:
+        faults = "; ".join(f"{name}: a value is needed" for name in missing)
+        raise SettingsError(f"{path}: {faults}")
+    ip = fields["ip"]
+    port = fields["port_range"].partition(",")[0]
+    data = {
+        "name": fields["node_name"],
+        "zone": fields["zone"],
+        "callers": fields["listen.front"],
+        "ready": fields["listen.ready"],
+        "link": f"{ip}:{port}",
+        "metrics": f"{ip}:{METRICS_PORT}",
+        "store": fields["platform.address"],
+    }
+    if fields.get("bounds.grace_s"):
+        data["grace_s"] = fields["bounds.grace_s"]
+    try:
+        return TypeAdapter(HostSettings).validate_python(data)
+    except ValidationError as error:
+        raise SettingsError(f"{path}: {_describe(error)}") from error
+
+
+_NEEDED = (
+    "node_name",
+    "zone",
+    "ip",
+    "listen.front",
+    "listen.ready",
+    "port_range",
+    "platform.address",
+)
+# What the product calls differently, for messages about wrong values.
+_FIELD_OF = {
+    "name": "node_name",
+    "callers": "listen.front",
+    "ready": "listen.ready",
+    "link": "ip or port_range",
+    "metrics": "ip",
+    "store": "platform.address",
+    "grace_s": "bounds.grace_s",
+}
+
+
+def _fields(text: str) -> dict[str, str]:
+    pairs = (line.partition("=") for line in text.splitlines())
+    return {name.strip(): value.strip() for name, sep, value in pairs if sep}
+
+
+def _describe(error: ValidationError) -> str:
+    details = error.errors(include_url=False, include_input=False)
+    names = [(str(d["loc"][0]) if d["loc"] else "file", d["msg"]) for d in details]
+    return "; ".join(f"{_FIELD_OF.get(name, name)}: {text}" for name, text in names)
--- /dev/null
+++ b/jackdawspur/platform/_store.py
@@ -0,0 +1,158 @@
+"""Following and writing the platform's store."""
+
+import logging
+import struct
+
+import msgspec
+from circuits import Component
+from result import Result
+
+from jackdawspur.adapters import (
+    Deadlines,
+    HttpClient,
+    HttpLimits,
+    HttpReply,
+    split_address,
+)
+from jackdawspur.external import PlatformError
+from jackdawspur.front import StoreListener, StorePort
+from jackdawspur.group import HostAddress
+from jackdawspur.leases import Resources, UpstreamEntry
+from jackdawspur.model import UpstreamId
+from jackdawspur.platform._bodies import HostBody, ServerBody
+from jackdawspur.platform._topics import KeyedTopic
+
+__all__ = ["PlatformStore"]
+
+HOSTS_TOPIC = "keyed.hosts"
+SERVERS_TOPIC = "keyed.servers"
+OPERATOR_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+# Upstreams report all the time; reading at most this often bundles their records.
+SERVERS_EVERY_S = 0.4
+READ_AT_ONCE_S = 0.0
+ANNOUNCE_S = 1.0
+ANNOUNCE_AGAIN_S = 0.3
+# An upstream whose entry lapsed while the store was away writes it again within two
+# seconds of the store's return; before that a missing entry says nothing.
+RETURN_S = 2.5
+CONNECTIONS = 4
+CONNECT_S = 0.5
+
+log = logging.getLogger("jackdawspur.platform")
+
+_decode_server = msgspec.json.Decoder(ServerBody).decode
+_decode_host = msgspec.json.Decoder(HostBody).decode
+
+
+class PlatformStore(StorePort):
+    """Read the configuration, the upstreams and the hosts; announce this host."""
+
+    def __init__(self, address: str, owner: Component, deadlines: Deadlines) -> None:
+        limits = HttpLimits(connections=CONNECTIONS, connect_s=CONNECT_S)
+        self._client = HttpClient(split_address(address), deadlines, limits)
+        self._client.register(owner)
+        self._deadlines = deadlines
+        self._listener: StoreListener | None = None
+        self._entries: dict[str, UpstreamEntry] = {}
+        self._lapsed: dict[str, float] = {}
+        self._reachable = True
+
+    def follow(self, listener: StoreListener) -> None:
+        """Begin to read, and never stop."""
+        self._listener = listener
+        for topic, changed, pause_s in (
+            (OPERATOR_TOPIC, self._operator_wrote, READ_AT_ONCE_S),
+            (SERVERS_TOPIC, self._servers_wrote, SERVERS_EVERY_S),
+            (HOSTS_TOPIC, self._hosts_wrote, READ_AT_ONCE_S),
+        ):
+            KeyedTopic(
+                topic, self._client, self._deadlines, changed, self._reached, pause_s
+            ).begin()
+
+    def announce(self, host: HostAddress) -> None:
+        """Publish where this host is, until it worked."""
+        body = HostBody(host.name, host.zone, host.link, host.started_ms)
+        key = host.name.encode()
+        record = bytes([len(key)]) + key + msgspec.json.encode(body)
+        data = struct.pack(">I", len(record)) + record
+
+        def done(result: Result[HttpReply, PlatformError]) -> None:
+            if result.is_err() or result.ok_value.status != 200:
+                self._deadlines.call_after(
+                    ANNOUNCE_AGAIN_S, lambda: self.announce(host)
+                )
+
+        path = f"/log-append?topic={HOSTS_TOPIC}&part=0"
+        self._client.request("POST", path, data, ANNOUNCE_S, done)
+
+    def _reached(self, reachable: bool, reason: str) -> None:
+        if reachable != self._reachable:
+            self._reachable = reachable
+            self._listener.store_changed(reachable, reason)
+
+    def _operator_wrote(self, changed: dict[str, bytes], whole: bool) -> None:
+        document = changed.get(CONFIGURATION_KEY)
+        if not document:
+            return
+        try:
+            version = msgspec.json.decode(document, type=_Version).version
+        except msgspec.DecodeError as error:
+            log.error("configuration without version", extra={"reason": str(error)})
+            return
+        self._listener.configuration_read(version, document)
+
+    def _servers_wrote(self, changed: dict[str, bytes], whole: bool) -> None:
+        """Keep the list; an entry that vanished counts as gone only after a while."""
+        now = self._deadlines.now
+        if whole:
+            for name in self._entries:
+                if name not in changed:
+                    self._lapsed.setdefault(name, now)
+        for name, value in changed.items():
+            if not value:
+                self._lapsed.setdefault(name, now)
+                continue
+            entry = _entry(name, value)
+            if entry is not None:
+                self._entries[name] = entry
+                self._lapsed.pop(name, None)
+        for name, since in list(self._lapsed.items()):
+            if now - since > RETURN_S:
+                self._entries.pop(name, None)
+                del self._lapsed[name]
+        self._listener.upstreams_read(tuple(self._entries.values()))
+
+    def _hosts_wrote(self, changed: dict[str, bytes], whole: bool) -> None:
+        hosts = []
+        for value in changed.values():
+            try:
+                body = _decode_host(value)
+            except msgspec.DecodeError as error:
+                log.warning("host entry unreadable", extra={"reason": str(error)})
+                continue
+            hosts.append(HostAddress(body.name, body.zone, body.link, body.started_ms))
+        self._listener.hosts_read(tuple(hosts))
+
+
+class _Version(msgspec.Struct):
+    version: int
+
+
+def _entry(name: str, value: bytes) -> UpstreamEntry | None:
+    try:
+        body = _decode_server(value)
+    except msgspec.DecodeError as error:
+        log.warning(
+            "upstream entry unreadable", extra={"upstream": name, "reason": str(error)}
+        )
+        return None
+    room = body.capacity
+    return UpstreamEntry(
+        id=UpstreamId(body.zone, name),
+        service=body.service,
+        address=body.address,
+        capacity=Resources(room.cpu, room.mem_mb, room.gpus),
+        labels=tuple(body.labels),
+        draining=body.state == "draining",
+    )
--- /dev/null
+++ b/jackdawspur/runs/__init__.py
@@ -0,0 +1,41 @@
+"""Jobs on the leading host: their order, their places and their runs."""
+
+from jackdawspur.runs._dispatcher import Dispatcher
+from jackdawspur.runs._effects import (
+    AnswerJob,
+    Decision,
+    Effect,
+    LookAt,
+    Note,
+    StartRun,
+    StopRun,
+)
+from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._types import (
+    JobEnd,
+    JobOutcome,
+    JobRequest,
+    JobStep,
+    Offer,
+    Route,
+)
+
+__all__ = [
+    "AnswerJob",
+    "Decision",
+    "Dispatcher",
+    "Effect",
+    "Job",
+    "JobEnd",
+    "JobOutcome",
+    "JobRequest",
+    "JobStep",
+    "LookAt",
+    "Note",
+    "Offer",
+    "Route",
+    "StartRun",
+    "StopRun",
+    "Task",
+    "TaskState",
+]
--- /dev/null
+++ b/jackdawspur/runs/_dispatcher.py
@@ -0,0 +1,299 @@
+"""Decide, on the leading host, which task starts where and when."""
+
+from collections.abc import Iterable
+
+from jackdawspur.leases import (
+    CallOutcome,
+    EndedRun,
+    Ending,
+    Fence,
+    LookReport,
+    RunId,
+    UpstreamEntry,
+)
+from jackdawspur.model import HostId, UpstreamId
+from jackdawspur.runs._effects import AnswerJob, Decision, Effect
+from jackdawspur.runs._estimates import Estimates
+from jackdawspur.runs._fleet import Fleet
+from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._notes import Notes
+from jackdawspur.runs._order import Standing, order_key, standing
+from jackdawspur.runs._placing import choose
+from jackdawspur.runs._types import JobEnd, JobOutcome, Offer
+
+__all__ = ["Dispatcher"]
+
+# After this long under a new leading host, whatever an earlier one may still have had
+# running is stopped or has lapsed: 0.4 s until it gives up, a lease, and a margin.
+SETTLED_S = 1.1
+MS_PER_S = 1000.0
+LEAST_RETRY_S = 1.0
+MOST_RETRY_S = 30.0
+
+
+class Dispatcher:
+    """Run the jobs of all hosts on all upstreams; a task has one run at a time.
+
+    A task starts only while no run of it takes room anywhere, and a run takes room
+    from before its start is sent until its end is listed or it can't be any more.
+    """
+
+    def __init__(self, own: HostId, now: float) -> None:
+        self._effects: list[Effect] = []
+        self._notes = Notes(self._effects)
+        self._estimates = Estimates(own)
+        self._fleet = Fleet(self, self._effects, self._notes, now)
+        self._jobs: dict[str, Job] = {}
+        self._led_at = now
+        self.leads = False
+        self.completed = 0
+        self.refused = 0
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the upstreams held."""
+        return self._fleet
+
+    @property
+    def jobs(self) -> int:
+        """Return the number of jobs not yet ended."""
+        return len(self._jobs)
+
+    def hosts(self) -> set[str]:
+        """Return the hosts whose callers wait for a job."""
+        return {job.offer.host for job in self._jobs.values()}
+
+    def waiting_jobs(self, route: str) -> int:
+        """Return the number of a route's jobs of which nothing started."""
+        jobs = self._jobs.values()
+        return sum(j.request.route.name == route and not j.started for j in jobs)
+
+    def lead(self, fence: Fence, now: float) -> None:
+        """Begin to lead: nothing starts on an upstream before a look at it."""
+        self._jobs.clear()
+        self._led_at = now
+        self.leads = True
+        self._fleet.hold_all(fence, now)
+
+    def resign(self, now: float) -> None:
+        """Give up all jobs and upstreams; the host that leads next takes them over."""
+        self._jobs.clear()
+        self.leads = False
+        self._fleet.release_all(now)
+
+    def set_upstreams(self, entries: Iterable[UpstreamEntry], now: float) -> None:
+        """Take in the list of upstreams."""
+        kept = tuple(entries)
+        self._fleet.set_entries(kept, now)
+        self._estimates.set_upstreams(entry.id for entry in kept)
+
+    def offer(self, offer: Offer, now: float) -> None:
+        """Take a job, or answer at once that it can't be done in time.
+
+        A job that is here already keeps its runs: its caller asked again, or its host
+        handed it over twice.
+        """
+        known = self._jobs.get(offer.request.id)
+        if known is not None:
+            known.offer = offer
+            return
+        steps = offer.request.steps
+        expected = self._estimates.expected_ms(offer.request.route, steps)
+        job = Job(offer, expected)
+        self._jobs[job.id] = job
+        self._fleet.claim(job, now)
+        if job.complete:
+            self._complete(job)
+
+    def drop(self, host: str, job_id: str, call: int, now: float) -> None:
+        """Stop a job nobody waits for, unless it was offered again since."""
+        job = self._jobs.get(job_id)
+        if job is None or (job.offer.host, job.offer.call) != (host, call):
+            return
+        self._notes.add(Decision.JOB_DROPPED, job.id, "", host=host)
+        self._end(job, now)
+
+    def drop_host(self, host: str, now: float) -> None:
+        """Stop the jobs of a host that is gone; their callers will ask again."""
+        for job in [j for j in self._jobs.values() if j.offer.host == host]:
+            self._notes.add(Decision.JOB_DROPPED, job.id, "", lost_host=host)
+            self._end(job, now)
+
+    def start_replied(
+        self, upstream: UpstreamId, run: RunId, outcome: CallOutcome, now: float
+    ) -> None:
+        """Take in what became of a start."""
+        self._fleet.start_replied(upstream, run, outcome, now)
+
+    def stop_replied(
+        self, upstream: UpstreamId, run: RunId, outcome: CallOutcome, now: float
+    ) -> None:
+        """Take in what became of a stop."""
+        self._fleet.stop_replied(upstream, run, outcome, now)
+
+    def look_replied(
+        self,
+        upstream: UpstreamId,
+        fence: Fence,
+        number: int,
+        result: LookReport | CallOutcome,
+        now: float,
+    ) -> None:
+        """Take in the reply to a look, or why there is none."""
+        self._fleet.look_replied(upstream, fence, number, result, now)
+
+    def done_since(self) -> dict[str, dict[str, tuple[str, ...]]]:
+        """Return the tasks done of each open job, by host and job."""
+        told: dict[str, dict[str, tuple[str, ...]]] = {}
+        for job in self._jobs.values():
+            done = tuple(t.name for t in job.tasks if t.state is TaskState.DONE)
+            if done:
+                told.setdefault(job.offer.host, {})[job.id] = done
+        return told
+
+    def flush(self, now: float) -> list[Effect]:
+        """Give room to waiting tasks and return all that is to be done."""
+        if self.leads:
+            self._place(now)
+            self._fleet.look_where_due(now)
+        effects = self._effects[:]
+        self._effects.clear()
+        return effects
+
+    def tick(self, now: float) -> None:
+        """Give up what can't be answered in time, and upstreams that are silent."""
+        if not self.leads:
+            return
+        for job in list(self._jobs.values()):
+            self._give_up_if_late(job, now)
+        self._fleet.tick(now)
+
+    # What the fleet tells of runs.
+
+    def job_of(self, task_name: str) -> Job | None:
+        """Return the open job of a task."""
+        return self._jobs.get(task_name.split(".", 1)[0])
+
+    def run_ended(
+        self, upstream: UpstreamId, ended: EndedRun, since: float, now: float
+    ) -> None:
+        """Take in the end of a run that took room on an upstream."""
+        job = self.job_of(ended.run.task)
+        task = job.by_name.get(ended.run.task) if job else None
+        self._estimates.ended(job, task, upstream, ended.ending, since, now)
+        if task is None or task.run != ended.run.number:
+            return
+        if ended.ending is Ending.DONE:
+            job.end_task(task)
+            if job.complete:
+                self._complete(job)
+        else:
+            self._run_again(job, task, ended.ending, now)
+
+    def run_lost(self, task_name: str, upstream: UpstreamId, now: float) -> None:
+        """Let a task wait again whose run can't exist any more."""
+        self._estimates.lost(upstream, now)
+        job = self.job_of(task_name)
+        if job is not None and task_name in job.by_name:
+            job.put_back(job.by_name[task_name])
+
+    def start_invalid(self, task_name: str, now: float) -> None:
+        """Fail the job of a task that no upstream takes."""
+        job = self.job_of(task_name)
+        if job is not None:
+            outcome = JobOutcome(JobEnd.FAILED, not_run=False, reason="task refused")
+            self._answer(job, outcome)
+            self._end(job, now)
+
+    def _run_again(self, job: Job, task: Task, ending: Ending, now: float) -> None:
+        job.put_back(task)
+        if ending is not Ending.FAILED:
+            return
+        task.failures += 1
+        if task.failures >= job.request.route.max_attempts:
+            reason = f"{task.name} failed {task.failures} times"
+            self._notes.add(Decision.JOB_FAILED, job.id, "", reason=reason)
+            self._answer(job, JobOutcome(JobEnd.FAILED, not_run=False, reason=reason))
+            self._end(job, now)
+
+    def _complete(self, job: Job) -> None:
+        self.completed += 1
+        self._answer(job, JobOutcome(JobEnd.COMPLETE, not_run=False))
+        del self._jobs[job.id]
+
+    def _answer(self, job: Job, outcome: JobOutcome) -> None:
+        self._effects.append(AnswerJob(job.offer.host, job.offer.call, job.id, outcome))
+
+    def _end(self, job: Job, now: float) -> None:
+        """Forget a job and stop what runs of it."""
+        del self._jobs[job.id]
+        for task in job.placed():
+            self._fleet.stop(task.name, now)
+
+    def _give_up_if_late(self, job: Job, now: float) -> None:
+        if now >= job.offer.deadline:
+            reason = "the caller's time is over"
+            self._notes.add(Decision.JOB_OUT_OF_TIME, job.id, "", reason=reason)
+            outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, 0.0, reason)
+            self._answer(job, outcome)
+            self._end(job, now)
+        elif not job.started and standing(job, now) is Standing.HOPELESS:
+            self._refuse(job, now)
+
+    def _refuse(self, job: Job, now: float) -> None:
+        self.refused += 1
+        waited_ms = (now - job.offer.arrived) * MS_PER_S
+        left_ms = (job.offer.deadline - now) * MS_PER_S
+        self._notes.add(
+            Decision.JOB_REFUSED,
+            job.id,
+            "",
+            waited_ms=round(waited_ms),
+            left_ms=round(left_ms),
+            needs_ms=round(job.left_ms()),
+            jobs=len(self._jobs),
+        )
+        reason = "it could not end within the caller's time"
+        retry_s = self._retry_after_s()
+        self._answer(job, JobOutcome(JobEnd.REFUSED, True, retry_s, reason))
+        self._end(job, now)
+
+    def _retry_after_s(self) -> float:
+        """Return how long the work that waits will keep the upstreams busy."""
+        waiting_s = sum(
+            job.expected_ms[task.step] * task.spec.resources.cpu_millis
+            for job in self._jobs.values()
+            for task in job.waiting()
+        ) / (MS_PER_S * max(1, self._fleet.cpu_millis))
+        return min(MOST_RETRY_S, max(LEAST_RETRY_S, waiting_s))
+
+    def _place(self, now: float) -> None:
+        """Give room in order; a job for which there is none lets others pass."""
+        if not self._fleet.has_room(now):
+            return
+        waiting = [job for job in self._jobs.values() if job.has_waiting]
+        waiting.sort(key=lambda job: order_key(job, now))
+        for job in waiting:
+            if self._may_place(job, now):
+                self._place_job(job, now)
+
+    def _may_place(self, job: Job, now: float) -> bool:
+        """Hold back what an earlier leading host may still have running.
+
+        It may reach an upstream that this host does not, and run the same tasks there.
+        """
+        if not job.offer.handed or now - self._led_at > SETTLED_S:
+            return True
+        return self._fleet.all_held
+
+    def _place_job(self, job: Job, now: float) -> None:
+        for task in job.waiting():
+            if self._fleet.takes_room(task.name):
+                continue
+            held = choose(task, job, self._fleet, self._estimates, now)
+            if held is None:
+                return
+            task.run += 1
+            job.place(task, held.entry.id, now)
+            self._estimates.started(held.entry.id)
+            self._fleet.start(held, task, job.request.spec, now)
--- /dev/null
+++ b/jackdawspur/runs/_effects.py
@@ -0,0 +1,98 @@
+"""What the leading host's decisions ask for."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from jackdawspur.leases import Fence, RunId
+from jackdawspur.model import UpstreamId
+from jackdawspur.runs._types import JobOutcome
+
+__all__ = [
+    "AnswerJob",
+    "Decision",
+    "Effect",
+    "LookAt",
+    "Note",
+    "StartRun",
+    "StopRun",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Start a run; `until_ms` is the lease's end on the upstream's clock."""
+
+    upstream: UpstreamId
+    address: str
+    run: RunId
+    spec: str
+    until_ms: int
+    fence: Fence
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stop a run."""
+
+    upstream: UpstreamId
+    address: str
+    run: RunId
+    fence: Fence
+
+
+@dataclass(frozen=True, slots=True)
+class LookAt:
+    """Ask for all runs, and prolong the lease unless `until_ms` is None.
+
+    `number` orders the looks at an upstream; ends up to `last_seen` are taken note of.
+    """
+
+    upstream: UpstreamId
+    address: str
+    number: int
+    fence: Fence
+    last_seen: int
+    until_ms: int | None
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerJob:
+    """Tell a job's host how it ended."""
+
+    host: str
+    call: int
+    job: str
+    outcome: JobOutcome
+
+
+class Decision(Enum):
+    """Name what was decided or believed, for the log."""
+
+    JOB_REFUSED = "job refused"
+    JOB_OUT_OF_TIME = "job out of time"
+    JOB_FAILED = "job failed"
+    JOB_DROPPED = "job dropped"
+    JOB_ADOPTED = "job taken over"
+    RUN_UNSURE = "outcome of a start unknown"
+    RUN_LOST = "run lost"
+    RUN_RESTARTED = "run stopped to start elsewhere"
+    START_REFUSED = "start refused"
+    RUN_STOPPED = "run of nobody stopped"
+    UPSTREAM_HELD = "upstream held"
+    UPSTREAM_SILENT = "upstream silent"
+    UPSTREAM_GONE = "upstream gone"
+    UPSTREAM_FENCED = "upstream obeys another host"
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Explain one decision; `inputs` are what decided it."""
+
+    decision: Decision
+    job: str
+    upstream: str
+    inputs: tuple[tuple[str, str | int | float], ...] = ()
+
+
+Effect = StartRun | StopRun | LookAt | AnswerJob | Note
--- /dev/null
+++ b/jackdawspur/runs/_estimates.py
@@ -0,0 +1,77 @@
+"""What is learned of routes' run times and of upstreams."""
+
+from collections.abc import Iterable
+
+from jackdawspur.health import UpstreamHealth
+from jackdawspur.leases import Ending
+from jackdawspur.model import HostId, SubmissionId, UpstreamId
+from jackdawspur.runs._job import Job, Task, run_time_spec
+from jackdawspur.runs._types import JobStep, Route
+from jackdawspur.scheduling import RunTimes
+
+__all__ = ["Estimates"]
+
+MS_PER_S = 1000.0
+
+
+class Estimates:
+    """Learn how long tasks take and which upstreams are slow or fail."""
+
+    def __init__(self, own: HostId) -> None:
+        self._own = own
+        self._run_times = RunTimes()
+        self._health = UpstreamHealth(own)
+        self._numbers: dict[str, int] = {}
+
+    def set_upstreams(self, upstreams: Iterable[UpstreamId]) -> None:
+        """Judge exactly these upstreams."""
+        self._health.set_upstreams(upstreams)
+
+    def expected_ms(
+        self, route: Route, steps: tuple[JobStep, ...]
+    ) -> tuple[float, ...]:
+        """Return the expected run time of each step's tasks."""
+        specs = [run_time_spec(step) for step in steps]
+        return self._run_times.estimates_ms(route.service, route.name, specs)
+
+    def started(self, upstream: UpstreamId) -> None:
+        """Note a start."""
+        self._health.started(upstream)
+
+    def lost(self, upstream: UpstreamId, now: float) -> None:
+        """Note a run that ended with its upstream or was never there."""
+        self._health.cancelled(upstream)
+
+    def allows(self, upstream: UpstreamId, now: float) -> bool:
+        """Tell whether one more task may be started there."""
+        return self._health.allows(upstream, now) or self._health.probe_allowed(
+            upstream, now
+        )
+
+    def slowness(self, upstream: UpstreamId) -> float:
+        """Return how much slower than the median it runs."""
+        return self._health.slowness(upstream)
+
+    def ended(
+        self,
+        job: Job | None,
+        task: Task | None,
+        upstream: UpstreamId,
+        ending: Ending,
+        since: float,
+        now: float,
+    ) -> None:
+        """Learn from an end."""
+        if job is None or task is None or ending not in (Ending.DONE, Ending.FAILED):
+            self._health.cancelled(upstream)
+            return
+        route = job.request.route
+        if ending is Ending.FAILED:
+            submission = SubmissionId(self._own, hash(job.id) & 0xFFFFFFFF)
+            self._health.failed(upstream, submission, route.name, now)
+            return
+        took_ms = (now - since) * MS_PER_S
+        ratio = took_ms / max(1.0, job.expected_ms[task.step])
+        self._health.succeeded(upstream, route.name, ratio, now, since)
+        spec = run_time_spec(task.spec)
+        self._run_times.observe(route.service, route.name, spec, took_ms)
--- /dev/null
+++ b/jackdawspur/runs/_job.py
@@ -0,0 +1,133 @@
+"""A job and its tasks as the leading host keeps them."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from jackdawspur.leases import RunId
+from jackdawspur.model import TaskSpec, UpstreamId
+from jackdawspur.runs._types import JobStep, Offer
+
+__all__ = ["Job", "RUNS_A_HAND_OVER", "Task", "TaskState", "task_name"]
+
+# Numbers of runs left to each hand-over, so that no number is given twice.
+RUNS_A_HAND_OVER = 16
+
+
+class TaskState(Enum):
+    """Say whether a task waits, takes room somewhere, or is done."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+@dataclass(eq=False, slots=True)
+class Task:
+    """Keep one task; `run` is the number of its last run."""
+
+    name: str
+    step: int
+    spec: JobStep
+    run: int
+    state: TaskState = TaskState.WAITING
+    failures: int = 0
+    upstream: UpstreamId | None = None
+    placed_at: float = 0.0
+    avoid: set[UpstreamId] = field(default_factory=set)
+
+    @property
+    def run_id(self) -> RunId:
+        """Return the name of the last run."""
+        return RunId(self.name, self.run)
+
+
+def task_name(job: str, step: int, index: int) -> str:
+    """Return the name under which upstreams know a task; 0 is its only occurrence."""
+    return f"{job}.0.{step}.{index}"
+
+
+class Job:
+    """Keep one job: its tasks, its times and whether anything of it started."""
+
+    def __init__(self, offer: Offer, expected_ms: tuple[float, ...]) -> None:
+        self.offer = offer
+        self.request = offer.request
+        self.expected_ms = expected_ms
+        self.started = offer.handed > 0
+        self.ended = False
+        first_run = offer.handed * RUNS_A_HAND_OVER
+        self.tasks = [
+            Task(task_name(self.request.id, number, index), number, step, first_run)
+            for number, step in enumerate(self.request.steps)
+            for index in range(step.count)
+        ]
+        self.by_name = {task.name: task for task in self.tasks}
+        self._open_in_step = [step.count for step in self.request.steps]
+        self._waiting = list(self.tasks)
+        for name in offer.done:
+            if name in self.by_name:
+                self.end_task(self.by_name[name])
+
+    @property
+    def id(self) -> str:
+        """Return the caller's own name of the job."""
+        return self.request.id
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether all tasks are done."""
+        return not any(self._open_in_step)
+
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether a task waits, be it for other steps."""
+        return bool(self._waiting)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks whose turn has come."""
+        return [task for task in self._waiting if self._may_start(task)]
+
+    def place(self, task: Task, upstream: UpstreamId, now: float) -> None:
+        """Note that the next run of a task takes room on an upstream."""
+        self._waiting.remove(task)
+        self.started = True
+        task.state = TaskState.PLACED
+        task.upstream = upstream
+        task.placed_at = now
+
+    def put_back(self, task: Task) -> None:
+        """Let a task wait again."""
+        if task.state is TaskState.PLACED:
+            task.state = TaskState.WAITING
+            task.upstream = None
+            self._waiting.append(task)
+
+    def end_task(self, task: Task) -> None:
+        """Note that a task is done."""
+        if task.state is TaskState.DONE:
+            return
+        if task.state is TaskState.WAITING:
+            self._waiting.remove(task)
+        task.state = TaskState.DONE
+        self._open_in_step[task.step] -= 1
+
+    def placed(self) -> list[Task]:
+        """Return the tasks that take room."""
+        return [task for task in self.tasks if task.state is TaskState.PLACED]
+
+    def left_ms(self) -> float:
+        """Return the expected time from a start now to the end of the last step."""
+        chain: list[float] = []
+        for number, step in enumerate(self.request.steps):
+            before = max((chain[n] for n in step.after), default=0.0)
+            own = self.expected_ms[number] if self._open_in_step[number] else 0.0
+            chain.append(before + own)
+        return max(chain)
+
+    def _may_start(self, task: Task) -> bool:
+        return not any(self._open_in_step[number] for number in task.spec.after)
+
+
+def run_time_spec(step: JobStep) -> TaskSpec:
+    """Return what the learned run times know a step's tasks by."""
+    return TaskSpec(run_ms=step.estimate_ms)
--- a/jackdawspur/settings/__init__.py
+++ b/jackdawspur/settings/__init__.py
@@ -5,6 +5,7 @@
     OperatorSettings,
     SiblingSettings,
 )
+from jackdawspur.settings._host import HostSettings
 from jackdawspur.settings._load import SettingsError, load_settings
 from jackdawspur.settings._standins import (
     HostListStandin,
@@ -16,6 +17,7 @@
 __all__ = [
     "EntrySettings",
     "HostListStandin",
+    "HostSettings",
     "ListedHostSettings",
     "LogStandin",
     "OperatorSettings",
--- /dev/null
+++ b/jackdawspur/settings/_host.py
@@ -0,0 +1,33 @@
+"""Settings of a host that serves on the customers' platform."""
+
+from dataclasses import dataclass
+from typing import Annotated, ClassVar, Literal
+
+from pydantic import ConfigDict, Field
+
+from jackdawspur.settings._load import STRICT, Address
+
+__all__ = ["HostSettings"]
+
+Port = Annotated[int, Field(ge=1, le=65_535)]
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Say who a host is, where it listens and where the platform's store is.
+
+    `link_port` is the same on all hosts. `grace_s` is how long after SIGTERM the
+    platform kills. Times in seconds.
+    """
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    name: Annotated[str, Field(min_length=1, max_length=200)]
+    zone: Annotated[str, Field(min_length=1, max_length=200)]
+    callers: Address
+    ready: Address
+    link: Address
+    metrics: Address | None
+    store: Address
+    grace_s: Annotated[float, Field(gt=0, le=600)] = 6.0
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
--- a/jackdawspur/shares.py
+++ b/jackdawspur/shares.py
@@ -31,7 +31,7 @@
     "links": "model and messages",
     "messages": "model and messages",
     "model": "model and messages",
-    "platform": "model and messages",
+    "external": "model and messages",
     "wire": "model and messages",
     "metrics": "model and messages",
     "standins": "stand-ins",
--- a/jackdawspur/slopes/_host.py
+++ b/jackdawspur/slopes/_host.py
@@ -17,6 +17,7 @@
     Tick,
     WorldSet,
 )
+from jackdawspur.external import StartVerdict, UpstreamReply
 from jackdawspur.messages import Message
 from jackdawspur.model import (
     Customer,
@@ -31,7 +32,6 @@
     UpstreamId,
     World,
 )
-from jackdawspur.platform import StartVerdict, UpstreamReply
 
 __all__ = ["DrivenHost", "Sizes", "WrongRun", "peer_of", "world_of_size"]
 
--- a/jackdawspur/standins/_slopes.py
+++ b/jackdawspur/standins/_slopes.py
@@ -11,8 +11,8 @@
 from result import Result
 
 from jackdawspur.adapters import Deadlines, HttpClient, HttpUpstream, split_address
+from jackdawspur.external import PlatformError, TaskStart
 from jackdawspur.model import HostId, SubmissionId, TaskId, UpstreamId
-from jackdawspur.platform import PlatformError, TaskStart
 from jackdawspur.standins._worker_types import WorkerCounters
 
 __all__ = ["BatchCost", "StartSlopes", "measure_start_slopes"]
--- a/jackdawspur/standins/_worker.py
+++ b/jackdawspur/standins/_worker.py
@@ -2,8 +2,8 @@
 
 from collections import Counter, OrderedDict, deque
 
+from jackdawspur.external import RefusalReason
 from jackdawspur.model import TaskState
-from jackdawspur.platform import RefusalReason
 from jackdawspur.standins._worker_task import RunningTask, TaskBehaviour
 from jackdawspur.standins._worker_types import (
     WorkerCounters,
--- a/jackdawspur/standins/tests/test_worker.py
+++ b/jackdawspur/standins/tests/test_worker.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from jackdawspur.external import RefusalReason
 from jackdawspur.model import TaskState
-from jackdawspur.platform import RefusalReason
 from jackdawspur.standins import Worker, WorkerFaults, WorkerSettings
 from jackdawspur.wire import StartBody, StartsRequest
 
--- a/jackdawspur/tests/test_layers.py
+++ b/jackdawspur/tests/test_layers.py
@@ -20,7 +20,7 @@
     "configuration",
 }
 # What decisions may use besides each other; these are held to the same rules.
-BELOW = {"exceptions", "platform", "links", "metrics"}
+BELOW = {"exceptions", "external", "links", "metrics"}
 FORBIDDEN_MODULES = {"circuits", "pynng", "socket", "select", "threading", "asyncio"}
 CLOCKS = {"time", "monotonic", "perf_counter", "sleep", "time_ns", "monotonic_ns"}
 GLOBAL_DRAWS = {"random", "randint", "choice", "shuffle", "sample", "uniform"}
--- a/jackdawspur/wire/_hostlist.py
+++ b/jackdawspur/wire/_hostlist.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from jackdawspur.platform import HostRole
+from jackdawspur.external import HostRole
 
 __all__ = ["HostBody", "HostsBody"]
 
--- a/jackdawspur/wire/_upstream.py
+++ b/jackdawspur/wire/_upstream.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from jackdawspur.external import RefusalReason
 from jackdawspur.model import TaskState
-from jackdawspur.platform import RefusalReason
 
 __all__ = [
     "OutcomeBody",
