Keep two leading hosts from running one task; survive SIGHUP

Ruled out: clocks of upstreams (the lease ended where it was expected) and late starts. Also: the looks moved to a module of their own; speeds of upstreams are learned from tasks that ran side by side, and urgent tasks get the fast ones; measured next.

--- a/jackdawspur/cli/_front.py
+++ b/jackdawspur/cli/_front.py
@@ -28,10 +28,12 @@
         read_platform_settings,
     )
 
-    if values.settings:
-        settings = load_settings(HostSettings, values.settings)
-    else:
-        settings = read_platform_settings()
+    def read_settings() -> HostSettings:
+        if values.settings:
+            return load_settings(HostSettings, values.settings)
+        return read_platform_settings()
+
+    settings = read_settings()
     set_up_bounded_logs(settings.log_level, settings.name)
 
     def make_ports(owner, deadlines: Deadlines) -> Ports:
@@ -41,5 +43,5 @@
             PlatformStore(settings.store, owner, deadlines),
         )
 
-    run_front(settings, make_ports)
+    run_front(settings, make_ports, read_settings)
     return ExitCode.OK
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -3,7 +3,8 @@
 import gc
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass, replace
+from signal import SIGHUP, signal
 
 from circuits import Component, Event as LoopEvent, handler
 from circuits.core.pollers import EPoll
@@ -28,7 +29,7 @@
     JobOffered,
     UpstreamsPassed,
 )
-from jackdawspur.settings import HostSettings
+from jackdawspur.settings import HostSettings, SettingsError
 
 __all__ = ["Ports", "run_front"]
 
@@ -49,6 +50,8 @@
 # The last of the time until SIGKILL is left for closing.
 DRAIN_MARGIN_S = 0.6
 FENCED_CLAIM_S = 0.5
+# Settings that need no restart.
+RELOADED = ("grace_s", "log_level")
 COLLECTOR_THRESHOLDS = (10_000, 20, 100)
 
 log = logging.getLogger("jackdawspur.host")
@@ -77,9 +80,12 @@
         settings: HostSettings,
         poller: EPoll,
         make_ports: Callable[[Component, Deadlines], Ports],
+        read_settings: Callable[[], HostSettings],
     ) -> None:
         """Open the sockets; circuits passes the constructor's arguments."""
         self._settings = settings
+        self._read_settings = read_settings
+        self._reload_asked = False
         now = now_s()
         self.address = HostAddress(
             settings.name, settings.zone, settings.link, unix_ms()
@@ -93,6 +99,17 @@
         self._mesh = Mesh(settings.link, poller, self._on_message).register(self)
         self.lead = LeadDriver(self, self._ports.upstreams, now)
         self.callers = CallerService(self, self._ports.callers)
+        self._open_web(settings)
+        self._flushing = False
+        self._ticks = 0
+        self._tick_due = now
+        self._late_s = 0.0
+        self._drain_from: float | None = None
+        self._exiting = False
+        self._deadlines.call_after(0.0, self._begin)
+        log.info("host started", extra={"host": settings.name, "zone": settings.zone})
+
+    def _open_web(self, settings: HostSettings) -> None:
         self._web = WebServer(settings.callers, self.callers, "callers").register(self)
         self._ready_web = WebServer(
             settings.ready, ReadyService(self), "ready"
@@ -102,14 +119,6 @@
             self._metrics_web = WebServer(settings.metrics, page, "metrics")
             self._metrics_web.register(self)
             page.reply = self._metrics_web.reply
-        self._flushing = False
-        self._ticks = 0
-        self._tick_due = now
-        self._late_s = 0.0
-        self._drain_from: float | None = None
-        self._exiting = False
-        self._deadlines.call_after(0.0, self._begin)
-        log.info("host started", extra={"host": settings.name, "zone": settings.zone})
 
     @property
     def ready(self) -> bool:
@@ -197,6 +206,8 @@
         self._tick()
 
     def _tick(self) -> None:
+        if self._reload_asked:
+            self._reload()
         now = now_s()
         late = min(1.0, max(0.0, now - self._tick_due))
         self._late_s += LATE_SMOOTHING * (late - self._late_s)
@@ -219,6 +230,7 @@
         able = bool(self.routes.version) and bool(self.views.entries)
         if self.group.decide(able, unix_ms(), now):
             self.lead.leadership_changed(now)
+            self._beat(now)
         fenced = self.lead.fenced_for(now)
         if self.group.leads and fenced > FENCED_CLAIM_S:
             self.group.claim_again(unix_ms())
@@ -279,15 +291,38 @@
     def _on_signal(self, event, signo, _stack) -> None:
         """Drain at the first signal that asks to stop."""
         event.stop()
-        if signo == 1:
-            log.info("settings read again", extra={"changed": False})
-            return
         if self._drain_from is None:
             self._drain_from = now_s()
             self.group.draining = True
             self._web.drain()
             log.info("draining", extra={"waiting_callers": self.callers.waiting})
 
+    def ask_reload(self) -> None:
+        """Read the settings again at the next tick; safe in a signal handler."""
+        self._reload_asked = True
+
+    def _reload(self) -> None:
+        """Use what can change while the process runs; a bad file changes nothing."""
+        self._reload_asked = False
+        try:
+            settings = self._read_settings()
+        except SettingsError as error:
+            log.error("settings refused", extra={"reason": str(error)})
+            return
+        old = asdict(self._settings)
+        changed = [
+            name for name, value in asdict(settings).items() if value != old[name]
+        ]
+        waiting = [name for name in changed if name not in RELOADED]
+        self._settings = replace(
+            self._settings, grace_s=settings.grace_s, log_level=settings.log_level
+        )
+        logging.getLogger().setLevel(settings.log_level)
+        log.info(
+            "settings read again",
+            extra={"changed": changed, "in_force_after_restart": waiting},
+        )
+
     def _exit_when_drained(self, now: float) -> None:
         """Stop once no caller waits and the balancer sends nobody any more."""
         if self._drain_from is None or self._exiting:
@@ -297,17 +332,32 @@
         over = passed > self._settings.grace_s - DRAIN_MARGIN_S
         if over or (idle and passed > LEAST_DRAIN_S):
             self._exiting = True
-            log.info("host stopped", extra={"waiting_callers": self.callers.waiting})
-            self._deadlines.call_after(EXIT_GRACE_S, self.root.stop)
+            self._web.close_idle()
+            self._deadlines.call_after(EXIT_GRACE_S, self._exit)
+
+    def _exit(self) -> None:
+        """Stop, unless a request came on a connection that was to be closed."""
+        passed = now_s() - self._drain_from
+        over = passed > self._settings.grace_s - DRAIN_MARGIN_S
+        if self._web.open_calls and not over:
+            self._exiting = False
+            return
+        log.info("host stopped", extra={"waiting_callers": self.callers.waiting})
+        self.root.stop()
 
 
 def run_front(
-    settings: HostSettings, make_ports: Callable[[Component, Deadlines], Ports]
+    settings: HostSettings,
+    make_ports: Callable[[Component, Deadlines], Ports],
+    read_settings: Callable[[], HostSettings],
 ) -> None:
     """Run a host until it is told to stop and has drained."""
     root = Component()
     poller = EPoll().register(root)
-    FrontProcess(settings, poller, make_ports).register(root)
+    process = FrontProcess(settings, poller, make_ports, read_settings)
+    process.register(root)
+    # circuits handles SIGTERM and SIGINT only; the default of this one is to die.
+    signal(SIGHUP, lambda _signo, _frame: process.ask_reload())
     # Full collections stop the loop for tens of milliseconds: the modules, which live
     # as long as the process, are frozen out of them.
     gc.collect()
--- /dev/null
+++ b/jackdawspur/group/tests/test_group.py
@@ -0,0 +1,121 @@
+"""One host leads, and another takes over when it is gone."""
+
+import pytest
+
+from jackdawspur.group import Group, HostAddress, HostBeat
+from jackdawspur.group._group import FIRST_VACANT_S, SILENCE_S, VACANT_S
+
+UNIX_MS = 1_800_000_000_000
+
+
+def address(name: str, started_ms: int = UNIX_MS - 60_000) -> HostAddress:
+    return HostAddress(name, "z1", f"127.0.0.1:{9000 + len(name)}", started_ms)
+
+
+class Hosts:
+    """Let hosts hear each other, but over cut pairs."""
+
+    def __init__(self, *names: str) -> None:
+        self.now = 50.0
+        self.groups = {name: Group(address(name), self.now) for name in names}
+        self.away: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+
+    def beat(self, name: str) -> HostBeat:
+        group = self.groups[name]
+        return HostBeat(
+            host=address(name),
+            sent_at=self.now,
+            leads=group.leads,
+            fence=group.fence if group.leads else 0,
+            ready=True,
+            draining=group.draining,
+            slow=group.slow,
+            configuration=1,
+            upstreams_age_s=0.0,
+            knows=(),
+        )
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            present = [name for name in self.groups if name not in self.away]
+            beats = {name: self.beat(name) for name in present}
+            for name in present:
+                for other in present:
+                    if other != name and frozenset((name, other)) not in self.cut:
+                        self.groups[name].heard(beats[other], self.now)
+            for name in present:
+                self.groups[name].decide(True, UNIX_MS, self.now)
+
+    def leaders(self) -> list[str]:
+        return [name for name, group in self.groups.items() if group.leads]
+
+
+@pytest.fixture
+def hosts() -> Hosts:
+    three = Hosts("a", "b", "c")
+    three.advance(FIRST_VACANT_S + 1.0)
+    return three
+
+
+def test_one_host_leads_and_all_know_it(hosts: Hosts):
+    (leader,) = hosts.leaders()
+    assert {g.leader(hosts.now) for g in hosts.groups.values()} == {leader}
+
+
+def test_a_silent_leading_host_is_replaced_under_a_higher_fence(hosts: Hosts):
+    # Callers wait and nothing starts: the leading host lost power.
+    (leader,) = hosts.leaders()
+    before = hosts.groups[leader].fence
+    hosts.away.add(leader)
+    hosts.advance(SILENCE_S + VACANT_S + 0.2)
+    (second,) = [name for name in hosts.leaders() if name != leader]
+    assert hosts.groups[second].fence > before
+
+
+def test_a_host_that_woke_gives_up_the_lead(hosts: Hosts):
+    # Upstreams obey two hosts in turn: the leading host stood still, was replaced, and
+    # went on where it had stopped when it woke.
+    (leader,) = hosts.leaders()
+    hosts.away.add(leader)
+    hosts.advance(1.0)
+    hosts.away.clear()
+    hosts.advance(0.2)
+    (second,) = hosts.leaders()
+    assert second != leader
+
+
+def test_both_sides_of_a_cut_lead_and_one_after_it(hosts: Hosts):
+    (leader,) = hosts.leaders()
+    others = [name for name in hosts.groups if name != leader]
+    hosts.cut = {frozenset((leader, other)) for other in others}
+    hosts.advance(1.0)
+    assert len(hosts.leaders()) == 2
+    hosts.cut.clear()
+    hosts.advance(0.3)
+    assert len(hosts.leaders()) == 1
+
+
+def test_a_host_that_is_to_stop_hands_the_lead_on(hosts: Hosts):
+    (leader,) = hosts.leaders()
+    hosts.groups[leader].draining = True
+    hosts.advance(0.4)
+    (second,) = hosts.leaders()
+    assert second != leader
+
+
+def test_the_last_host_leads_on_though_it_is_to_stop():
+    hosts = Hosts("a")
+    hosts.advance(2.0)
+    hosts.groups["a"].draining = True
+    hosts.advance(0.5)
+    assert hosts.leaders() == ["a"]
+
+
+def test_a_refused_fence_is_raised_above_clocks_that_differ(hosts: Hosts):
+    (leader,) = hosts.leaders()
+    group = hosts.groups[leader]
+    before = group.fence
+    group.claim_again(UNIX_MS)
+    assert group.fence > before + (4000 << 22)
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -53,7 +53,7 @@
     def __init__(self, entry: UpstreamEntry, fence: Fence, now: float) -> None:
         self.entry = entry
         self.fence = fence
-        self.runs: dict[str, Run] = {}
+        self.runs: dict[RunId, Run] = {}
         self.last_seen = 0
         self.heard_at = now
         self.asked_since = now
@@ -63,6 +63,7 @@
         self.held = False
         self.answered = True
         self.refused_until = 0.0
+        self.look_at = now
         self._taken = NO_RESOURCES
         self._opaque = 0
         self._clock_ms: int | None = None
@@ -84,7 +85,7 @@
 
     def add(self, run: Run) -> None:
         """Take room for a run."""
-        self.runs[run.id.task] = run
+        self.runs[run.id] = run
         if run.resources is None:
             self._opaque += 1
         else:
@@ -92,7 +93,7 @@
 
     def drop(self, run: Run) -> None:
         """Give the room of a run back."""
-        del self.runs[run.id.task]
+        del self.runs[run.id]
         if run.resources is None:
             self._opaque -= 1
         else:
--- /dev/null
+++ b/jackdawspur/platform/tests/test_settings.py
@@ -0,0 +1,54 @@
+"""The platform's settings file becomes the product's settings."""
+
+import pytest
+
+from jackdawspur.platform import read_platform_settings
+from jackdawspur.settings import SettingsError
+
+GOOD = """node_name=front-a-1
+zone=z-a
+ip=127.0.0.1
+listen.front=127.0.0.1:8161
+listen.ready=127.0.0.1:8167
+port_range=7720,7735
+platform.address=127.0.0.7:8169
+bounds.grace_s=6
+unknown.field=whatever
+"""
+
+
+def written(tmp_path, text: str) -> str:
+    path = tmp_path / "boot.conf"
+    path.write_text(text)
+    return str(path)
+
+
+def test_all_fields_are_read_and_unknown_ones_ignored(tmp_path):
+    settings = read_platform_settings(written(tmp_path, GOOD))
+    assert settings.name == "front-a-1"
+    assert settings.link == "127.0.0.1:7720"
+    assert settings.grace_s == 6.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ("zone=z-a\n", "", "zone"),
+        ("listen.front=127.0.0.1:8161", "listen.front=nowhere", "listen.front"),
+        ("bounds.grace_s=6", "bounds.grace_s=soon", "bounds.grace_s"),
+        ("port_range=7720,7735", "port_range=", "port_range"),
+    ],
+)
+def test_a_wrong_value_is_named_by_the_platforms_field(tmp_path, old, new, field):
+    path = written(tmp_path, GOOD.replace(old, new))
+    with pytest.raises(SettingsError, match=field):
+        read_platform_settings(path)
+
+
+def test_a_file_that_is_missing_or_no_text_is_an_error(tmp_path):
+    with pytest.raises(SettingsError):
+        read_platform_settings(str(tmp_path / "none"))
+    path = tmp_path / "bytes"
+    path.write_bytes(b"\xff\xfe\x00")
+    with pytest.raises(SettingsError):
+        read_platform_settings(str(path))
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -16,6 +16,7 @@
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._looks import Looks
 from jackdawspur.runs._notes import Notes
 from jackdawspur.runs._order import Standing, order_key, standing
 from jackdawspur.runs._placing import choose
@@ -23,8 +24,9 @@
 
 __all__ = ["Dispatcher"]
 
-# After this long under a new leading host, whatever an earlier one may still have had
-# running is stopped or has lapsed: 0.4 s until it gives up, a lease, and a margin.
+# This long after a job was handed to another leading host, whatever the earlier one may
+# still have had running is stopped or has lapsed: 0.4 s until that gives up, a lease,
+# and a margin.
 SETTLED_S = 1.1
 MS_PER_S = 1000.0
 LEAST_RETRY_S = 1.0
@@ -42,9 +44,9 @@
         self._effects: list[Effect] = []
         self._notes = Notes(self._effects)
         self._estimates = Estimates(own)
-        self._fleet = Fleet(self, self._effects, self._notes, now)
+        self._fleet = Fleet(self, self._effects, self._notes)
+        self._looks = Looks(self._fleet)
         self._jobs: dict[str, Job] = {}
-        self._led_at = now
         self.leads = False
         self.completed = 0
         self.refused = 0
@@ -71,7 +73,6 @@
     def lead(self, fence: Fence, now: float) -> None:
         """Begin to lead: nothing starts on an upstream before a look at it."""
         self._jobs.clear()
-        self._led_at = now
         self.leads = True
         self._fleet.hold_all(fence, now)
 
@@ -99,7 +100,7 @@
             return
         steps = offer.request.steps
         expected = self._estimates.expected_ms(offer.request.route, steps)
-        job = Job(offer, expected)
+        job = Job(offer, expected, now)
         self._jobs[job.id] = job
         self._fleet.claim(job, now)
         if job.complete:
@@ -110,7 +111,7 @@
         job = self._jobs.get(job_id)
         if job is None or (job.offer.host, job.offer.call) != (host, call):
             return
-        self._notes.add(Decision.JOB_DROPPED, job.id, "", host=host)
+        self._note_late(Decision.JOB_DROPPED, job, now)
         self._end(job, now)
 
     def drop_host(self, host: str, now: float) -> None:
@@ -140,7 +141,7 @@
         now: float,
     ) -> None:
         """Take in the reply to a look, or why there is none."""
-        self._fleet.look_replied(upstream, fence, number, result, now)
+        self._looks.replied(upstream, fence, number, result, now)
 
     def done_since(self) -> dict[str, dict[str, tuple[str, ...]]]:
         """Return the tasks done of each open job, by host and job."""
@@ -155,7 +156,7 @@
         """Give room to waiting tasks and return all that is to be done."""
         if self.leads:
             self._place(now)
-            self._fleet.look_where_due(now)
+            self._looks.send_due(now)
         effects = self._effects[:]
         self._effects.clear()
         return effects
@@ -190,12 +191,13 @@
         else:
             self._run_again(job, task, ended.ending, now)
 
-    def run_lost(self, task_name: str, upstream: UpstreamId, now: float) -> None:
+    def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Let a task wait again whose run can't exist any more."""
         self._estimates.lost(upstream, now)
-        job = self.job_of(task_name)
-        if job is not None and task_name in job.by_name:
-            job.put_back(job.by_name[task_name])
+        job = self.job_of(run.task)
+        task = job.by_name.get(run.task) if job else None
+        if task is not None and task.run == run.number:
+            job.put_back(task)
 
     def start_invalid(self, task_name: str, now: float) -> None:
         """Fail the job of a task that no upstream takes."""
@@ -218,6 +220,7 @@
 
     def _complete(self, job: Job) -> None:
         self.completed += 1
+        self._estimates.learn_paces(job)
         self._answer(job, JobOutcome(JobEnd.COMPLETE, not_run=False))
         del self._jobs[job.id]
 
@@ -233,13 +236,24 @@
     def _give_up_if_late(self, job: Job, now: float) -> None:
         if now >= job.offer.deadline:
             reason = "the caller's time is over"
-            self._notes.add(Decision.JOB_OUT_OF_TIME, job.id, "", reason=reason)
+            self._note_late(Decision.JOB_OUT_OF_TIME, job, now)
             outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, 0.0, reason)
             self._answer(job, outcome)
             self._end(job, now)
         elif not job.started and standing(job, now) is Standing.HOPELESS:
             self._refuse(job, now)
 
+    def _note_late(self, decision: Decision, job: Job, now: float) -> None:
+        self._notes.add(
+            decision,
+            job.id,
+            "",
+            host=job.offer.host,
+            waited_ms=round((now - job.offer.arrived) * MS_PER_S),
+            expected_ms=round(max(job.expected_ms)),
+            tasks=job.story(now),
+        )
+
     def _refuse(self, job: Job, now: float) -> None:
         self.refused += 1
         waited_ms = (now - job.offer.arrived) * MS_PER_S
@@ -282,7 +296,7 @@
 
         It may reach an upstream that this host does not, and run the same tasks there.
         """
-        if not job.offer.handed or now - self._led_at > SETTLED_S:
+        if not job.offer.handed or now - job.offered_at > SETTLED_S:
             return True
         return self._fleet.all_held
 
--- a/jackdawspur/runs/_estimates.py
+++ b/jackdawspur/runs/_estimates.py
@@ -6,6 +6,7 @@
 from jackdawspur.leases import Ending
 from jackdawspur.model import HostId, SubmissionId, UpstreamId
 from jackdawspur.runs._job import Job, Task, run_time_spec
+from jackdawspur.runs._paces import Paces
 from jackdawspur.runs._types import JobStep, Route
 from jackdawspur.scheduling import RunTimes
 
@@ -21,11 +22,13 @@
         self._own = own
         self._run_times = RunTimes()
         self._health = UpstreamHealth(own)
-        self._numbers: dict[str, int] = {}
+        self._paces = Paces()
 
     def set_upstreams(self, upstreams: Iterable[UpstreamId]) -> None:
         """Judge exactly these upstreams."""
-        self._health.set_upstreams(upstreams)
+        kept = tuple(upstreams)
+        self._health.set_upstreams(kept)
+        self._paces.set_upstreams(kept)
 
     def expected_ms(
         self, route: Route, steps: tuple[JobStep, ...]
@@ -48,9 +51,15 @@
             upstream, now
         )
 
-    def slowness(self, upstream: UpstreamId) -> float:
-        """Return how much slower than the median it runs."""
-        return self._health.slowness(upstream)
+    def pace(self, upstream: UpstreamId) -> float:
+        """Return the factor on the time that a task takes there."""
+        return self._paces.of(upstream)
+
+    def learn_paces(self, job: Job) -> None:
+        """Compare the upstreams that ran a job's tasks side by side."""
+        for number in range(len(job.request.steps)):
+            tasks = [t for t in job.tasks if t.step == number and t.took_ms]
+            self._paces.learn([(t.upstream, t.took_ms) for t in tasks])
 
     def ended(
         self,
@@ -71,7 +80,9 @@
             self._health.failed(upstream, submission, route.name, now)
             return
         took_ms = (now - since) * MS_PER_S
+        task.took_ms = took_ms
+        pace = self._paces.of(upstream)
         ratio = took_ms / max(1.0, job.expected_ms[task.step])
         self._health.succeeded(upstream, route.name, ratio, now, since)
         spec = run_time_spec(task.spec)
-        self._run_times.observe(route.service, route.name, spec, took_ms)
+        self._run_times.observe(route.service, route.name, spec, took_ms / pace)
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -4,36 +4,30 @@
 from typing import Protocol
 
 from jackdawspur.leases import (
-    FENCE_STEP,
     CallOutcome,
     EndedRun,
     Fence,
     HeldUpstream,
-    LookReport,
     Phase,
     Run,
     RunId,
-    RunningRun,
     UpstreamEntry,
 )
 from jackdawspur.model import UpstreamId
-from jackdawspur.runs._effects import Decision, Effect, LookAt, StartRun, StopRun
+from jackdawspur.runs._effects import Decision, Effect, StartRun, StopRun
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._notes import Notes
 
 __all__ = ["Fleet", "RunOwner"]
 
-# A look waits this long for an end: leases of 0.6 s are prolonged twice a term.
-LOOK_WAIT_MS = 200
-# After a look without a reply the next one follows this much later.
-LOOK_AGAIN_S = 0.1
 # A start that an upstream refused is not sent there again before this.
 REFUSED_S = 0.2
 UNHEALTHY_S = 0.5
 # Stops are repeated until they are acknowledged.
 STOP_AGAIN_S = 0.1
-# A new leading host waits this long for the jobs of the runs it finds.
-UNCLAIMED_S = 0.3
+# A new leading host waits this long for the jobs of the runs it finds: it tells the
+# others at once that it leads, and they offer their jobs again within a pass or two.
+UNCLAIMED_S = 0.15
 # A run on an upstream that obeys another host may go on until that host stops it.
 FENCED_S = 1.5
 SMALLEST_ROOM_MILLIS = 1
@@ -50,7 +44,7 @@
     ) -> None:
         """Take in the end of a run."""
 
-    def run_lost(self, task_name: str, upstream: UpstreamId, now: float) -> None:
+    def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Take in that a run can't exist any more."""
 
     def start_invalid(self, task_name: str, now: float) -> None:
@@ -60,16 +54,13 @@
 class Fleet:
     """Hold upstreams, and keep where each task takes room."""
 
-    def __init__(
-        self, owner: RunOwner, effects: list[Effect], notes: Notes, now: float
-    ) -> None:
-        self._owner = owner
-        self._effects = effects
-        self._notes = notes
+    def __init__(self, owner: RunOwner, effects: list[Effect], notes: Notes) -> None:
+        self.owner = owner
+        self.effects = effects
+        self.notes = notes
         self._entries: dict[UpstreamId, UpstreamEntry] = {}
         self._held: dict[UpstreamId, HeldUpstream] = {}
-        self._where: dict[str, HeldUpstream] = {}
-        self._look_at: dict[UpstreamId, float] = {}
+        self._where: dict[str, list[HeldUpstream]] = {}
         self._fence: Fence = 0
         self._leads = False
         self.fenced_since: float | None = None
@@ -81,8 +72,11 @@
 
     @property
     def all_held(self) -> bool:
-        """Tell whether every upstream answered a look of this host."""
-        return all(held.held for held in self._held.values())
+        """Tell whether every upstream obeys this host and answered its last look.
+
+        One that is silent may obey another leading host by now.
+        """
+        return all(held.held and held.answered for held in self._held.values())
 
     @property
     def held(self) -> Iterable[HeldUpstream]:
@@ -95,7 +89,6 @@
         self._leads = True
         self._held = {}
         self._where.clear()
-        self._look_at.clear()
         self.fenced_since = None
         for entry in self._entries.values():
             self._hold(entry, now)
@@ -105,7 +98,6 @@
         self._leads = False
         self._held = {}
         self._where.clear()
-        self._look_at.clear()
 
     def set_entries(self, entries: tuple[UpstreamEntry, ...], now: float) -> None:
         """Take in the list; what left it is kept while runs of it may exist."""
@@ -123,7 +115,10 @@
         held = HeldUpstream(entry, self._fence, now)
         held.sure_look = 1
         self._held[entry.id] = held
-        self._look_at[entry.id] = now
+
+    def find(self, upstream: UpstreamId) -> HeldUpstream | None:
+        """Return an upstream, if it is held or to be held."""
+        return self._held.get(upstream)
 
     def takes_room(self, task_name: str) -> bool:
         """Tell whether a run of the task may exist."""
@@ -152,52 +147,47 @@
     def start(self, held: HeldUpstream, task: Task, spec: str, now: float) -> None:
         """Take room and send a start."""
         run = Run(task.run_id, task.spec.resources, Phase.STARTING, now)
-        held.add(run)
-        self._where[task.name] = held
+        self.add(held, run)
         until_ms = held.grant_until(now) or 0
         entry = held.entry
-        self._effects.append(
+        self.effects.append(
             StartRun(entry.id, entry.address, run.id, spec, until_ms, held.fence)
         )
 
     def stop(self, task_name: str, now: float) -> None:
         """Stop the run of a task; one whose start is still open is stopped after it."""
-        held = self._where.get(task_name)
-        if held is None:
-            return
-        run = held.runs[task_name]
-        run.claimed = False
-        if run.phase in (Phase.RUNNING, Phase.UNSURE):
-            self._send_stop(held, run, now)
+        for held, run in self._runs_of(task_name):
+            run.claimed = False
+            if run.phase in (Phase.RUNNING, Phase.UNSURE):
+                self.send_stop(held, run, now)
 
-    def _send_stop(self, held: HeldUpstream, run: Run, now: float) -> None:
+    def send_stop(self, held: HeldUpstream, run: Run, now: float) -> None:
         if run.phase is Phase.RUNNING:
             run.phase = Phase.STOPPING
         run.since = now
         entry = held.entry
-        self._effects.append(StopRun(entry.id, entry.address, run.id, held.fence))
+        self.effects.append(StopRun(entry.id, entry.address, run.id, held.fence))
 
     def claim(self, job: Job, now: float) -> None:
         """Give a job the runs of it that an earlier leading host started."""
         for task in job.tasks:
-            held = self._where.get(task.name)
-            run = held.runs[task.name] if held else None
-            if run is not None and not run.claimed:
-                self._adopt(held, run, job, task, now)
+            for held, run in self._runs_of(task.name):
+                if not run.claimed:
+                    self.adopt(held, run, job, task, now)
 
-    def _adopt(
+    def adopt(
         self, held: HeldUpstream, run: Run, job: Job, task: Task, now: float
     ) -> None:
         held.size(run, task.spec.resources)
         usable = run.phase is Phase.RUNNING and task.state is TaskState.WAITING
         if not usable:
             if run.phase is Phase.RUNNING:
-                self._send_stop(held, run, now)
+                self.send_stop(held, run, now)
             return
         run.claimed = True
         task.run = run.id.number
         job.place(task, held.entry.id, now)
-        self._notes.add(Decision.JOB_ADOPTED, job.id, str(held.entry.id))
+        self.notes.add(Decision.JOB_ADOPTED, job.id, str(held.entry.id))
 
     def start_replied(
         self, upstream: UpstreamId, run_id: RunId, outcome: CallOutcome, now: float
@@ -210,7 +200,7 @@
             run.phase = Phase.RUNNING
             run.sure_after = held.looks + 1
             if not run.claimed:
-                self._send_stop(held, run, now)
+                self.send_stop(held, run, now)
         elif outcome is CallOutcome.UNKNOWN:
             self._unsure(held, run)
         else:
@@ -225,21 +215,21 @@
         run.phase = Phase.UNSURE
         held.raise_fence()
         run.sure_after = held.sure_look
-        self._notes.add(
+        self.notes.add(
             Decision.RUN_UNSURE, run.id.task, str(held.entry.id), run=run.id.number
         )
 
     def _not_started(
         self, held: HeldUpstream, run: Run, outcome: CallOutcome, now: float
     ) -> None:
-        self._notes.add(
+        self.notes.add(
             Decision.START_REFUSED,
             run.id.task,
             str(held.entry.id),
             run=run.id.number,
             outcome=outcome.value,
         )
-        self._lose(held, run, now)
+        self.lose(held, run, now)
         if outcome in (CallOutcome.FENCED, CallOutcome.LATE):
             held.held = False
             held.sure_look = held.looks + 1
@@ -248,9 +238,9 @@
         elif outcome in (CallOutcome.NO_ROOM, CallOutcome.NOT_SENT):
             held.refused_until = now + REFUSED_S
         elif outcome is CallOutcome.GONE:
-            self._gone(held, now)
+            self.gone(held, now)
         elif outcome is CallOutcome.INVALID:
-            self._owner.start_invalid(run.id.task, now)
+            self.owner.start_invalid(run.id.task, now)
 
     def stop_replied(
         self, upstream: UpstreamId, run_id: RunId, outcome: CallOutcome, now: float
@@ -261,137 +251,6 @@
             run.stop_acked = True
             run.sure_after = max(run.sure_after, held.looks + 1)
 
-    def look_where_due(self, now: float) -> None:
-        """Send the looks whose time has come."""
-        for held in self._held.values():
-            urgent = held.sure_look > held.looks and held.looks_open < 2
-            if urgent or (not held.looks_open and now >= self._look_at[held.entry.id]):
-                self._look(held, now)
-
-    def _look(self, held: HeldUpstream, now: float) -> None:
-        if not held.looks_open:
-            held.asked_since = now
-        number = held.next_look()
-        calm = held.held and held.answered and number > held.sure_look
-        until = held.grant_until(now) if self._may_prolong(held) else None
-        self._effects.append(
-            LookAt(
-                held.entry.id,
-                held.entry.address,
-                number,
-                held.fence,
-                held.last_seen,
-                until,
-                LOOK_WAIT_MS if calm else 0,
-            )
-        )
-
-    def _may_prolong(self, held: HeldUpstream) -> bool:
-        """Tell whether a lease may grow: not while a stop waits to be acknowledged.
-
-        The caller of a stopped task may ask again elsewhere; were the stop lost, only
-        the end of the lease would keep the two runs apart.
-        """
-        return not any(
-            run.phase is Phase.STOPPING and not run.stop_acked
-            for run in held.runs.values()
-        )
-
-    def look_replied(
-        self,
-        upstream: UpstreamId,
-        fence: Fence,
-        number: int,
-        result: LookReport | CallOutcome,
-        now: float,
-    ) -> None:
-        """Take in the reply to a look, or why there is none."""
-        held = self._held.get(upstream)
-        if held is None or held.fence // FENCE_STEP != fence // FENCE_STEP:
-            return
-        held.looks_open -= 1
-        if isinstance(result, LookReport):
-            self._look_at[upstream] = now
-            self._reported(held, number, result, now)
-        elif result is CallOutcome.GONE:
-            self._gone(held, now)
-        else:
-            self._look_failed(held, result, now)
-
-    def _look_failed(
-        self, held: HeldUpstream, outcome: CallOutcome, now: float
-    ) -> None:
-        self._look_at[held.entry.id] = now + LOOK_AGAIN_S
-        if held.answered:
-            decision = Decision.UPSTREAM_SILENT
-            if outcome is CallOutcome.FENCED:
-                decision = Decision.UPSTREAM_FENCED
-            self._notes.add(
-                decision, "", str(held.entry.id), runs=len(held.runs), why=outcome.value
-            )
-        held.answered = False
-        if outcome is CallOutcome.FENCED:
-            held.held = False
-            self.fenced_since = self.fenced_since or now
-
-    def _reported(
-        self, held: HeldUpstream, number: int, report: LookReport, now: float
-    ) -> None:
-        if not held.held or not held.answered:
-            self._notes.add(
-                Decision.UPSTREAM_HELD, "", str(held.entry.id), runs=len(report.running)
-            )
-        held.note_report(number, report, now)
-        self.fenced_since = None
-        for ended in report.ended:
-            self._take_end(held, ended, now)
-        listed = set()
-        for row in report.running:
-            listed.add(row.run)
-            self._take_running(held, row, now)
-        self._drop_absent(held, number, listed, now)
-
-    def _take_end(self, held: HeldUpstream, ended: EndedRun, now: float) -> None:
-        if ended.number <= held.last_seen:
-            return
-        held.last_seen = ended.number
-        run = held.runs.get(ended.run.task)
-        if run is not None and run.id == ended.run:
-            self._release(held, run)
-            self._owner.run_ended(held.entry.id, ended, run.since, now)
-
-    def _take_running(self, held: HeldUpstream, row: RunningRun, now: float) -> None:
-        run = held.runs.get(row.run.task)
-        if run is not None and run.id == row.run:
-            run.percent = row.percent
-            if run.phase is Phase.UNSURE:
-                run.phase = Phase.RUNNING
-                if not run.claimed:
-                    self._send_stop(held, run, now)
-            return
-        if run is not None or row.run.task in self._where:
-            return
-        found = Run(row.run, None, Phase.RUNNING, now, row.percent, claimed=False)
-        found.sure_after = held.looks + 1
-        held.add(found)
-        self._where[row.run.task] = held
-        job = self._owner.job_of(row.run.task)
-        if job is not None and row.run.task in job.by_name:
-            self._adopt(held, found, job, job.by_name[row.run.task], now)
-
-    def _drop_absent(
-        self, held: HeldUpstream, number: int, listed: set[RunId], now: float
-    ) -> None:
-        """Give back the room of runs that a look shows to be absent.
-
-        Only a look sent after the start's outcome was known, or under a fence raised
-        since, proves that; an earlier one may have passed the start on the way.
-        """
-        for run in list(held.runs.values()):
-            settled = run.sure_after and number >= run.sure_after
-            if run.id not in listed and settled and run.phase is not Phase.STARTING:
-                self._lose(held, run, now)
-
     def tick(self, now: float) -> None:
         """Repeat stops, stop runs of nobody and give up silent upstreams."""
         for held in list(self._held.values()):
@@ -406,10 +265,10 @@
         waited = now - run.since
         if run.phase is Phase.STOPPING and not run.stop_acked:
             if waited > STOP_AGAIN_S:
-                self._send_stop(held, run, now)
+                self.send_stop(held, run, now)
         elif run.phase is Phase.RUNNING and not run.claimed and waited > UNCLAIMED_S:
-            self._notes.add(Decision.RUN_STOPPED, run.id.task, str(held.entry.id))
-            self._send_stop(held, run, now)
+            self.notes.add(Decision.RUN_STOPPED, run.id.task, str(held.entry.id))
+            self.send_stop(held, run, now)
 
     def _all_lapsed(self, held: HeldUpstream, now: float) -> bool:
         if not held.held and self.fenced_since is not None:
@@ -422,43 +281,53 @@
         held.held = False
         silent_ms = round((now - held.heard_at) * 1000)
         for run in list(held.runs.values()):
-            self._notes.add(
+            self.notes.add(
                 Decision.RUN_LOST,
                 run.id.task,
                 str(held.entry.id),
                 run=run.id.number,
                 silent_ms=silent_ms,
             )
-            self._lose(held, run, now)
+            self.lose(held, run, now)
 
-    def _gone(self, held: HeldUpstream, now: float) -> None:
+    def gone(self, held: HeldUpstream, now: float) -> None:
         """Give up a boot of an upstream that another boot has replaced."""
-        self._notes.add(
+        self.notes.add(
             Decision.UPSTREAM_GONE, "", str(held.entry.id), runs=len(held.runs)
         )
         for run in list(held.runs.values()):
-            self._lose(held, run, now)
+            self.lose(held, run, now)
         self._entries.pop(held.entry.id, None)
         self._forget(held)
 
     def _forget(self, held: HeldUpstream) -> None:
         self._held.pop(held.entry.id, None)
-        self._look_at.pop(held.entry.id, None)
 
-    def _lose(self, held: HeldUpstream, run: Run, now: float) -> None:
-        self._release(held, run)
-        self._owner.run_lost(run.id.task, held.entry.id, now)
+    def lose(self, held: HeldUpstream, run: Run, now: float) -> None:
+        self.release(held, run)
+        self.owner.run_lost(run.id, held.entry.id, now)
+
+    def add(self, held: HeldUpstream, run: Run) -> None:
+        held.add(run)
+        self._where.setdefault(run.id.task, []).append(held)
 
-    def _release(self, held: HeldUpstream, run: Run) -> None:
+    def release(self, held: HeldUpstream, run: Run) -> None:
         held.drop(run)
-        if self._where.get(run.id.task) is held:
+        places = self._where[run.id.task]
+        places.remove(held)
+        if not places:
             del self._where[run.id.task]
 
+    def _runs_of(self, task_name: str) -> list[tuple[HeldUpstream, Run]]:
+        return [
+            (held, run)
+            for held in dict.fromkeys(self._where.get(task_name, ()))
+            for run in list(held.runs.values())
+            if run.id.task == task_name
+        ]
+
     def _find(
         self, upstream: UpstreamId, run_id: RunId
     ) -> tuple[HeldUpstream | None, Run | None]:
         held = self._held.get(upstream)
-        run = held.runs.get(run_id.task) if held else None
-        if run is not None and run.id != run_id:
-            return held, None
-        return held, run
+        return held, held.runs.get(run_id) if held else None
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -33,6 +33,7 @@
     failures: int = 0
     upstream: UpstreamId | None = None
     placed_at: float = 0.0
+    took_ms: float = 0.0
     avoid: set[UpstreamId] = field(default_factory=set)
 
     @property
@@ -49,8 +50,11 @@
 class Job:
     """Keep one job: its tasks, its times and whether anything of it started."""
 
-    def __init__(self, offer: Offer, expected_ms: tuple[float, ...]) -> None:
+    def __init__(
+        self, offer: Offer, expected_ms: tuple[float, ...], now: float
+    ) -> None:
         self.offer = offer
+        self.offered_at = now
         self.request = offer.request
         self.expected_ms = expected_ms
         self.started = offer.handed > 0
@@ -115,6 +119,15 @@
         """Return the tasks that take room."""
         return [task for task in self.tasks if task.state is TaskState.PLACED]
 
+    def story(self, now: float) -> str:
+        """Tell for the log where each task is, and for how many milliseconds."""
+        parts = []
+        for task in self.tasks:
+            where = task.upstream.name if task.upstream else "-"
+            ms = task.took_ms or (now - task.placed_at) * 1000 * (where != "-")
+            parts.append(f"{task.state.value}:{where}:{round(ms)}")
+        return " ".join(parts)
+
     def left_ms(self) -> float:
         """Return the expected time from a start now to the end of the last step."""
         chain: list[float] = []
--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -1,30 +1,40 @@
 """Where a task starts."""
 
+import math
+
 from jackdawspur.leases import HeldUpstream
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task
+from jackdawspur.runs._order import objective
 
 __all__ = ["choose"]
 
 # A task takes about this much longer away from the rack that it had better be on.
 REMOTE_FACTOR = 2.0
-# Expected run times within this factor count as the same, so that packing decides.
+# Run times are known to about this factor: a task that still ends in time when it takes
+# so much longer is safe on any upstream.
+DOUBT = 1.3
+# Paces within this factor count as the same, so that packing decides.
 SAME_PACE = 0.15
+MS_PER_S = 1000.0
 
 
 def choose(
     task: Task, job: Job, fleet: Fleet, estimates: Estimates, now: float
 ) -> HeldUpstream | None:
-    """Return the upstream that ends the task soonest, the fullest among equals.
+    """Return the upstream that suits the task best, the fullest among equals.
 
-    Filling one upstream before the next keeps room for tasks that take much of one.
+    A task that has time takes the slowest upstream that is safe for it, which leaves
+    the fast ones to tasks that would be late elsewhere. Filling one upstream before
+    the next keeps room for tasks that take much of one.
     """
     best, best_score = None, None
+    most_pace = _safe_pace(task, job, now)
     for held in fleet.with_room(job.request.route.service, now):
         if not _suits(task, job, held, fleet, estimates, now):
             continue
-        score = _score(task, held, estimates)
+        score = _score(task, held, estimates, most_pace)
         if best_score is None or score < best_score:
             best, best_score = held, score
     return best
@@ -50,12 +60,24 @@
 
 def _of_step(task: Task, held: HeldUpstream) -> int:
     step = task.name.rpartition(".")[0] + "."
-    return sum(name.startswith(step) for name in held.runs)
+    return sum(run.task.startswith(step) for run in held.runs)
+
+
+def _safe_pace(task: Task, job: Job, now: float) -> float:
+    """Return the slowest pace at which the task should still be on time."""
+    left_s = min(objective(job), job.offer.deadline) - now
+    expected_ms = max(1.0, job.expected_ms[task.step])
+    return left_s * MS_PER_S / (expected_ms * DOUBT)
 
 
-def _score(task: Task, held: HeldUpstream, estimates: Estimates) -> tuple[int, int]:
-    pace = estimates.slowness(held.entry.id)
+def _score(
+    task: Task, held: HeldUpstream, estimates: Estimates, most_pace: float
+) -> tuple[bool, int, int]:
+    pace = estimates.pace(held.entry.id)
     if task.spec.near and task.spec.near not in held.entry.labels:
         pace *= REMOTE_FACTOR
     left = held.free.cpu_millis - task.spec.resources.cpu_millis
-    return (int(pace / SAME_PACE), left)
+    rank = round(math.log(pace) / SAME_PACE)
+    if pace <= most_pace:
+        return (False, -rank, left)
+    return (True, rank, left)
--- /dev/null
+++ b/jackdawspur/runs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the leading host's decisions."""
--- /dev/null
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -0,0 +1,198 @@
+"""A task never has two runs at one time."""
+
+from jackdawspur.leases import CallOutcome, Ending
+from jackdawspur.runs import JobEnd
+from jackdawspur.runs.tests.conftest import FENCE, Leading
+
+
+def test_a_job_ends_complete_with_its_last_task(leading: Leading):
+    leading.offer("aa", tasks=3)
+    leading.settle()
+    names = sorted(leading.running())
+    assert names == ["aa.0.0.0", "aa.0.0.1", "aa.0.0.2"]
+    for name in names:
+        assert not leading.answers
+        upstream = leading.upstreams[leading.running()[name][0]]
+        upstream.end(name)
+        leading.settle()
+    assert [a.outcome.end for a in leading.answers] == [JobEnd.COMPLETE]
+
+
+def test_no_upstream_gets_more_than_its_capacity(leading: Leading):
+    leading.offer("aa", tasks=9)
+    leading.settle()
+    assert [len(u.running) for u in leading.upstreams.values()] == [2, 2]
+
+
+def test_an_unanswered_start_that_ran_is_found_and_not_repeated(leading: Leading):
+    # A caller's task is billed twice. The start's reply was lost after the upstream
+    # had carried it out, and the host sent the task to another upstream.
+    leading.offer("aa")
+    leading.collect()
+    leading.lose_start(carried_out=True)
+    leading.collect()
+    assert not leading.starts
+    leading.settle()
+    assert {len(places) for places in leading.running().values()} == {1}
+    assert leading.running().keys() == {"aa.0.0.0"}
+
+
+def test_an_unanswered_start_is_barred_before_it_is_repeated(leading: Leading):
+    # A caller's task is billed twice. A start got no reply and was carried out seconds
+    # later, when the task already ran elsewhere. Looks under a higher token bar it.
+    leading.offer("aa")
+    leading.collect()
+    order = leading.lose_start(carried_out=False)
+    leading.settle()
+    upstream = leading.upstreams[order.upstream]
+    assert upstream.fence > order.fence
+    assert sum(map(len, leading.running().values())) == 1
+
+
+def test_a_silent_upstreams_task_waits_for_the_end_of_its_lease(leading: Leading):
+    # A task runs twice at one time. Its upstream was cut off and ran on, and the host
+    # started the task again as soon as it had no answer.
+    leading.offer("aa")
+    leading.settle()
+    (place,) = leading.running()["aa.0.0.0"]
+    leading.silent.add(place)
+    leading.advance(0.4)
+    assert leading.running()["aa.0.0.0"] == [place]
+    leading.upstreams[place].running.clear()
+    leading.advance(0.6)
+    (other,) = leading.running()["aa.0.0.0"]
+    assert other != place
+
+
+def test_a_dropped_job_whose_stop_is_lost_gets_no_longer_lease(leading: Leading):
+    # A caller that left asks again elsewhere and its task runs twice. The stop of the
+    # first run was lost while looks for other tasks prolonged the lease for all.
+    leading.offer("aa")
+    leading.offer("bb", call=2)
+    leading.settle()
+    leading.dispatcher.drop("h2", "aa", 1, leading.now)
+    leading.collect()
+    (order,) = leading.stops
+    leading.stops.clear()
+    leading.dispatcher.stop_replied(
+        order.upstream, order.run, CallOutcome.UNKNOWN, leading.now
+    )
+    leading.looks.clear()
+    leading.now += 0.01
+    held = next(
+        h for h in leading.dispatcher.fleet.held if h.entry.id == order.upstream
+    )
+    held.looks_open = 0
+    leading.collect()
+    look = next(look for look in leading.looks if look.upstream == order.upstream)
+    assert look.until_ms is None
+
+
+def test_the_same_job_again_waits_until_its_first_run_is_gone(leading: Leading):
+    # A caller's channel breaks, and its request arrives again while the first run is
+    # still being stopped: the task would run twice for a moment.
+    leading.offer("aa")
+    leading.settle()
+    (place,) = leading.running()["aa.0.0.0"]
+    leading.dispatcher.drop("h2", "aa", 1, leading.now)
+    leading.offer("aa", host="h1", call=9)
+    leading.collect()
+    assert not leading.starts
+    leading.settle()
+    assert sum(map(len, leading.running().values())) == 1
+    assert leading.upstreams[place].ends == 1
+
+
+def test_a_failed_task_runs_again_up_to_its_attempts(leading: Leading):
+    leading.offer("aa")
+    for _ in range(3):
+        leading.settle()
+        ((name, (place,)),) = leading.running().items()
+        leading.upstreams[place].end(name, Ending.FAILED)
+    leading.settle()
+    assert [a.outcome.end for a in leading.answers] == [JobEnd.FAILED]
+    assert not leading.running()
+
+
+def test_a_run_of_unknown_size_closes_its_upstream_until_it_is_stopped():
+    # An upstream is driven over its capacity. A new leading host found a run whose job
+    # it did not have, counted it as nothing and filled the upstream.
+    leading = Leading(upstreams=1)
+    (upstream,) = leading.upstreams.values()
+    upstream.running["old.0.0.0"] = 1
+    leading.lead()
+    leading.offer("aa", tasks=2)
+    leading.settle()
+    assert set(upstream.running) == {"old.0.0.0"}
+    leading.advance(0.5)
+    assert set(upstream.running) == {"aa.0.0.0", "aa.0.0.1"}
+
+
+def test_a_handed_over_job_keeps_what_runs_of_it():
+    # A leading host dies; its jobs' tasks are started again beside the old runs.
+    leading = Leading()
+    upstream = next(iter(leading.upstreams.values()))
+    upstream.running["aa.0.0.1"] = 1
+    leading.lead()
+    leading.offer("aa", tasks=2, handed=1, done=("aa.0.0.0",))
+    leading.settle()
+    assert leading.running() == {"aa.0.0.1": [upstream.id]}
+    upstream.end("aa.0.0.1")
+    leading.settle()
+    assert [a.outcome.end for a in leading.answers] == [JobEnd.COMPLETE]
+
+
+def test_a_handed_over_job_waits_for_upstreams_that_do_not_answer():
+    # A task runs twice: the new leading host can't reach an upstream on which the old
+    # one, cut off from the new but not from that upstream, still runs the task.
+    leading = Leading()
+    first = next(iter(leading.upstreams))
+    leading.silent.add(first)
+    leading.lead()
+    leading.offer("aa", handed=1)
+    leading.settle()
+    assert not leading.running()
+    leading.advance(1.2)
+    assert len(leading.running()) == 1
+
+
+def test_a_higher_fence_elsewhere_stops_all_starts_there():
+    leading = Leading(upstreams=1)
+    (upstream,) = leading.upstreams.values()
+    leading.lead()
+    upstream.fence = FENCE * 4
+    leading.offer("aa")
+    leading.settle()
+    assert not leading.running()
+    assert leading.dispatcher.fleet.fenced_since is not None
+
+
+def test_every_listed_run_takes_room_though_its_task_runs_elsewhere():
+    # An upstream is driven over its capacity. Two leading hosts had started the same
+    # task in turn, and the run found second was counted as no load.
+    leading = Leading(upstreams=2)
+    first, second = leading.upstreams.values()
+    first.running["aa.0.0.0"] = 1
+    second.running["aa.0.0.0"] = 17
+    leading.lead()
+    leading.offer("aa", handed=1)
+    leading.offer("bb", tasks=4, call=2)
+    leading.collect()
+    assert all(len(u.running) <= 2 for u in leading.upstreams.values())
+    leading.settle()
+    assert sum("aa.0.0.0" in u.running for u in (first, second)) <= 1
+    assert all(len(u.running) <= 2 for u in leading.upstreams.values())
+
+
+def test_a_handed_over_job_waits_for_an_idle_upstream_that_was_cut_off(
+    leading: Leading,
+):
+    # A task runs twice after a cut heals. The other side's leading host had taken over
+    # an upstream that was idle when the cut began; this one, which got that host's
+    # jobs, still counted the upstream as its own and as empty.
+    first = next(iter(leading.upstreams))
+    leading.silent.add(first)
+    leading.advance(1.0)
+    leading.offer("aa", handed=1)
+    leading.settle()
+    assert not leading.running()
