--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -12,9 +12,11 @@
 
 # A task takes about this much longer away from the rack that it had better be on.
 REMOTE_FACTOR = 2.0
-# Run times are known to about this factor: a task that still ends in time when it takes
-# so much longer is safe on any upstream.
-DOUBT = 1.3
+# Tasks take up to this many times as long as expected, one in a hundred: one that would
+# still end within its caller's time then is safe. Being late by a little costs less, so
+# for the objective a smaller factor does.
+DOUBT_OF_DEADLINE = 3.0
+DOUBT_OF_OBJECTIVE = 1.2
 # Paces within this factor count as the same, so that packing decides.
 SAME_PACE = 0.15
 MS_PER_S = 1000.0
@@ -65,9 +67,10 @@
 
 def _safe_pace(task: Task, job: Job, now: float) -> float:
     """Return the slowest pace at which the task should still be on time."""
-    left_s = min(objective(job), job.offer.deadline) - now
-    expected_ms = max(1.0, job.expected_ms[task.step])
-    return left_s * MS_PER_S / (expected_ms * DOUBT)
+    expected_s = max(1.0, job.expected_ms[task.step]) / MS_PER_S
+    to_objective = (objective(job) - now) / DOUBT_OF_OBJECTIVE
+    to_deadline = (job.offer.deadline - now) / DOUBT_OF_DEADLINE
+    return min(to_objective, to_deadline) / expected_s
 
 
 def _score(
