Stand in for the platform: a store and fenced workers; run the whole path in tests

What: one small process serves keyed topics with long reads and workers with fences, leases, ends and stops; it counts runs beside each other and over capacity.

--- a/jackdawspur/cli/_standin.py
+++ b/jackdawspur/cli/_standin.py
@@ -8,6 +8,7 @@
 from jackdawspur.settings import (
     HostListStandin,
     LogStandin,
+    PlatformStandin,
     RackStandin,
     load_settings,
 )
@@ -23,7 +24,12 @@
 
 def run(values: flags.FlagValues, rest: Sequence[str]) -> ExitCode:
     """Run one kind of stand-in until told to stop."""
-    runners = {"worker": _worker, "log": _log, "hostlist": _hostlist}
+    runners = {
+        "worker": _worker,
+        "log": _log,
+        "hostlist": _hostlist,
+        "platform": _platform,
+    }
     if len(rest) != 1 or rest[0] not in runners:
         raise UsageError(f"expected one of {', '.join(runners)}")
     runners[rest[0]](values.settings)
@@ -59,6 +65,21 @@
     )
 
 
+def _platform(path: str) -> None:
+    from jackdawspur.standins import PlatformSettings, run_platform
+
+    settings = load_settings(PlatformStandin, path)
+    run_platform(
+        PlatformSettings(
+            settings.store,
+            settings.workers,
+            settings.zones,
+            settings.configuration,
+            settings.cpu,
+        )
+    )
+
+
 def _hostlist(path: str) -> None:
     from jackdawspur.external import HostRole
     from jackdawspur.standins import HostListSettings, run_hostlist
--- /dev/null
+++ b/jackdawspur/front/tests/deployment.py
@@ -0,0 +1,196 @@
+"""A store, workers and hosts as processes of their own."""
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+from http.client import HTTPConnection
+from pathlib import Path
+from signal import SIGTERM
+
+__all__ = ["Answer", "Deployment", "wait_until"]
+
+CALLERS = ThreadPoolExecutor(32, thread_name_prefix="callers")
+WAIT_S = 20.0
+ROUTE = {
+    "name": "r-1",
+    "host": "a.example",
+    "path_prefix": "/q/",
+    "service": "roster",
+    "timeout_ms": 5000,
+    "slo_ms": 60,
+    "stretch": 1.6,
+    "max_attempts": 3,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold a reply; status 0 stands for a connection that broke."""
+
+    status: int
+    body: dict
+    retry_after: str | None = None
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def wait_until(condition, what: str, seconds: float = WAIT_S) -> None:
+    """Return once the condition holds; fail with its name."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"in {seconds} s there were no {what}")
+
+
+class Host:
+    """Run one host."""
+
+    def __init__(self, name: str, store: str, folder: Path) -> None:
+        callers, ready, link, metrics = free_ports(4)
+        self.name = name
+        self.callers, self.ready, self.metrics = callers, ready, metrics
+        self._file = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        settings = {
+            "name": name,
+            "zone": "z1",
+            "callers": f"127.0.0.1:{callers}",
+            "ready": f"127.0.0.1:{ready}",
+            "link": f"127.0.0.1:{link}",
+            "metrics": f"127.0.0.1:{metrics}",
+            "store": store,
+        }
+        self._file.write_text(json.dumps(settings))
+        self.start()
+
+    def start(self) -> None:
+        """Start the process."""
+        words = ["front", f"--settings={self._file}"]
+        self.process = _run(words, self._log)
+
+    def call(self, method: str, path: str, body=None, port: int | None = None):
+        """Ask the host and return its answer."""
+        return _call(port or self.callers, method, path, body)
+
+    def is_ready(self) -> bool:
+        """Tell whether the host wants connections."""
+        return self.call("GET", "/ready", port=self.ready).status == 200
+
+    def leads(self) -> bool:
+        """Tell whether the host leads."""
+        text = _call(self.metrics, "GET", "/metrics", None, raw=True)
+        return "jackdawspur_leads 1" in text
+
+    def lines(self) -> list[dict]:
+        """Return the log so far."""
+        return [json.loads(line) for line in self._log.read_text().splitlines()]
+
+
+class Deployment:
+    """Run a stand-in of the platform and some hosts."""
+
+    def __init__(self, folder: Path, hosts: int = 3, workers: int = 4) -> None:
+        ports = free_ports(workers + 1)
+        self._store_port = ports[0]
+        store = f"127.0.0.1:{ports[0]}"
+        settings = {
+            "store": store,
+            "workers": [f"127.0.0.1:{port}" for port in ports[1:]],
+            "zones": ["z1"],
+            "configuration": {"version": 3, "routes": [ROUTE]},
+        }
+        file = folder / "platform.json"
+        file.write_text(json.dumps(settings))
+        words = ["standin", f"--settings={file}", "platform"]
+        self._platform = _run(words, folder / "platform.log")
+        self.hosts = [Host(f"h{n}", store, folder) for n in range(hosts)]
+        self._next_job = 0x1000
+        wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
+
+    def submit(self, host: Host, run_ms: float = 100.0, tasks: int = 1, job=None):
+        """Send a job from a thread and return its future answer."""
+        self._next_job += 1
+        job = job or f"{self._next_job:016x}"
+        step = {"count": tasks, "cpu": 14_000, "mem_mb": 64, "estimate_ms": run_ms}
+        body = {
+            "spec": json.dumps({"run_ms": run_ms}),
+            "best_effort": True,
+            "steps": [step],
+        }
+        return CALLERS.submit(host.call, "POST", f"/q/{job}", body)
+
+    def leader(self) -> Host:
+        """Return the host that leads."""
+        wait_until(lambda: any(self._leads(h) for h in self.hosts), "leading host")
+        return next(host for host in self.hosts if self._leads(host))
+
+    def set_faults(self, **faults) -> None:
+        """Let the store be away or workers be silent."""
+        assert _call(self._store_port, "POST", "/faults", faults).status == 200
+
+    def report(self) -> dict:
+        """Return what the workers have counted."""
+        return _call(self._store_port, "GET", "/report", None).body
+
+    def close(self) -> None:
+        """End all processes of this deployment."""
+        for process in [*(h.process for h in self.hosts), self._platform]:
+            process.kill()
+            process.wait()
+
+    def _leads(self, host: Host) -> bool:
+        return host.process.poll() is None and host.leads()
+
+
+def stop(host: Host, seconds: float = 8.0) -> int:
+    """Ask a host to stop and return its exit status."""
+    host.process.send_signal(SIGTERM)
+    return host.process.wait(seconds)
+
+
+def answers(futures: list[Future]) -> list[Answer]:
+    """Return the answers, once all are there."""
+    return [future.result(WAIT_S) for future in futures]
+
+
+def _run(words: list[str], log: Path) -> subprocess.Popen:
+    with log.open("ab") as output:
+        return subprocess.Popen(
+            [sys.executable, "-m", "jackdawspur", *words],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+        )
+
+
+def _call(port: int, method: str, path: str, body, raw: bool = False):
+    connection = HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+    try:
+        data = None if body is None else json.dumps(body)
+        connection.request(method, path, data, {"Host": "a.example"})
+        response = connection.getresponse()
+        text = response.read().decode()
+        if raw:
+            return text
+        retry = response.getheader("Retry-After")
+        return Answer(response.status, json.loads(text or "{}"), retry)
+    except OSError:
+        return "" if raw else Answer(0, {})
+    except Exception as error:
+        return "" if raw else Answer(0, {"error": str(error)})
+    finally:
+        connection.close()
--- /dev/null
+++ b/jackdawspur/front/tests/test_whole_path.py
@@ -0,0 +1,109 @@
+"""The whole path as processes: callers, hosts, workers and the store."""
+
+import time
+
+import pytest
+
+from jackdawspur.front.tests.deployment import Deployment, answers, stop, wait_until
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    one = Deployment(tmp_path)
+    yield one
+    report = one.report()
+    one.close()
+    assert report["over_capacity"] == 0
+    assert report["two_at_once"] == 0
+
+
+def follower(deployment: Deployment):
+    leader = deployment.leader()
+    return next(host for host in deployment.hosts if host is not leader)
+
+
+def test_jobs_of_all_hosts_end_complete(deployment: Deployment):
+    sent = [deployment.submit(h, tasks=3) for h in deployment.hosts for _ in range(4)]
+    got = answers(sent)
+    assert [a.status for a in got] == [200] * 12
+    assert {a.body["state"] for a in got} == {"completed"}
+    assert deployment.report()["starts"] == 36
+
+
+def test_callers_see_no_break_when_the_leading_host_dies(deployment: Deployment):
+    # A supervisor's confirmation is lost: the leading host loses power while tasks of
+    # other hosts' callers run. Another host takes over what runs.
+    host, leader = follower(deployment), deployment.leader()
+    sent = [deployment.submit(host, run_ms=1500.0) for _ in range(4)]
+    time.sleep(0.4)
+    leader.process.kill()
+    got = answers(sent)
+    assert [a.status for a in got] == [200] * 4
+    assert deployment.report()["starts"] == 4
+
+
+def test_a_graceful_stop_cuts_no_request(deployment: Deployment):
+    # A rolling restart loses requests in flight: the host that is told to stop, which
+    # leads, has callers of its own.
+    leader = deployment.leader()
+    sent = [deployment.submit(leader, run_ms=800.0) for _ in range(3)]
+    time.sleep(0.2)
+    assert stop(leader) == 0
+    assert [a.status for a in answers(sent)] == [200] * 3
+
+
+def test_serving_goes_on_while_the_store_is_away(deployment: Deployment):
+    deployment.set_faults(store_down=True)
+    time.sleep(1.0)
+    got = answers([deployment.submit(host) for host in deployment.hosts])
+    assert [a.status for a in got] == [200] * 3
+    deployment.set_faults(store_down=False, forget=True)
+    time.sleep(0.5)
+    assert answers([deployment.submit(deployment.hosts[0])])[0].status == 200
+
+
+def test_a_silent_workers_task_runs_again_elsewhere(deployment: Deployment):
+    # A skipper waits in vain: the worker that has the task is cut off and runs on.
+    host = deployment.hosts[0]
+    sent = [deployment.submit(host, run_ms=1200.0, tasks=2)]
+    time.sleep(0.4)
+    deployment.set_faults(silent=[0, 1])
+    got = answers(sent)
+    assert got[0].status == 200
+
+
+def test_a_job_whose_caller_left_is_stopped(deployment: Deployment):
+    host = follower(deployment)
+    job = "00000000000000aa"
+    future = deployment.submit(host, run_ms=4000.0, job=job)
+    time.sleep(0.4)
+    assert host.call("DELETE", f"/q/{job}").status == 200
+    assert future.result(5).body["state"] == "failed"
+    again = answers([deployment.submit(host, tasks=8)])
+    assert again[0].status == 200
+
+
+def test_bad_requests_get_clear_errors_and_the_host_goes_on(deployment: Deployment):
+    host = deployment.hosts[0]
+    assert host.call("POST", "/q/zz", {}).status == 400
+    reply = host.call("POST", "/q/00000000000000ab", {"steps": 3})
+    assert reply.status == 400
+    assert "steps" in reply.body["error"]
+    assert host.call("GET", "/none/").status == 404
+    assert host.call("GET", "/q/").body == {"waiting": 0}
+    assert host.call("GET", "/q/00000000000000ab").status == 410
+    assert answers([deployment.submit(host)])[0].status == 200
+
+
+def test_a_host_reads_its_settings_again_on_sighup(deployment: Deployment):
+    # A request is cut off: the signal that only says that settings changed ended the
+    # process.
+    host = deployment.hosts[0]
+    sent = deployment.submit(host, run_ms=600.0)
+    time.sleep(0.2)
+    host.process.send_signal(1)
+    assert sent.result(5).status == 200
+    wait_until(
+        lambda: any(x["message"] == "settings read again" for x in host.lines()),
+        "line about the settings",
+    )
--- a/jackdawspur/settings/__init__.py
+++ b/jackdawspur/settings/__init__.py
@@ -11,6 +11,7 @@
     HostListStandin,
     ListedHostSettings,
     LogStandin,
+    PlatformStandin,
     RackStandin,
 )
 
@@ -21,6 +22,7 @@
     "ListedHostSettings",
     "LogStandin",
     "OperatorSettings",
+    "PlatformStandin",
     "RackStandin",
     "SettingsError",
     "SiblingSettings",
--- a/jackdawspur/settings/_standins.py
+++ b/jackdawspur/settings/_standins.py
@@ -7,7 +7,13 @@
 
 from jackdawspur.settings._load import STRICT, Address, Name
 
-__all__ = ["HostListStandin", "ListedHostSettings", "LogStandin", "RackStandin"]
+__all__ = [
+    "HostListStandin",
+    "ListedHostSettings",
+    "LogStandin",
+    "PlatformStandin",
+    "RackStandin",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +44,22 @@
     seconds_kept: Annotated[float, Field(gt=0)] = 86_400.0
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformStandin:
+    """Serve the customers' platform: a store and its workers, from one process.
+
+    `configuration` is published as it stands; `cpu` in thousandths of a core.
+    """
+
+    __pydantic_config__: ClassVar[ConfigDict] = STRICT
+
+    store: Address
+    workers: Annotated[tuple[Address, ...], Field(min_length=1, max_length=64)]
+    zones: Annotated[tuple[str, ...], Field(min_length=1)]
+    configuration: dict
+    cpu: Annotated[int, Field(ge=2)] = 32_000
+
+
 @dataclass(frozen=True, slots=True)
 class ListedHostSettings:
     """Name a host on the list at the start."""
--- a/jackdawspur/standins/__init__.py
+++ b/jackdawspur/standins/__init__.py
@@ -8,6 +8,11 @@
 )
 from jackdawspur.standins._log import LogFaults, LogSettings
 from jackdawspur.standins._log_service import LogService, make_log, run_log
+from jackdawspur.standins._platform_service import (
+    PlatformSettings,
+    make_platform,
+    run_platform,
+)
 from jackdawspur.standins._slopes import (
     BatchCost,
     StartSlopes,
@@ -34,6 +39,7 @@
     "LogFaults",
     "LogService",
     "LogSettings",
+    "PlatformSettings",
     "RackSettings",
     "StartSlopes",
     "Worker",
@@ -43,9 +49,11 @@
     "WorkerSettings",
     "make_hostlist",
     "make_log",
+    "make_platform",
     "make_rack",
     "measure_start_slopes",
     "run_hostlist",
     "run_log",
+    "run_platform",
     "run_worker",
 ]
--- a/jackdawspur/standins/_http_service.py
+++ b/jackdawspur/standins/_http_service.py
@@ -73,6 +73,13 @@
         encoded = HttpReply(int(status), msgspec.json.encode(body))
         self._service.web.reply(self.call, encoded)
 
+    def reply_bytes(self, data: bytes) -> None:
+        """Send a reply of raw bytes, if the connection still stands."""
+        encoded = HttpReply(
+            int(HTTPStatus.OK), data, content_type="application/octet-stream"
+        )
+        self._service.web.reply(self.call, encoded)
+
     def guard(self, answer: "Answer") -> None:
         """Let `answer` answer, and turn a bad request into its reply."""
         try:
--- a/jackdawspur/tests/test_documents.py
+++ b/jackdawspur/tests/test_documents.py
@@ -19,7 +19,7 @@
 MAKE = re.compile(r"(?:^ {4}|`)(?:\w+=\S+ )*make ([a-z-]+)([^`\n]*)", re.MULTILINE)
 COMMAND = re.compile(r"(?:^ {4}|`)(?:python -m )?jackdawspur ([^`\n]*)", re.MULTILINE)
 MODULE = re.compile(r"python -m (jackdawspur[\w.]*)")
-STANDINS = {"worker", "log", "hostlist"}
+STANDINS = {"worker", "log", "hostlist", "platform"}
 
 
 def anchors_of(page: Path) -> set[str]:
