Let the smaller side of a cut leave contested upstreams

Cause, by reading: a host that none of the others hears still reaches the upstreams, takes the lead alone and takes all of them; the leading host of the others claimed them back after 0.5 s, and so on, each time stopping the other's runs. What: the first refusal by an unknown fence is answered by a higher one, as before, now after 0.2 s; a second within 20 s shows another leading host, and the smaller side leaves off for 3 s, doubling to 24 s, refusing its callers at once as not run. Figures: test_the_smaller_side_of_a_cut_leaves_contested_upstreams fails without it.

--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -6,9 +6,7 @@
 
 __all__ = ["OwnJob", "OwnJobs"]
 
-# A host that finds no leading host for this long can't serve the job.
-LEADERLESS_S = 0.8
-# Answers to what ran out of time leave this much before the caller's limit.
+# A caller refused for want of a leading host may find one after this.
 RETRY_AFTER_S = 1.0
 
 
@@ -63,17 +61,23 @@
         if job is not None:
             job.done.update(done)
 
-    def given_up(self, leaderless: bool, now: float) -> list[tuple[OwnJob, JobOutcome]]:
-        """Return the jobs that end here, with their outcome."""
+    def given_up(
+        self, leaderless: bool, patience_s: float, now: float
+    ) -> list[tuple[OwnJob, JobOutcome]]:
+        """Return the jobs that end here, with their outcome.
+
+        Without a leading host a new job waits for one no longer than `patience_s`.
+        """
         ended = []
         for job in self._by_call.values():
-            outcome = _outcome(job, leaderless, now)
+            tired = leaderless and now - job.arrived >= patience_s
+            outcome = _outcome(job, tired, now)
             if outcome is not None:
                 ended.append((job, outcome))
         return ended
 
 
-def _outcome(job: OwnJob, leaderless: bool, now: float) -> JobOutcome | None:
+def _outcome(job: OwnJob, tired: bool, now: float) -> JobOutcome | None:
     """Return the end of a job that no leading host answered in time.
 
     A job that was handed to a host may have run there, so only one that never was is
@@ -84,6 +88,6 @@
         if never_offered:
             return JobOutcome(JobEnd.REFUSED, True, RETRY_AFTER_S, "no leading host")
         return JobOutcome(JobEnd.OUT_OF_TIME, False, 0.0, "the caller's time is over")
-    if leaderless and never_offered and now - job.arrived > LEADERLESS_S:
+    if tired and never_offered:
         return JobOutcome(JobEnd.REFUSED, True, RETRY_AFTER_S, "no leading host")
     return None
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -49,7 +49,9 @@
 EXIT_GRACE_S = 0.2
 # The last of the time until SIGKILL is left for closing.
 DRAIN_MARGIN_S = 0.6
-FENCED_CLAIM_S = 0.5
+# A host that takes the lead tells all others at once. An upstream that still obeys an
+# unknown fence after this obeys a host that this one does not hear.
+FENCED_CLAIM_S = 0.2
 # Settings that need no restart.
 RELOADED = ("grace_s", "log_level")
 COLLECTOR_THRESHOLDS = (10_000, 20, 100)
@@ -233,7 +235,7 @@
             self._beat(now)
         fenced = self.lead.fenced_for(now)
         if self.group.leads and fenced > FENCED_CLAIM_S:
-            self.group.claim_again(unix_ms())
+            self.group.contested(unix_ms(), now)
             self.lead.leadership_changed(now)
         self.callers.offer_waiting(now)
 
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -25,6 +25,8 @@
 MS_PER_S = 1000.0
 # The answer must have left this host this long before its caller's time is over.
 ANSWER_S = 0.012
+# How long a job waits for a host to lead: the time in which a lost one is replaced.
+LEADERLESS_S = 0.8
 READY = HttpReply(200, b"{}")
 NOT_READY = HttpReply(503, b"{}")
 
@@ -114,8 +116,10 @@
 
     def tick(self, now: float) -> None:
         """Answer callers whose time is over."""
-        leaderless = self._owner.group.leader(now) is None
-        for job, outcome in self._jobs.given_up(leaderless, now):
+        group = self._owner.group
+        leaderless = group.leader(now) is None
+        patience_s = 0.0 if group.yielding else LEADERLESS_S
+        for job, outcome in self._jobs.given_up(leaderless, patience_s, now):
             self._jobs.take(job.call)
             self._drop(job)
             self._reply(job, outcome)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -15,6 +15,11 @@
 FIRST_VACANT_S = 1.0
 # A host just started is likely to be one that fails; it leads if no other can.
 SETTLED_MS = 2000
+# Upstreams that obey an unknown fence again within this time show another host that
+# leads; the smaller side then waits, first and at most for these times.
+CONTEST_MEMORY_S = 20.0
+FIRST_YIELD_S = 3.0
+MOST_YIELD_S = 24.0
 # By how many milliseconds' worth a fence rises over one that an upstream refused: more
 # than clocks of hosts are known to differ.
 CLAIM_STEPS = 5000
@@ -34,6 +39,9 @@
         self._known: dict[str, HostAddress] = {}
         self._vacant_since = now + FIRST_VACANT_S - VACANT_S
         self._highest: Fence = 0
+        self._contested_at = now - CONTEST_MEMORY_S
+        self._yields = 0
+        self._yield_until = now
         self.fence: Fence = 0
         self.leads = False
         self.draining = False
@@ -63,6 +71,9 @@
         self.learn(beat.host)
         for host in beat.knows:
             self.learn(host)
+        if beat.host.name not in self._beats or not self.alive(beat.host.name, now):
+            self._yields = 0
+            self._yield_until = now
         self._beats[beat.host.name] = beat
         self._heard[beat.host.name] = now
         self._highest = max(self._highest, beat.fence)
@@ -105,17 +116,45 @@
         if leader is not None:
             self._vacant_since = now
             return False
+        if now < self._yield_until:
+            return False
         vacant = now - self._vacant_since >= VACANT_S
         if not vacant or not ready or not self._is_first(unix_ms, now):
             return False
         self._lead(unix_ms)
         return True
 
-    def claim_again(self, unix_ms: float) -> None:
-        """Lead on under a higher fence, when an upstream has seen a higher one."""
+    @property
+    def yielding(self) -> bool:
+        """Tell whether this host leaves the lead to one that it can't hear."""
+        return self._yields > 0
+
+    def contested(self, unix_ms: float, now: float) -> None:
+        """Decide what to do when upstreams obey a fence that nobody here has.
+
+        Once is no proof: the token may stem from a host that is gone. Again means that
+        another host leads that can't be heard. Both would take the upstreams from each
+        other and stop each other's work in turn, so the smaller side leaves off, for
+        longer each time.
+        """
+        again = now - self._contested_at < CONTEST_MEMORY_S
+        self._contested_at = now
+        if again and self._is_smaller_side(now):
+            self.leads = False
+            self._yields += 1
+            pause_s = min(MOST_YIELD_S, FIRST_YIELD_S * 2 ** (self._yields - 1))
+            self._yield_until = now + pause_s
+            return
         self._highest = max(self._highest, self.fence + CLAIM_STEPS * FENCE_STEP)
         self._lead(unix_ms)
 
+    def _is_smaller_side(self, now: float) -> bool:
+        present = {self._own.name, *(b.host.name for b in self.live_beats(now))}
+        every = {self._own.name, *self._known}
+        if 2 * len(present) == len(every):
+            return min(every) not in present
+        return 2 * len(present) < len(every)
+
     def _lead(self, unix_ms: float) -> None:
         self.leads = True
         self.fence = fence_at(unix_ms, self._own.name, self._highest)
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -117,5 +117,25 @@
     (leader,) = hosts.leaders()
     group = hosts.groups[leader]
     before = group.fence
-    group.claim_again(UNIX_MS)
+    group.contested(UNIX_MS, hosts.now)
     assert group.fence > before + (4000 << 22)
+
+
+def test_the_smaller_side_of_a_cut_leaves_contested_upstreams(hosts: Hosts):
+    # Hardly a job ends: a host that no other hears still reaches all upstreams, and it
+    # and the leading host of the others stop each other's tasks in turn.
+    (leader,) = hosts.leaders()
+    others = [name for name in hosts.groups if name != leader]
+    hosts.cut = {frozenset((leader, other)) for other in others}
+    hosts.advance(1.0)
+    (second,) = [name for name in hosts.leaders() if name != leader]
+    for _ in range(2):
+        for name in (leader, second):
+            hosts.groups[name].contested(UNIX_MS, hosts.now)
+    assert hosts.leaders() == [second]
+    hosts.advance(1.0)
+    assert hosts.leaders() == [second]
+    hosts.cut.clear()
+    hosts.advance(0.3)
+    assert hosts.groups[leader].leader(hosts.now) == second
+    assert not hosts.groups[leader].yielding
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -64,6 +64,7 @@
         self.answered = True
         self.refused_until = 0.0
         self.look_at = now
+        self.fenced_since: float | None = None
         self._taken = NO_RESOURCES
         self._opaque = 0
         self._clock_ms: int | None = None
@@ -135,6 +136,7 @@
     def note_report(self, look: int, report: LookReport, now: float) -> None:
         """Take in an answered look: the clock, and that the upstream is there."""
         self.answered = True
+        self.fenced_since = None
         self.heard_at = now
         if self._clock_ms is None or report.clock_ms >= self._clock_ms:
             self._clock_ms = report.clock_ms
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -63,7 +63,6 @@
         self._where: dict[str, list[HeldUpstream]] = {}
         self._fence: Fence = 0
         self._leads = False
-        self.fenced_since: float | None = None
 
     @property
     def cpu_millis(self) -> int:
@@ -78,6 +77,12 @@
         """
         return all(held.held and held.answered for held in self._held.values())
 
+    @property
+    def fenced_since(self) -> float | None:
+        """Return since when an upstream has obeyed a higher fence, if one does."""
+        times = [h.fenced_since for h in self._held.values() if h.fenced_since]
+        return min(times, default=None)
+
     @property
     def held(self) -> Iterable[HeldUpstream]:
         """Return all upstreams, held or not yet."""
@@ -89,7 +94,6 @@
         self._leads = True
         self._held = {}
         self._where.clear()
-        self.fenced_since = None
         for entry in self._entries.values():
             self._hold(entry, now)
 
@@ -271,7 +275,7 @@
             self.send_stop(held, run, now)
 
     def _all_lapsed(self, held: HeldUpstream, now: float) -> bool:
-        if not held.held and self.fenced_since is not None:
+        if held.fenced_since is not None:
             return now - held.heard_at > FENCED_S
         return held.lapsed(now)
 
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -101,7 +101,8 @@
         held.answered = False
         if outcome is CallOutcome.FENCED:
             held.held = False
-            self._fleet.fenced_since = self._fleet.fenced_since or now
+            if held.fenced_since is None:
+                held.fenced_since = now
 
     def _reported(
         self, held: HeldUpstream, number: int, report: LookReport, now: float
@@ -111,7 +112,6 @@
                 Decision.UPSTREAM_HELD, "", str(held.entry.id), runs=len(report.running)
             )
         held.note_report(number, report, now)
-        self._fleet.fenced_since = None
         for ended in report.ended:
             self._take_end(held, ended, now)
         listed = set()
