--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -1,5 +1,6 @@
 """A job and its tasks as the leading host keeps them."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -68,6 +69,7 @@
         self.by_name = {task.name: task for task in self.tasks}
         self._open_in_step = [step.count for step in self.request.steps]
         self._waiting = list(self.tasks)
+        self.chain_ms = self._longest_ms(expected_ms)
         for name in offer.done:
             if name in self.by_name:
                 self.end_task(self.by_name[name])
@@ -130,11 +132,20 @@
 
     def left_ms(self) -> float:
         """Return the expected time from a start now to the end of the last step."""
+        return self._longest_ms(
+            [
+                ms if still_open else 0.0
+                for ms, still_open in zip(
+                    self.expected_ms, self._open_in_step, strict=True
+                )
+            ]
+        )
+
+    def _longest_ms(self, step_ms: Sequence[float]) -> float:
         chain: list[float] = []
-        for number, step in enumerate(self.request.steps):
+        for step, own_ms in zip(self.request.steps, step_ms, strict=True):
             before = max((chain[n] for n in step.after), default=0.0)
-            own = self.expected_ms[number] if self._open_in_step[number] else 0.0
-            chain.append(before + own)
+            chain.append(before + own_ms)
         return max(chain)
 
     def _may_start(self, task: Task) -> bool:
--- a/jackdawspur/runs/_order.py
+++ b/jackdawspur/runs/_order.py
@@ -1,17 +1,20 @@
 """In which order waiting jobs get room, and when one is given up."""
 
-from jackdawspur.runs._job import Job
+from enum import IntEnum
 
-__all__ = ["HOPELESS_S", "Standing", "last_start", "objective", "order_key", "standing"]
+from jackdawspur.runs._job import Job
 
-from enum import IntEnum
+__all__ = ["Standing", "objective", "order_key", "standing", "useful_until"]
 
 MS_PER_S = 1000.0
 # Answers take this long from here to their callers and requests as long to get here:
 # a few milliseconds each way, and a pass of the loop on two hosts.
 TRAVEL_S = 0.014
-# A task that starts later than this before its deadline can't be answered in time.
-HOPELESS_S = 0.010
+# The contract: an answer later than this many times its objective is worth nothing.
+LATE_FACTOR = 3.0
+# A job is begun only if it would end in time though it took this much longer than
+# expected; one begun in vain takes room from others, and its caller waits for nothing.
+CAUTION = 1.15
 
 
 class Standing(IntEnum):
@@ -24,37 +27,34 @@
 
 def objective(job: Job) -> float:
     """Return when a job's answer must leave to be on time."""
-    route = job.request.route
-    longest = _chain_ms(job)
-    aimed_ms = route.stretch * longest + route.margin_ms
-    return job.offer.arrived + aimed_ms / MS_PER_S - TRAVEL_S
+    return job.offer.arrived + _aim_s(job) - TRAVEL_S
 
 
-def last_start(job: Job) -> float:
-    """Return the last moment at which its tasks can start to be on time."""
-    return objective(job) - job.left_ms() / MS_PER_S
+def useful_until(job: Job) -> float:
+    """Return when a job's answer must leave to be worth anything."""
+    late = job.offer.arrived + LATE_FACTOR * _aim_s(job) - TRAVEL_S
+    return min(late, job.offer.deadline)
 
 
 def standing(job: Job, now: float) -> Standing:
     """Tell what the job can still be when its tasks start now."""
-    end = now + job.left_ms() / MS_PER_S
-    if end > job.offer.deadline - HOPELESS_S:
+    left_s = job.left_ms() / MS_PER_S
+    if now + left_s * (1.0 if job.started else CAUTION) > useful_until(job):
         return Standing.HOPELESS
-    return Standing.ON_TIME if end <= objective(job) else Standing.LATE
+    return Standing.ON_TIME if now + left_s <= objective(job) else Standing.LATE
 
 
-def order_key(job: Job, now: float) -> tuple[int, int, float]:
+def order_key(job: Job, now: float) -> tuple[bool, int, float]:
     """Return the key whose lowest is served first.
 
-    Jobs that still make their objective go before those that don't, jobs under way
-    before new ones: a job half done that waits wastes what it has used.
+    Jobs under way go before new ones: a job half done that waits wastes what it has
+    used. Then jobs that still make their objective go before those that don't, the
+    one with the least time to spare first.
     """
-    return (standing(job, now), not job.started, last_start(job))
+    spare = objective(job) - job.left_ms() / MS_PER_S
+    return (not job.started, standing(job, now), spare)
 
 
-def _chain_ms(job: Job) -> float:
-    chain: list[float] = []
-    for number, step in enumerate(job.request.steps):
-        before = max((chain[n] for n in step.after), default=0.0)
-        chain.append(before + job.expected_ms[number])
-    return max(chain)
+def _aim_s(job: Job) -> float:
+    route = job.request.route
+    return (route.stretch * job.chain_ms + route.margin_ms) / MS_PER_S
