Pass no refusal on from a host that has lost the lead

Ruled out: refusals of a caller's own host (they need a job that was never offered). What: answers say which offer they answer; results count from whoever had the job. Figures: test_a_late_refusal_of_a_host_that_led_before_is_not_passed_on failed first.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -196,11 +196,11 @@
         self._upstreams.look(order, replied)
 
     def _answer(self, answer: AnswerJob) -> None:
+        message = JobAnswered(answer.job, answer.call, answer.handed, answer.outcome)
         if answer.host == self._owner.address.name:
-            self._owner.callers.answered(answer.call, answer.job, answer.outcome)
-            return
-        message = JobAnswered(answer.job, answer.call, answer.outcome)
-        self._owner.send(answer.host, message)
+            self._owner.callers.answered(message)
+        else:
+            self._owner.send(answer.host, message)
 
     def _note(self, note: Note) -> None:
         inputs = dict(note.inputs)
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -44,6 +44,11 @@
         """Forget a caller and return its job."""
         return self._by_call.pop(call, None)
 
+    def find(self, call: int, job_id: str) -> OwnJob | None:
+        """Return the job of a call, if it still is that job."""
+        job = self._by_call.get(call)
+        return job if job is not None and job.request.id == job_id else None
+
     def by_job(self, job_id: str) -> OwnJob | None:
         """Return a waiting caller's job by its id."""
         for job in self._by_call.values():
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -282,7 +282,7 @@
         elif isinstance(message, JobDropped):
             self.lead.dropped(message.sender, message.job, message.call, now)
         elif isinstance(message, JobAnswered):
-            self.callers.answered(message.call, message.job, message.outcome)
+            self.callers.answered(message)
         elif isinstance(message, ConfigurationPassed):
             self.views.configuration_read(message.version, message.document)
         elif isinstance(message, UpstreamsPassed):
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -14,6 +14,7 @@
     Group,
     GroupMessage,
     HostAddress,
+    JobAnswered,
     JobDropped,
     JobOffered,
     JobProgress,
@@ -104,11 +105,22 @@
         log.info("caller left", extra={"job": job.request.id})
         self._drop(job)
 
-    def answered(self, call: int, job_id: str, outcome: JobOutcome) -> None:
-        """Pass the leading host's answer on to the caller."""
-        job = self._jobs.take(call)
-        if job is not None and job.request.id == job_id:
-            self._reply(job, outcome)
+    def answered(self, answer: JobAnswered) -> None:
+        """Pass the leading host's answer on to the caller.
+
+        A result is one whoever had the job. A refusal of a host that led before says
+        nothing: the job was handed to another since, which may have started it.
+        """
+        job = self._jobs.find(answer.call, answer.job)
+        if job is None:
+            return
+        earlier = answer.handed != job.handed
+        if earlier and answer.outcome.end not in (JobEnd.COMPLETE, JobEnd.FAILED):
+            return
+        self._jobs.take(job.call)
+        if earlier:
+            self._drop(job)
+        self._reply(job, answer.outcome)
 
     def note_done(self, progress: JobProgress) -> None:
         """Keep which tasks are done."""
--- /dev/null
+++ b/jackdawspur/front/tests/test_callers.py
@@ -0,0 +1,109 @@
+"""A host's callers get one true answer each."""
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from jackdawspur.adapters import Call
+from jackdawspur.callers import HttpReply
+from jackdawspur.front import CallerQuestion, QuestionKind, RouteTable
+from jackdawspur.front._gauges import Gauges
+from jackdawspur.front._service import CallerService
+from jackdawspur.group import (
+    Group,
+    HostAddress,
+    HostBeat,
+    JobAnswered,
+    JobDropped,
+    JobOffered,
+)
+from jackdawspur.leases import Resources
+from jackdawspur.platform import PlatformCallers
+from jackdawspur.runs import JobEnd, JobOutcome, JobRequest, JobStep, Route
+
+ROUTE = Route("r", "h", "/q/", "s", 1500.0, 60.0, 1.6, 0, 3)
+REQUEST = JobRequest("aa", "", (JobStep(1, Resources(1), 10.0),), ROUTE)
+REFUSED = JobOutcome(JobEnd.REFUSED, True, 1.0, "full")
+
+
+class Port(PlatformCallers):
+    """Take every call for the same job."""
+
+    def read_call(self, call: Call, routes: RouteTable) -> CallerQuestion:
+        return CallerQuestion(QuestionKind.SUBMIT, ROUTE, "aa", REQUEST, None)
+
+
+@dataclass
+class Owner:
+    """Stand in for the rest of a host that follows others."""
+
+    group: Group
+    address: HostAddress = HostAddress("own", "z1", "127.0.0.1:1", 1)
+    routes: RouteTable = RouteTable(1, (ROUTE,))
+    gauges: Gauges = field(default_factory=Gauges)
+    replies: list[HttpReply] = field(default_factory=list)
+    sent: list[tuple[str, object]] = field(default_factory=list)
+
+    def reply(self, number: int, reply: HttpReply) -> None:
+        self.replies.append(reply)
+
+    def send(self, host: str, message: object) -> None:
+        self.sent.append((host, message))
+
+
+def follow(group: Group, name: str, fence: int) -> None:
+    host = HostAddress(name, "z1", "127.0.0.1:2", 1)
+    beat = HostBeat(host, 0.0, True, fence, True, False, False, 1, 0.0, ())
+    group.heard(beat, clock())
+
+
+def clock() -> float:
+    from jackdawspur.front._clock import now_s
+
+    return now_s()
+
+
+@pytest.fixture
+def owner() -> Owner:
+    return Owner(Group(Owner.address, clock()))
+
+
+@pytest.fixture
+def service(owner: Owner) -> CallerService:
+    follow(owner.group, "first", 10)
+    one = CallerService(owner, Port())
+    one.called(Call(1, "POST", "/q/aa", "", None, b""))
+    return one
+
+
+def test_an_offer_goes_to_the_leading_host_and_its_answer_back(owner, service):
+    ((to, offer),) = owner.sent
+    assert to == "first"
+    assert isinstance(offer, JobOffered)
+    service.answered(JobAnswered("aa", 1, 0, JobOutcome(JobEnd.COMPLETE, False)))
+    assert [r.status for r in owner.replies] == [200]
+
+
+def test_a_late_refusal_of_a_host_that_led_before_is_not_passed_on(owner, service):
+    # A caller is told that its job did not run, and it runs: the refusal came from a
+    # host that had just lost the lead, after the job was handed to the next.
+    follow(owner.group, "second", 20)
+    service.offer_waiting(clock())
+    service.answered(JobAnswered("aa", 1, 0, REFUSED))
+    assert not owner.replies
+    service.answered(JobAnswered("aa", 1, 1, JobOutcome(JobEnd.COMPLETE, False)))
+    assert [r.status for r in owner.replies] == [200]
+
+
+def test_a_late_result_of_a_host_that_led_before_ends_the_job(owner, service):
+    follow(owner.group, "second", 20)
+    service.offer_waiting(clock())
+    service.answered(JobAnswered("aa", 1, 0, JobOutcome(JobEnd.COMPLETE, False)))
+    assert [r.status for r in owner.replies] == [200]
+    assert owner.sent[-1] == ("second", JobDropped("own", "aa", 1))
+
+
+def test_a_caller_that_leaves_drops_its_job_at_once(owner, service):
+    service.closed(1)
+    assert owner.sent[-1] == ("first", JobDropped("own", "aa", 1))
+    assert not owner.replies
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -89,10 +89,11 @@
 
 
 class JobAnswered(msgspec.Struct, frozen=True, tag="answer"):
-    """Tell a job's host how the job ended."""
+    """Tell a job's host how the job ended; `handed` tells which offer is answered."""
 
     job: str
     call: int
+    handed: int
     outcome: JobOutcome
 
 
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -225,7 +225,9 @@
         del self._jobs[job.id]
 
     def _answer(self, job: Job, outcome: JobOutcome) -> None:
-        self._effects.append(AnswerJob(job.offer.host, job.offer.call, job.id, outcome))
+        offer = job.offer
+        answer = AnswerJob(offer.host, offer.call, offer.handed, job.id, outcome)
+        self._effects.append(answer)
 
     def _end(self, job: Job, now: float) -> None:
         """Forget a job and stop what runs of it."""
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -58,10 +58,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerJob:
-    """Tell a job's host how it ended."""
+    """Tell a job's host how it ended; `handed` tells which offer is answered."""
 
     host: str
     call: int
+    handed: int
     job: str
     outcome: JobOutcome
 
