Judge runs by their progress: restart slow ones, end hopeless jobs at once

Runs on upstreams that turned slow or hung stayed there. Ruled out: answering them as failed (they have not failed), and giving up by what callers declare (off by a factor of two and more). What: a run's end is projected from its progress; a job that can't end in time is given up at once and its room goes to others; a run twice as slow as the others of its step starts again elsewhere, once.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -94,7 +94,8 @@
 
     def upstreams_changed(self, now: float) -> None:
         """Use the newest list of upstreams."""
-        entries = self._owner.views.entries
+        group = self._owner.group
+        entries = [e for e in self._owner.views.entries if group.covers(e.id.zone)]
         self._dispatcher.set_upstreams(entries, now)
         if self._dispatcher.leads:
             held = {one.entry.address for one in self._dispatcher.fleet.held}
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -90,7 +90,11 @@
         self._reload_asked = False
         now = now_s()
         self.address = HostAddress(
-            settings.name, settings.zone, settings.link, unix_ms()
+            settings.name,
+            settings.zone,
+            settings.link,
+            unix_ms(),
+            settings.processor,
         )
         self.routes: RouteTable = NO_ROUTES
         self.gauges = Gauges()
@@ -155,7 +159,8 @@
         self._mesh.send(host, message)
 
     def upstreams_changed(self) -> None:
-        """Use a new list of upstreams."""
+        """Use a new list of upstreams, of all zones or of the own one."""
+        self.group.set_size(len(self.views.entries))
         self.lead.upstreams_changed(now_s())
 
     def waiting_jobs(self, route: str) -> int:
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -20,6 +20,9 @@
 CONTEST_MEMORY_S = 20.0
 FIRST_YIELD_S = 3.0
 MOST_YIELD_S = 24.0
+# One leading host carries about 20 starts a second for each upstream; above this many
+# each zone has a group of its own.
+MOST_UPSTREAMS = 64
 # By how many milliseconds' worth a fence rises over one that an upstream refused: more
 # than clocks of hosts are known to differ.
 CLAIM_STEPS = 5000
@@ -39,6 +42,7 @@
         self._known: dict[str, HostAddress] = {}
         self._vacant_since = now + FIRST_VACANT_S - VACANT_S
         self._highest: Fence = 0
+        self._by_zone = False
         self._contested_at = now - CONTEST_MEMORY_S
         self._yields = 0
         self._yield_until = now
@@ -49,8 +53,16 @@
 
     @property
     def known(self) -> tuple[HostAddress, ...]:
-        """Return all other hosts known by address."""
-        return tuple(self._known.values())
+        """Return the other hosts of the group that are known by address."""
+        return tuple(h for h in self._known.values() if self.covers(h.zone))
+
+    def set_size(self, upstreams: int) -> None:
+        """Be one group of all zones, or of the own zone where that is too large."""
+        self._by_zone = upstreams > MOST_UPSTREAMS
+
+    def covers(self, zone: str) -> bool:
+        """Tell whether hosts and upstreams of a zone belong to the group."""
+        return not self._by_zone or zone == self._own.zone
 
     def learn(self, host: HostAddress) -> None:
         """Take in a host's address, unless a later run of it is known."""
@@ -90,7 +102,11 @@
 
     def live_beats(self, now: float) -> list[HostBeat]:
         """Return the last heartbeats of the other hosts that are alive."""
-        return [b for b in self._beats.values() if self.alive(b.host.name, now)]
+        return [
+            beat
+            for beat in self._beats.values()
+            if self.covers(beat.host.zone) and self.alive(beat.host.name, now)
+        ]
 
     def leader(self, now: float) -> str | None:
         """Return the name of the host that leads, None without one."""
@@ -150,7 +166,7 @@
 
     def _is_smaller_side(self, now: float) -> bool:
         present = {self._own.name, *(b.host.name for b in self.live_beats(now))}
-        every = {self._own.name, *self._known}
+        every = {self._own.name, *(host.name for host in self.known)}
         if 2 * len(present) == len(every):
             return min(every) not in present
         return 2 * len(present) < len(every)
@@ -184,11 +200,11 @@
     return beat.ready and not beat.draining and not beat.slow
 
 
-def _rank(host: HostAddress, unix_ms: float) -> tuple[bool, int, str]:
-    """Return a key whose lowest leads: the host restarted last, but not just now.
+def _rank(host: HostAddress, unix_ms: float) -> tuple[bool, float, int, str]:
+    """Return a key whose lowest leads: the largest, of these the one restarted last.
 
-    While all hosts are restarted one after the other, that is the one whose turn comes
-    last again.
+    A host started just now is passed over. While all hosts are restarted one after the
+    other, the one restarted last is the one whose turn comes last again.
     """
     fresh = unix_ms - host.started_ms < SETTLED_MS
-    return (fresh, -(host.started_ms // SETTLED_MS), host.name)
+    return (fresh, -host.processor, -(host.started_ms // SETTLED_MS), host.name)
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -30,12 +30,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HostAddress:
-    """Say where a host's link listens; `started_ms` (since 1970) names its run."""
+    """Say where a host's link listens; `started_ms` (since 1970) names its run.
+
+    `processor` is its share of one, in cores.
+    """
 
     name: str
     zone: str
     link: str
     started_ms: int
+    processor: float = 1.0
 
 
 class HostBeat(msgspec.Struct, frozen=True, tag="beat"):
--- a/jackdawspur/platform/_bodies.py
+++ b/jackdawspur/platform/_bodies.py
@@ -158,3 +158,4 @@
     zone: str
     link: str
     started_ms: int
+    processor: float = 1.0
--- a/jackdawspur/platform/_settings.py
+++ b/jackdawspur/platform/_settings.py
@@ -49,6 +49,9 @@
     }
     if fields.get("bounds.grace_s"):
         data["grace_s"] = fields["bounds.grace_s"]
+    processor = _product(fields.get("limits.cpu_share"), fields.get("limits.cores"))
+    if processor is not None:
+        data["processor"] = processor
     try:
         return TypeAdapter(HostSettings).validate_python(data)
     except ValidationError as error:
@@ -73,9 +76,20 @@
     "metrics": "ip",
     "store": "platform.address",
     "grace_s": "bounds.grace_s",
+    "processor": "limits.cpu_share or limits.cores",
 }
 
 
+def _product(share: str | None, cores: str | None) -> float | str | None:
+    """Return the host's cores; a text that is no number is left to the checks."""
+    if not share:
+        return None
+    try:
+        return float(share) * float(cores or 1)
+    except ValueError:
+        return f"{share} x {cores}"
+
+
 def _fields(text: str) -> dict[str, str]:
     pairs = (line.partition("=") for line in text.splitlines())
     return {name.strip(): value.strip() for name, sep, value in pairs if sep}
--- a/jackdawspur/platform/_store.py
+++ b/jackdawspur/platform/_store.py
@@ -72,7 +72,9 @@
 
     def announce(self, host: HostAddress) -> None:
         """Publish where this host is, until it worked."""
-        body = HostBody(host.name, host.zone, host.link, host.started_ms)
+        body = HostBody(
+            host.name, host.zone, host.link, host.started_ms, host.processor
+        )
         key = host.name.encode()
         record = bytes([len(key)]) + key + msgspec.json.encode(body)
         data = struct.pack(">I", len(record)) + record
@@ -131,7 +133,11 @@
             except msgspec.DecodeError as error:
                 log.warning("host entry unreadable", extra={"reason": str(error)})
                 continue
-            hosts.append(HostAddress(body.name, body.zone, body.link, body.started_ms))
+            hosts.append(
+                HostAddress(
+                    body.name, body.zone, body.link, body.started_ms, body.processor
+                )
+            )
         self._listener.hosts_read(tuple(hosts))
 
 
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -8,6 +8,8 @@
     Ending,
     Fence,
     LookReport,
+    Phase,
+    Run,
     RunId,
     UpstreamEntry,
 )
@@ -20,6 +22,7 @@
 from jackdawspur.runs._notes import Notes
 from jackdawspur.runs._order import Standing, order_key, standing
 from jackdawspur.runs._placing import choose
+from jackdawspur.runs._progress import Verdict, judge, projected_s
 from jackdawspur.runs._types import JobEnd, JobOutcome, Offer
 
 __all__ = ["Dispatcher"]
@@ -29,6 +32,8 @@
 # and a margin.
 SETTLED_S = 1.1
 MS_PER_S = 1000.0
+# A lone task may well take this many times what its caller declared.
+DOUBT_OF_DECLARED = 1.6
 LEAST_RETRY_S = 1.0
 MOST_RETRY_S = 30.0
 
@@ -167,6 +172,8 @@
             return
         for job in list(self._jobs.values()):
             self._give_up_if_late(job, now)
+        for job in list(self._jobs.values()):
+            self._review(job, now)
         self._fleet.tick(now)
 
     # What the fleet tells of runs.
@@ -237,14 +244,18 @@
 
     def _give_up_if_late(self, job: Job, now: float) -> None:
         if now >= job.offer.deadline:
-            reason = "the caller's time is over"
-            self._note_late(Decision.JOB_OUT_OF_TIME, job, now)
-            outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, 0.0, reason)
-            self._answer(job, outcome)
-            self._end(job, now)
+            self._give_up(job, Decision.JOB_OUT_OF_TIME, now)
         elif not job.started and standing(job, now) is Standing.HOPELESS:
             self._refuse(job, now)
 
+    def _give_up(self, job: Job, decision: Decision, now: float) -> None:
+        self._note_late(decision, job, now)
+        reason = "it can't end within the caller's time"
+        retry_s = 0.0 if job.started else self._retry_after_s()
+        outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, retry_s, reason)
+        self._answer(job, outcome)
+        self._end(job, now)
+
     def _note_late(self, decision: Decision, job: Job, now: float) -> None:
         self._notes.add(
             decision,
@@ -256,6 +267,56 @@
             tasks=job.story(now),
         )
 
+    def _review(self, job: Job, now: float) -> None:
+        """Start slow runs again elsewhere, and give up a job that can't end in time."""
+        for task in job.placed():
+            run = self._fleet.run_of(task)
+            if run is None or run.phase is not Phase.RUNNING:
+                continue
+            expected_ms = self._elsewhere_ms(job, task)
+            verdict = judge(run, job, expected_ms, task.restarts, now)
+            if verdict is Verdict.RESTART:
+                self._restart(job, task, run, now)
+            elif verdict is Verdict.GIVE_UP:
+                self._give_up(job, Decision.JOB_HOPELESS, now)
+                return
+
+    def _elsewhere_ms(self, job: Job, task: Task) -> float:
+        """Return how long a task should take on a sound upstream.
+
+        Tasks of one step are nearly equal: what the others took, or will by their
+        progress, tells more than what the caller declared, which is often half of it.
+        """
+        others = [t for t in job.tasks if t.step == task.step and t is not task]
+        known = sorted(filter(None, (self._whole_ms(job, t) for t in others)))
+        if known:
+            return known[len(known) // 2]
+        return job.expected_ms[task.step] * DOUBT_OF_DECLARED
+
+    def _whole_ms(self, job: Job, task: Task) -> float | None:
+        """Return how long a task takes at a pace of one, None while not known."""
+        if task.state is TaskState.WAITING:
+            return None
+        whole_ms = task.took_ms
+        if not whole_ms:
+            run = self._fleet.run_of(task)
+            whole_s = projected_s(run, job.expected_ms[task.step]) if run else None
+            whole_ms = whole_s * MS_PER_S if whole_s else None
+        return whole_ms and whole_ms / self._estimates.pace(task.upstream)
+
+    def _restart(self, job: Job, task: Task, run: Run, now: float) -> None:
+        task.restarts += 1
+        task.avoid.add(task.upstream)
+        self._notes.add(
+            Decision.RUN_RESTARTED,
+            task.name,
+            str(task.upstream),
+            percent=run.percent,
+            after_ms=round((now - run.since) * MS_PER_S),
+            expected_ms=round(self._elsewhere_ms(job, task)),
+        )
+        self._fleet.stop(task.name, now)
+
     def _refuse(self, job: Job, now: float) -> None:
         self.refused += 1
         waited_ms = (now - job.offer.arrived) * MS_PER_S
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -72,6 +72,7 @@
 
     JOB_REFUSED = "job refused"
     JOB_OUT_OF_TIME = "job out of time"
+    JOB_HOPELESS = "job can't end in time"
     JOB_FAILED = "job failed"
     JOB_DROPPED = "job dropped"
     JOB_ADOPTED = "job taken over"
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -128,6 +128,11 @@
         """Tell whether a run of the task may exist."""
         return task_name in self._where
 
+    def run_of(self, task: Task) -> Run | None:
+        """Return the run of a task that takes room, if there is one."""
+        held = self._held.get(task.upstream)
+        return held.runs.get(task.run_id) if held else None
+
     def has_room(self, now: float) -> bool:
         """Tell whether any upstream takes tasks."""
         return any(self._open(held, now) for held in self._held.values())
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -35,6 +35,7 @@
     upstream: UpstreamId | None = None
     placed_at: float = 0.0
     took_ms: float = 0.0
+    restarts: int = 0
     avoid: set[UpstreamId] = field(default_factory=set)
 
     @property
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -133,6 +133,7 @@
         run = held.runs.get(row.run)
         if run is not None:
             run.percent = row.percent
+            run.reported_at = now
             if run.phase is Phase.UNSURE:
                 run.phase = Phase.RUNNING
                 if not run.claimed:
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -44,6 +44,7 @@
     fence: int = 0
     clock_ms: int = 1000
     ends: int = 0
+    percent: dict[str, float] = field(default_factory=dict)
 
     def end(self, task: str, ending: Ending = Ending.DONE) -> None:
         """End a run."""
@@ -54,7 +55,10 @@
     def report(self, last_seen: int) -> LookReport:
         """Report all runs."""
         self.ended = [one for one in self.ended if one.number > last_seen]
-        rows = tuple(RunningRun(RunId(t, n), "", 0.0) for t, n in self.running.items())
+        rows = tuple(
+            RunningRun(RunId(task, number), "", self.percent.get(task, 0.0))
+            for task, number in self.running.items()
+        )
         return LookReport(self.clock_ms, rows, tuple(self.ended))
 
 
--- a/jackdawspur/settings/_host.py
+++ b/jackdawspur/settings/_host.py
@@ -16,8 +16,8 @@
 class HostSettings:
     """Say who a host is, where it listens and where the platform's store is.
 
-    `link_port` is the same on all hosts. `grace_s` is how long after SIGTERM the
-    platform kills. Times in seconds.
+    `grace_s` is how long after SIGTERM the platform kills, in seconds. `processor` is
+    the host's share of one, in cores: hosts with more of it lead first.
     """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
@@ -29,5 +29,6 @@
     link: Address
     metrics: Address | None
     store: Address
+    processor: Annotated[float, Field(gt=0, le=1024)] = 1.0
     grace_s: Annotated[float, Field(gt=0, le=600)] = 6.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
