--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -80,7 +80,9 @@
     def store_changed(self, reachable: bool, reason: str) -> None:
         """Say in the log that the store is lost or regained."""
         text = "store regained" if reachable else "store lost"
-        log.info(text, extra={"reason": reason, "list_age_s": self.age_s(now_s())})
+        log.info(
+            text, extra={"reason": reason, "list_age_s": round(self.age_s(now_s()), 3)}
+        )
 
     def _set_entries(self, entries: tuple[UpstreamEntry, ...]) -> None:
         if entries != self.entries:
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -20,7 +20,7 @@
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._looks import Looks
 from jackdawspur.runs._notes import Notes
-from jackdawspur.runs._order import Standing, order_key, standing
+from jackdawspur.runs._order import Standing, order_key, standing, useful_until
 from jackdawspur.runs._placing import choose
 from jackdawspur.runs._progress import Verdict, judge, projected_s
 from jackdawspur.runs._types import JobEnd, JobOutcome, Offer
@@ -245,8 +245,12 @@
     def _give_up_if_late(self, job: Job, now: float) -> None:
         if now >= job.offer.deadline:
             self._give_up(job, Decision.JOB_OUT_OF_TIME, now)
-        elif not job.started and standing(job, now) is Standing.HOPELESS:
+        elif standing(job, now) is not Standing.HOPELESS:
+            return
+        elif not job.started:
             self._refuse(job, now)
+        elif not job.placed():
+            self._give_up(job, Decision.JOB_HOPELESS, now)
 
     def _give_up(self, job: Job, decision: Decision, now: float) -> None:
         self._note_late(decision, job, now)
@@ -327,6 +331,7 @@
             "",
             waited_ms=round(waited_ms),
             left_ms=round(left_ms),
+            useful_ms=round((useful_until(job) - now) * MS_PER_S),
             needs_ms=round(job.left_ms()),
             jobs=len(self._jobs),
         )
--- a/jackdawspur/runs/_order.py
+++ b/jackdawspur/runs/_order.py
@@ -12,6 +12,9 @@
 TRAVEL_S = 0.014
 # The contract: an answer later than this many times its objective is worth nothing.
 LATE_FACTOR = 3.0
+# Tasks may well take this much longer than expected: one that has plenty of time to its
+# objective but little to its caller's limit must not wait until the last moment.
+DOUBT_OF_LEFT = 1.6
 # A job is begun only if it would end in time though it took this much longer than
 # expected; one begun in vain takes room from others, and its caller waits for nothing.
 CAUTION = 1.15
@@ -51,7 +54,8 @@
     used. Then jobs that still make their objective go before those that don't, the
     one with the least time to spare first.
     """
-    spare = objective(job) - job.left_ms() / MS_PER_S
+    left_s = job.left_ms() / MS_PER_S
+    spare = min(objective(job) - left_s, useful_until(job) - DOUBT_OF_LEFT * left_s)
     return (not job.started, standing(job, now), spare)
 
 
--- a/jackdawspur/runs/tests/test_progress.py
+++ b/jackdawspur/runs/tests/test_progress.py
@@ -30,6 +30,7 @@
     leading.offer("aa")
     leading.settle()
     (hung,) = leading.running()["aa.0.0.0"]
+    progress(leading, "aa.0.0.0", 0.0)
     leading.advance(0.4)
     (other,) = leading.running()["aa.0.0.0"]
     assert other != hung
--- a/jackdawspur/tests/test_layers.py
+++ b/jackdawspur/tests/test_layers.py
@@ -18,6 +18,9 @@
     "membership",
     "dispatch",
     "configuration",
+    "group",
+    "leases",
+    "runs",
 }
 # What decisions may use besides each other; these are held to the same rules.
 BELOW = {"exceptions", "external", "links", "metrics"}
@@ -26,6 +29,20 @@
 GLOBAL_DRAWS = {"random", "randint", "choice", "shuffle", "sample", "uniform"}
 # A tool that measures; it decides nothing and no decision imports it.
 TOOL = "jackdawspur/configuration/slopes.py"
+# The command that fits the adapter to the product.
+BUILDER = "jackdawspur/cli/_front.py"
+PLATFORM_NAMES = (
+    "fencing_token",
+    "run-start",
+    "run-stop",
+    "log-append",
+    "log-read",
+    "log-newest",
+    "keyed.",
+    "best_effort",
+    "last_seen_ms",
+    "X-Expect-Instance",
+)
 
 
 def imports_in(tree: ast.AST) -> Iterator[str]:
@@ -84,3 +101,30 @@
 )
 def test_planted_faults_are_found(planted: str):
     assert faults_of(ast.parse(planted))
+
+
+def test_only_the_program_that_builds_it_up_imports_the_adapter(
+    sources: tuple[Source, ...],
+):
+    # The platform's names leak: a module of the product reads them directly, and the
+    # next platform needs a change there too.
+    importers = {
+        source.name
+        for source in sources
+        if not source.is_test and "jackdawspur/platform/" not in source.name
+        for name in imports_in(source.tree)
+        if name.startswith("jackdawspur.platform")
+    }
+    assert importers == {BUILDER}
+
+
+def test_the_platforms_names_stay_in_its_folder(sources: tuple[Source, ...]):
+    outside = [
+        source
+        for source in sources
+        if "jackdawspur/platform/" not in source.name
+        and "jackdawspur/standins/" not in source.name
+        and not source.is_test
+    ]
+    found = {s.name: name for s in outside for name in PLATFORM_NAMES if name in s.text}
+    assert not found
