Keep what ended between two leading hosts; make demo-front

What: tasks found done are kept for 2 s for the jobs that their hosts offer again. Also: judging runs by progress moved to a module of its own.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BINARY_ROOT = /dev/shm/jackdawspur
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format demo bench bench-decisions bench-configuration \
+.PHONY: install test lint format demo demo-front bench bench-decisions bench-configuration \
 	bench-report slopes shares binary fuzz speed
 
 install: $(STAMP)
@@ -48,6 +48,10 @@
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
 
+# Three hosts on the stand-in of the customers' platform, with jobs from each.
+demo-front: install
+	PYTHONPATH=. $(BIN)/python scripts/demo_front
+
 # One file that needs Python 3.11 on its host and nothing else: docs/design/binary.md.
 # Without --compile-pyc: shiv would compile in child processes at the first start.
 binary: install
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -8,8 +8,6 @@
     Ending,
     Fence,
     LookReport,
-    Phase,
-    Run,
     RunId,
     UpstreamEntry,
 )
@@ -22,7 +20,8 @@
 from jackdawspur.runs._notes import Notes
 from jackdawspur.runs._order import Standing, order_key, standing, useful_until
 from jackdawspur.runs._placing import choose
-from jackdawspur.runs._progress import Verdict, judge, projected_s
+from jackdawspur.runs._progress import Verdict
+from jackdawspur.runs._review import Review
 from jackdawspur.runs._types import JobEnd, JobOutcome, Offer
 
 __all__ = ["Dispatcher"]
@@ -31,9 +30,9 @@
 # still have had running is stopped or has lapsed: 0.4 s until that gives up, a lease,
 # and a margin.
 SETTLED_S = 1.1
+# Hosts offer their jobs again within this time of a change of the leading host.
+FOUND_KEPT_S = 2.0
 MS_PER_S = 1000.0
-# A lone task may well take this many times what its caller declared.
-DOUBT_OF_DECLARED = 1.6
 LEAST_RETRY_S = 1.0
 MOST_RETRY_S = 30.0
 
@@ -51,7 +50,9 @@
         self._estimates = Estimates(own)
         self._fleet = Fleet(self, self._effects, self._notes)
         self._looks = Looks(self._fleet)
+        self._review_of = Review(self._fleet, self._estimates, self._notes)
         self._jobs: dict[str, Job] = {}
+        self._found_done: dict[str, float] = {}
         self.leads = False
         self.completed = 0
         self.refused = 0
@@ -107,6 +108,9 @@
         expected = self._estimates.expected_ms(offer.request.route, steps)
         job = Job(offer, expected, now)
         self._jobs[job.id] = job
+        for name in [name for name in job.by_name if name in self._found_done]:
+            del self._found_done[name]
+            job.end_task(job.by_name[name])
         self._fleet.claim(job, now)
         if job.complete:
             self._complete(job)
@@ -174,6 +178,7 @@
             self._give_up_if_late(job, now)
         for job in list(self._jobs.values()):
             self._review(job, now)
+        self._forget_found(now)
         self._fleet.tick(now)
 
     # What the fleet tells of runs.
@@ -198,6 +203,30 @@
         else:
             self._run_again(job, task, ended.ending, now)
 
+    def found_done(self, task_name: str, now: float) -> None:
+        """Keep that a task is done which an earlier leading host had started.
+
+        Its end is taken note of with the next look, so nobody else would learn of it,
+        and its job, which its host is about to offer, would do the work again.
+        """
+        job = self.job_of(task_name)
+        if job is None:
+            self._found_done[task_name] = now
+        elif task_name in job.by_name:
+            self._end_found(job, job.by_name[task_name])
+
+    def _end_found(self, job: Job, task: Task) -> None:
+        if task.state is not TaskState.WAITING:
+            return
+        job.end_task(task)
+        if job.complete:
+            self._complete(job)
+
+    def _forget_found(self, now: float) -> None:
+        old = [t for t, at in self._found_done.items() if now - at > FOUND_KEPT_S]
+        for name in old:
+            del self._found_done[name]
+
     def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Let a task wait again whose run can't exist any more."""
         self._estimates.lost(upstream, now)
@@ -273,53 +302,8 @@
 
     def _review(self, job: Job, now: float) -> None:
         """Start slow runs again elsewhere, and give up a job that can't end in time."""
-        for task in job.placed():
-            run = self._fleet.run_of(task)
-            if run is None or run.phase is not Phase.RUNNING:
-                continue
-            expected_ms = self._elsewhere_ms(job, task)
-            verdict = judge(run, job, expected_ms, task.restarts, now)
-            if verdict is Verdict.RESTART:
-                self._restart(job, task, run, now)
-            elif verdict is Verdict.GIVE_UP:
-                self._give_up(job, Decision.JOB_HOPELESS, now)
-                return
-
-    def _elsewhere_ms(self, job: Job, task: Task) -> float:
-        """Return how long a task should take on a sound upstream.
-
-        Tasks of one step are nearly equal: what the others took, or will by their
-        progress, tells more than what the caller declared, which is often half of it.
-        """
-        others = [t for t in job.tasks if t.step == task.step and t is not task]
-        known = sorted(filter(None, (self._whole_ms(job, t) for t in others)))
-        if known:
-            return known[len(known) // 2]
-        return job.expected_ms[task.step] * DOUBT_OF_DECLARED
-
-    def _whole_ms(self, job: Job, task: Task) -> float | None:
-        """Return how long a task takes at a pace of one, None while not known."""
-        if task.state is TaskState.WAITING:
-            return None
-        whole_ms = task.took_ms
-        if not whole_ms:
-            run = self._fleet.run_of(task)
-            whole_s = projected_s(run, job.expected_ms[task.step]) if run else None
-            whole_ms = whole_s * MS_PER_S if whole_s else None
-        return whole_ms and whole_ms / self._estimates.pace(task.upstream)
-
-    def _restart(self, job: Job, task: Task, run: Run, now: float) -> None:
-        task.restarts += 1
-        task.avoid.add(task.upstream)
-        self._notes.add(
-            Decision.RUN_RESTARTED,
-            task.name,
-            str(task.upstream),
-            percent=run.percent,
-            after_ms=round((now - run.since) * MS_PER_S),
-            expected_ms=round(self._elsewhere_ms(job, task)),
-        )
-        self._fleet.stop(task.name, now)
+        if self._review_of.job(job, now) is Verdict.GIVE_UP:
+            self._give_up(job, Decision.JOB_HOPELESS, now)
 
     def _refuse(self, job: Job, now: float) -> None:
         self.refused += 1
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -44,6 +44,9 @@
     ) -> None:
         """Take in the end of a run."""
 
+    def found_done(self, task_name: str, now: float) -> None:
+        """Take in that a run of an earlier leading host ended well."""
+
     def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Take in that a run can't exist any more."""
 
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -4,6 +4,7 @@
     FENCE_STEP,
     CallOutcome,
     EndedRun,
+    Ending,
     Fence,
     HeldUpstream,
     LookReport,
@@ -128,6 +129,8 @@
         if run is not None:
             self._fleet.release(held, run)
             self._fleet.owner.run_ended(held.entry.id, ended, run.since, now)
+        elif ended.ending is Ending.DONE:
+            self._fleet.owner.found_done(ended.run.task, now)
 
     def _take_running(self, held: HeldUpstream, row: RunningRun, now: float) -> None:
         run = held.runs.get(row.run)
--- /dev/null
+++ b/jackdawspur/runs/_review.py
@@ -0,0 +1,74 @@
+"""Runs under way, judged against the others of their job."""
+
+from jackdawspur.leases import Phase, Run
+from jackdawspur.runs._effects import Decision
+from jackdawspur.runs._estimates import Estimates
+from jackdawspur.runs._fleet import Fleet
+from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._notes import Notes
+from jackdawspur.runs._progress import Verdict, judge, projected_s
+
+__all__ = ["Review"]
+
+MS_PER_S = 1000.0
+# A lone task may well take this many times what its caller declared.
+DOUBT_OF_DECLARED = 1.6
+
+
+class Review:
+    """Restart slow runs elsewhere, and find jobs that can't end in time."""
+
+    def __init__(self, fleet: Fleet, estimates: Estimates, notes: Notes) -> None:
+        self._fleet = fleet
+        self._estimates = estimates
+        self._notes = notes
+
+    def job(self, job: Job, now: float) -> Verdict:
+        """Look at all runs of a job; tell whether it is to be given up."""
+        for task in job.placed():
+            run = self._fleet.run_of(task)
+            if run is None or run.phase is not Phase.RUNNING:
+                continue
+            elsewhere_ms = self._elsewhere_ms(job, task)
+            verdict = judge(run, job, elsewhere_ms, task.restarts, now)
+            if verdict is Verdict.RESTART:
+                self._restart(task, run, elsewhere_ms, now)
+            elif verdict is Verdict.GIVE_UP:
+                return verdict
+        return Verdict.GO_ON
+
+    def _elsewhere_ms(self, job: Job, task: Task) -> float:
+        """Return how long a task should take on a sound upstream.
+
+        Tasks of one step are nearly equal: what the others took, or will by their
+        progress, tells more than what the caller declared, which is often half of it.
+        """
+        others = [t for t in job.tasks if t.step == task.step and t is not task]
+        known = sorted(filter(None, (self._whole_ms(job, t) for t in others)))
+        if known:
+            return known[len(known) // 2]
+        return job.expected_ms[task.step] * DOUBT_OF_DECLARED
+
+    def _whole_ms(self, job: Job, task: Task) -> float | None:
+        """Return how long a task takes at a pace of one, None while not known."""
+        if task.state is TaskState.WAITING:
+            return None
+        whole_ms = task.took_ms
+        if not whole_ms:
+            run = self._fleet.run_of(task)
+            whole_s = projected_s(run, job.expected_ms[task.step]) if run else None
+            whole_ms = whole_s * MS_PER_S if whole_s else None
+        return whole_ms and whole_ms / self._estimates.pace(task.upstream)
+
+    def _restart(self, task: Task, run: Run, elsewhere_ms: float, now: float) -> None:
+        task.restarts += 1
+        task.avoid.add(task.upstream)
+        self._notes.add(
+            Decision.RUN_RESTARTED,
+            task.name,
+            str(task.upstream),
+            percent=run.percent,
+            after_ms=round((now - run.since) * MS_PER_S),
+            expected_ms=round(elsewhere_ms),
+        )
+        self._fleet.stop(task.name, now)
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -198,3 +198,17 @@
     leading.offer("aa", handed=1)
     leading.settle()
     assert not leading.running()
+
+
+def test_a_task_that_ended_between_two_leading_hosts_is_not_done_again():
+    # A crew is sent twice: its task ended just after the leading host died, the next
+    # one took note of an end that it knew nothing of, and started the task again.
+    leading = Leading()
+    upstream = next(iter(leading.upstreams.values()))
+    upstream.running["aa.0.0.0"] = 1
+    upstream.end("aa.0.0.0")
+    leading.lead()
+    leading.offer("aa", handed=1)
+    leading.settle()
+    assert [a.outcome.end for a in leading.answers] == [JobEnd.COMPLETE]
+    assert not leading.running()
