Judge jobs by the work that their progress shows; keep the median pace at one

Paces of upstreams drifted up together, run times were corrected by them, the objectives counted from those, and jobs were given up against them; only short ones were then learned from. Ruled out: slow upstreams (restarts were spread over all of them). What: paces keep their median at one; a step is expected to take what its tasks show by their progress; jobs given up are learned from too.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -62,6 +62,11 @@
         """Return the upstreams held."""
         return self._fleet
 
+    @property
+    def estimates(self) -> Estimates:
+        """Return what was learned of routes and upstreams."""
+        return self._estimates
+
     @property
     def jobs(self) -> int:
         """Return the number of jobs not yet ended."""
@@ -283,6 +288,8 @@
 
     def _give_up(self, job: Job, decision: Decision, now: float) -> None:
         self._note_late(decision, job, now)
+        if job.started:
+            self._estimates.learn_given_up(job)
         reason = "it can't end within the caller's time"
         retry_s = 0.0 if job.started else self._retry_after_s()
         outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, retry_s, reason)
--- a/jackdawspur/runs/_estimates.py
+++ b/jackdawspur/runs/_estimates.py
@@ -61,6 +61,15 @@
             tasks = [t for t in job.tasks if t.step == number and t.took_ms]
             self._paces.learn([(t.upstream, t.took_ms) for t in tasks])
 
+    def learn_given_up(self, job: Job) -> None:
+        """Learn from a job that was too long, by what its tasks' progress showed.
+
+        Learning only from jobs that end would make all seem short.
+        """
+        route = job.request.route
+        for step, ms in zip(job.request.steps, job.expected_ms, strict=True):
+            self._run_times.observe(route.service, route.name, run_time_spec(step), ms)
+
     def ended(
         self,
         job: Job | None,
@@ -82,7 +91,7 @@
         took_ms = (now - since) * MS_PER_S
         task.took_ms = took_ms
         pace = self._paces.of(upstream)
-        ratio = took_ms / max(1.0, job.expected_ms[task.step])
+        ratio = took_ms / max(1.0, job.first_expected_ms[task.step])
         self._health.succeeded(upstream, route.name, ratio, now, since)
         spec = run_time_spec(task.spec)
         self._run_times.observe(route.service, route.name, spec, took_ms / pace)
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -58,7 +58,8 @@
         self.offer = offer
         self.offered_at = now
         self.request = offer.request
-        self.expected_ms = expected_ms
+        self.first_expected_ms = expected_ms
+        self.expected_ms = list(expected_ms)
         self.started = offer.handed > 0
         self.ended = False
         first_run = offer.handed * RUNS_A_HAND_OVER
@@ -94,6 +95,11 @@
         """Return the tasks whose turn has come."""
         return [task for task in self._waiting if self._may_start(task)]
 
+    def expect(self, step: int, work_ms: float) -> None:
+        """Correct what a step's tasks are expected to take."""
+        self.expected_ms[step] = work_ms
+        self.chain_ms = self._longest_ms(self.expected_ms)
+
     def place(self, task: Task, upstream: UpstreamId, now: float) -> None:
         """Note that the next run of a task takes room on an upstream."""
         self._waiting.remove(task)
--- a/jackdawspur/runs/_paces.py
+++ b/jackdawspur/runs/_paces.py
@@ -1,6 +1,7 @@
 """How fast each upstream is, learned from tasks of one job that ran side by side."""
 
 import math
+import statistics
 from collections.abc import Iterable
 
 from jackdawspur.model import UpstreamId
@@ -14,6 +15,7 @@
 SURPRISE = math.log(2.0)
 SURPRISE_STEP = 0.6
 SLOWEST = math.log(20.0)
+FASTEST = math.log(0.5)
 
 
 class Paces:
@@ -48,8 +50,19 @@
         for upstream, log, pace in logs:
             if upstream in self._log_pace:
                 self._log_pace[upstream] = _moved(pace, log - middle)
+        self._centre()
+
+    def _centre(self) -> None:
+        """Keep the median pace at one.
+
+        Only ratios are learned: left alone, all paces drift the same way, and with
+        them what jobs are expected to take.
+        """
+        middle = statistics.median(self._log_pace.values())
+        for upstream, pace in self._log_pace.items():
+            self._log_pace[upstream] = min(SLOWEST, max(FASTEST, pace - middle))
 
 
 def _moved(pace: float, seen: float) -> float:
     step = SURPRISE_STEP if abs(seen - pace) > SURPRISE else STEP
-    return min(SLOWEST, pace + step * (seen - pace))
+    return pace + step * (seen - pace)
--- a/jackdawspur/runs/_review.py
+++ b/jackdawspur/runs/_review.py
@@ -13,6 +13,7 @@
 MS_PER_S = 1000.0
 # A lone task may well take this many times what its caller declared.
 DOUBT_OF_DECLARED = 1.6
+MOST_OF_DECLARED = 3.0
 
 
 class Review:
@@ -25,7 +26,10 @@
 
     def job(self, job: Job, now: float) -> Verdict:
         """Look at all runs of a job; tell whether it is to be given up."""
-        for task in job.placed():
+        placed = job.placed()
+        for step in {task.step for task in placed}:
+            self._correct(job, step)
+        for task in placed:
             run = self._fleet.run_of(task)
             if run is None or run.phase is not Phase.RUNNING:
                 continue
@@ -37,6 +41,24 @@
                 return verdict
         return Verdict.GO_ON
 
+    def _correct(self, job: Job, step: int) -> None:
+        """Expect of a step what its tasks show by their progress.
+
+        The contract counts from the work that a job really is. Were a long job judged
+        by a short estimate, it would be given up, only short ones would be learned
+        from, and estimates would shrink until nearly all jobs were given up.
+        """
+        tasks = [task for task in job.tasks if task.step == step]
+        known = sorted(filter(None, (self._whole_ms(job, task) for task in tasks)))
+        if not known:
+            return
+        work_ms = known[len(known) // 2]
+        if len(known) == 1:
+            # It may be its upstream that is slow.
+            declared_ms = job.first_expected_ms[step]
+            work_ms = min(work_ms, declared_ms * MOST_OF_DECLARED)
+        job.expect(step, work_ms)
+
     def _elsewhere_ms(self, job: Job, task: Task) -> float:
         """Return how long a task should take on a sound upstream.
 
@@ -47,7 +69,7 @@
         known = sorted(filter(None, (self._whole_ms(job, t) for t in others)))
         if known:
             return known[len(known) // 2]
-        return job.expected_ms[task.step] * DOUBT_OF_DECLARED
+        return job.first_expected_ms[task.step] * DOUBT_OF_DECLARED
 
     def _whole_ms(self, job: Job, task: Task) -> float | None:
         """Return how long a task takes at a pace of one, None while not known."""
@@ -56,7 +78,8 @@
         whole_ms = task.took_ms
         if not whole_ms:
             run = self._fleet.run_of(task)
-            whole_s = projected_s(run, job.expected_ms[task.step]) if run else None
+            expected_ms = job.first_expected_ms[task.step]
+            whole_s = projected_s(run, expected_ms) if run else None
             whole_ms = whole_s * MS_PER_S if whole_s else None
         return whole_ms and whole_ms / self._estimates.pace(task.upstream)
 
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -33,14 +33,16 @@
 TASK = Resources(14_000, 64, 0)
 UPSTREAM = Resources(32_000, 131_072, 0)
 FENCE = 1 << 40
-NEARLY_DONE = 99.0
+TASK_MS = 200
+NEARLY_DONE = 95.0
 
 
 @dataclass
 class FakeUpstream:
     """Run what it is told; the test ends runs and decides about replies.
 
-    Runs report that they are nearly done, unless a test sets their percent.
+    Runs report the progress of tasks of 200 ms that never quite end, unless a test
+    sets their percent.
     """
 
     id: UpstreamId
@@ -50,6 +52,7 @@
     clock_ms: int = 1000
     ends: int = 0
     percent: dict[str, float] = field(default_factory=dict)
+    began_ms: dict[str, int] = field(default_factory=dict)
 
     def end(self, task: str, ending: Ending = Ending.DONE) -> None:
         """End a run."""
@@ -61,11 +64,15 @@
         """Report all runs."""
         self.ended = [one for one in self.ended if one.number > last_seen]
         rows = tuple(
-            RunningRun(RunId(task, number), "", self.percent.get(task, NEARLY_DONE))
+            RunningRun(RunId(task, number), "", self._percent(task))
             for task, number in self.running.items()
         )
         return LookReport(self.clock_ms, rows, tuple(self.ended))
 
+    def _percent(self, task: str) -> float:
+        passed = self.clock_ms - self.began_ms.setdefault(task, self.clock_ms)
+        return self.percent.get(task, min(NEARLY_DONE, 100.0 * passed / TASK_MS))
+
 
 class Leading:
     """Drive a dispatcher; calls succeed unless a test takes them out first."""
--- a/jackdawspur/runs/tests/test_paces.py
+++ b/jackdawspur/runs/tests/test_paces.py
@@ -27,3 +27,17 @@
         paces.learn([(FAST, 100.0), (EVEN, 100.0), (SLOW, 600.0)])
     assert paces.of(SLOW) > 3.0
     assert paces.of(EVEN) < 1.2
+
+
+def test_paces_do_not_drift_together():
+    # Hardly a job is served any more: all upstreams came to count as slow, what jobs
+    # take was corrected by that, and jobs of 200 ms were expected to take 11 ms.
+    paces, rng = Paces(), random.Random(5)
+    upstreams = [UpstreamId("z1", f"u{n}") for n in range(9)]
+    paces.set_upstreams(upstreams)
+    for _ in range(500):
+        one, other = rng.sample(upstreams, 2)
+        stalled = rng.choice([1.0, 1.0, 1.0, 8.0])
+        paces.learn([(one, 100.0), (other, 100.0 * stalled)])
+    middle = sorted(paces.of(one) for one in upstreams)[4]
+    assert 0.8 < middle < 1.25
--- a/jackdawspur/runs/tests/test_progress.py
+++ b/jackdawspur/runs/tests/test_progress.py
@@ -1,7 +1,7 @@
 """Runs that can't end in time are restarted elsewhere or end their job."""
 
-from jackdawspur.runs import JobEnd
-from jackdawspur.runs.tests.conftest import Leading
+from jackdawspur.runs import JobEnd, JobStep
+from jackdawspur.runs.tests.conftest import ROUTE, TASK, Leading
 
 
 def progress(leading: Leading, task: str, percent: float) -> None:
@@ -60,3 +60,23 @@
         leading.advance(0.05)
     assert leading.running()["aa.0.0.0"] == [place]
     assert not leading.answers
+
+
+def test_jobs_given_up_do_not_make_the_next_ones_seem_short(leading: Leading):
+    # The share of jobs given up grows until hardly one is served: only short ones were
+    # learned from, and each of the next was measured against what those had taken.
+    for number in range(60):
+        job = f"{number:02x}"
+        leading.offer(job)
+        leading.settle()
+        name = f"{job}.0.0.0"
+        (place,) = leading.running()[name]
+        leading.advance(0.1 if number % 2 else 0.6)
+        if number % 2:
+            leading.upstreams[place].end(name)
+        leading.settle()
+        leading.dispatcher.drop("h2", job, 1, leading.now)
+        leading.settle()
+    step = JobStep(1, TASK, 200.0)
+    (expected,) = leading.dispatcher.estimates.expected_ms(ROUTE, (step,))
+    assert expected > 90.0
