--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -31,6 +31,9 @@
 # A run on an upstream that obeys another host may go on until that host stops it.
 FENCED_S = 1.5
 SMALLEST_ROOM_MILLIS = 1
+# An upstream that vanished without draining may be cut off for about this long, and
+# work for the hosts on its side of the cut.
+VANISHED_S = 120.0
 
 
 class RunOwner(Protocol):
@@ -62,6 +65,7 @@
         self.effects = effects
         self.notes = notes
         self._entries: dict[UpstreamId, UpstreamEntry] = {}
+        self._vanished: dict[UpstreamId, float] = {}
         self._held: dict[UpstreamId, HeldUpstream] = {}
         self._where: dict[str, list[HeldUpstream]] = {}
         self._fence: Fence = 0
@@ -76,8 +80,11 @@
     def all_held(self) -> bool:
         """Tell whether every upstream obeys this host and answered its last look.
 
-        One that is silent may obey another leading host by now.
+        One that is silent may obey another leading host by now, and so may one that
+        vanished from the list: it may be cut off from the store and from this host.
         """
+        if self._vanished:
+            return False
         return all(held.held and held.answered for held in self._held.values())
 
     @property
@@ -108,6 +115,7 @@
 
     def set_entries(self, entries: tuple[UpstreamEntry, ...], now: float) -> None:
         """Take in the list; what left it is kept while runs of it may exist."""
+        self._note_vanished(entries, now)
         self._entries = {entry.id: entry for entry in entries}
         if not self._leads:
             return
@@ -118,6 +126,15 @@
             else:
                 held.entry = entry
 
+    def _note_vanished(self, entries: tuple[UpstreamEntry, ...], now: float) -> None:
+        listed = {entry.id for entry in entries}
+        for entry in self._entries.values():
+            if entry.id not in listed and not entry.draining:
+                self._vanished.setdefault(entry.id, now)
+        for upstream, since in list(self._vanished.items()):
+            if upstream in listed or now - since > VANISHED_S:
+                del self._vanished[upstream]
+
     def _hold(self, entry: UpstreamEntry, now: float) -> None:
         held = HeldUpstream(entry, self._fence, now)
         held.sure_look = 1
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -212,3 +212,21 @@
     leading.settle()
     assert [a.outcome.end for a in leading.answers] == [JobEnd.COMPLETE]
     assert not leading.running()
+
+
+def test_a_handed_over_job_waits_for_an_upstream_that_vanished_from_the_list(
+    leading: Leading,
+):
+    # A task runs twice after a long cut: the entry of its upstream had lapsed, and the
+    # host that got the job back believed that it held all upstreams there are.
+    first, second = leading.upstreams
+    leading.dispatcher.set_upstreams([leading.entry(second)], leading.now)
+    leading.advance(0.1)
+    leading.offer("aa", route=PATIENT, deadline=leading.now + 5.0, handed=1)
+    leading.settle()
+    assert not leading.running()
+    leading.offer("bb", call=2)
+    leading.settle()
+    assert set(leading.running()) == {"bb.0.0.0"}
+    leading.advance(1.2)
+    assert set(leading.running()) == {"aa.0.0.0", "bb.0.0.0"}
