--- a/jackdawspur/cli/_check.py
+++ b/jackdawspur/cli/_check.py
@@ -7,11 +7,14 @@
 from absl import flags
 
 from jackdawspur.cli._exit import ExitCode, UsageError
+from jackdawspur.cli._front import read_host_settings
 from jackdawspur.configuration import InvalidConfiguration, load_configuration
 from jackdawspur.settings import (
     EntrySettings,
     HostListStandin,
+    HostSettings,
     LogStandin,
+    PlatformStandin,
     RackStandin,
     load_settings,
 )
@@ -19,8 +22,12 @@
 __all__ = ["define", "run"]
 
 CONFIGURATION = "configuration"
+# The settings file that the customers' platform writes, in its own format.
+PLATFORM_FILE = "platform-file"
 KINDS = {
     "entry": EntrySettings,
+    "front": HostSettings,
+    "platform": PlatformStandin,
     "rack": RackStandin,
     "log": LogStandin,
     "hostlist": HostListStandin,
@@ -32,7 +39,7 @@
     flags.DEFINE_enum(
         "kind",
         "entry",
-        [*KINDS, CONFIGURATION],
+        [*KINDS, CONFIGURATION, PLATFORM_FILE],
         "What the files are.",
         flag_values=values,
     )
@@ -45,6 +52,8 @@
     for path in rest:
         if values.kind == CONFIGURATION:
             _check_configuration(path)
+        elif values.kind == PLATFORM_FILE:
+            read_host_settings(None, path)
         else:
             load_settings(KINDS[values.kind], path)
         sys.stdout.write(f"{path}: good\n")
--- a/jackdawspur/cli/_front.py
+++ b/jackdawspur/cli/_front.py
@@ -8,7 +8,7 @@
 from jackdawspur.cli._logs import set_up_bounded_logs
 from jackdawspur.settings import HostSettings, load_settings
 
-__all__ = ["define", "run"]
+__all__ = ["define", "read_host_settings", "run"]
 
 
 def define(values: flags.FlagValues) -> None:
@@ -17,6 +17,15 @@
     flags.DEFINE_string("settings", None, text, flag_values=values)
 
 
+def read_host_settings(json_path: str | None, path: str | None = None) -> HostSettings:
+    """Return settings of a file in JSON, or else of the platform's own file."""
+    from jackdawspur.platform import read_platform_settings
+
+    if json_path:
+        return load_settings(HostSettings, json_path)
+    return read_platform_settings(path)
+
+
 def run(values: flags.FlagValues, _rest: Sequence[str]) -> ExitCode:
     """Run until told to stop."""
     from jackdawspur.adapters import Deadlines
@@ -25,13 +34,10 @@
         PlatformCallers,
         PlatformStore,
         PlatformUpstreams,
-        read_platform_settings,
     )
 
     def read_settings() -> HostSettings:
-        if values.settings:
-            return load_settings(HostSettings, values.settings)
-        return read_platform_settings()
+        return read_host_settings(values.settings)
 
     settings = read_settings()
     set_up_bounded_logs(settings.log_level, settings.name)
--- a/jackdawspur/platform/_settings.py
+++ b/jackdawspur/platform/_settings.py
@@ -31,42 +31,26 @@
 
 
 def settings_of(fields: dict[str, str], path: str) -> HostSettings:
-    """Return the product's settings of the platform's fields; name wrong ones."""
-    missing = [name for name in _NEEDED if not fields.get(name)]
-    if missing:
-        faults = "; ".join(f"{name}: a value is needed" for name in missing)
-        raise SettingsError(f"{path}: {faults}")
-    ip = fields["ip"]
-    port = fields["port_range"].partition(",")[0]
+    """Return the product's settings of the platform's fields; name all wrong ones."""
+    ip, ports = fields.get("ip", ""), fields.get("port_range", "")
     data = {
-        "name": fields["node_name"],
-        "zone": fields["zone"],
-        "callers": fields["listen.front"],
-        "ready": fields["listen.ready"],
-        "link": f"{ip}:{port}",
+        "name": fields.get("node_name"),
+        "zone": fields.get("zone"),
+        "callers": fields.get("listen.front"),
+        "ready": fields.get("listen.ready"),
+        "link": f"{ip}:{ports.partition(',')[0]}",
         "metrics": f"{ip}:{METRICS_PORT}",
-        "store": fields["platform.address"],
+        "store": fields.get("platform.address"),
+        "grace_s": fields.get("bounds.grace_s"),
+        "processor": _processor(fields),
     }
-    if fields.get("bounds.grace_s"):
-        data["grace_s"] = fields["bounds.grace_s"]
-    processor = _product(fields.get("limits.cpu_share"), fields.get("limits.cores"))
-    if processor is not None:
-        data["processor"] = processor
+    given = {name: value for name, value in data.items() if value}
     try:
-        return TypeAdapter(HostSettings).validate_python(data)
+        return TypeAdapter(HostSettings).validate_python(given)
     except ValidationError as error:
         raise SettingsError(f"{path}: {_describe(error)}") from error
 
 
-_NEEDED = (
-    "node_name",
-    "zone",
-    "ip",
-    "listen.front",
-    "listen.ready",
-    "port_range",
-    "platform.address",
-)
 # What the product calls differently, for messages about wrong values.
 _FIELD_OF = {
     "name": "node_name",
@@ -80,8 +64,9 @@
 }
 
 
-def _product(share: str | None, cores: str | None) -> float | str | None:
+def _processor(fields: dict[str, str]) -> float | str | None:
     """Return the host's cores; a text that is no number is left to the checks."""
+    share, cores = fields.get("limits.cpu_share"), fields.get("limits.cores")
     if not share:
         return None
     try:
--- a/jackdawspur/platform/tests/test_settings.py
+++ b/jackdawspur/platform/tests/test_settings.py
@@ -45,6 +45,12 @@
         read_platform_settings(path)
 
 
+def test_all_wrong_values_are_named_at_once(tmp_path):
+    wrong = GOOD.replace("zone=z-a\n", "").replace("grace_s=6", "grace_s=soon")
+    with pytest.raises(SettingsError, match="zone.*bounds.grace_s"):
+        read_platform_settings(written(tmp_path, wrong))
+
+
 def test_a_file_that_is_missing_or_no_text_is_an_error(tmp_path):
     with pytest.raises(SettingsError):
         read_platform_settings(str(tmp_path / "none"))
--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -75,12 +75,11 @@
 
 def _score(
     task: Task, held: HeldUpstream, estimates: Estimates, most_pace: float
-) -> tuple[bool, int, int]:
+) -> tuple[bool, bool, int, int]:
     pace = estimates.pace(held.entry.id)
-    if task.spec.near and task.spec.near not in held.entry.labels:
-        pace *= REMOTE_FACTOR
+    remote = bool(task.spec.near) and task.spec.near not in held.entry.labels
     left = held.free.cpu_millis - task.spec.resources.cpu_millis
     rank = round(math.log(pace) / SAME_PACE)
-    if pace <= most_pace:
-        return (False, -rank, left)
-    return (True, rank, left)
+    safe = pace * (REMOTE_FACTOR if remote else 1.0) <= most_pace
+    # Away from its data a task takes room for longer, also when it has the time.
+    return (not safe, remote, -rank if safe else rank, left)
