Hold the ways of docs/OPERATIONS.md and the bounds of logs by tests

Cause: nothing held that a failed request's id leads to its cause, nor that a log's reader that stops costs no request.

--- a/jackdawspur/cli/_bounded_output.py
+++ b/jackdawspur/cli/_bounded_output.py
@@ -3,6 +3,7 @@
 import logging
 import os
 import time
+from collections.abc import Callable
 
 __all__ = ["BoundedOutput"]
 
@@ -17,8 +18,13 @@
     thread there is, and with it all requests, so the line is dropped and counted.
     """
 
-    def __init__(self, descriptor: int = STDOUT) -> None:
+    def __init__(
+        self,
+        descriptor: int = STDOUT,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         super().__init__()
+        self._clock = clock
         self._descriptor = descriptor
         os.set_blocking(descriptor, False)
         self._second = 0
@@ -28,7 +34,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line, unless this second's are used up."""
-        second = int(time.monotonic())
+        second = int(self._clock())
         if second != self._second:
             self._second, self._written = second, 0
         if self._written >= LINES_A_SECOND and record.levelno < logging.ERROR:
--- /dev/null
+++ b/jackdawspur/front/tests/test_operations.py
@@ -0,0 +1,73 @@
+"""The ways of docs/OPERATIONS.md lead from a failed request's id to its cause."""
+
+import time
+
+import pytest
+
+from jackdawspur.front.tests.deployment import Deployment, answers, wait_until
+
+STORE_WORDS = ("lost", "regained")
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    one = Deployment(tmp_path, hosts=2, workers=2)
+    yield one
+    one.close()
+
+
+def grep(deployment: Deployment, text: str) -> list[dict]:
+    """Return the lines of all hosts that hold a text, as the page's commands do."""
+    lines = [line for host in deployment.hosts for line in host.lines()]
+    return [line for line in lines if text in str(line)]
+
+
+def with_message(lines: list[dict], message: str) -> list[dict]:
+    return [line for line in lines if line["message"] == message]
+
+
+def test_from_a_request_lost_with_its_worker_to_the_silent_worker(deployment):
+    # A skipper gets no answer in time: both workers were cut off while its task ran.
+    job = "00000000000000b1"
+    sent = deployment.submit(deployment.hosts[0], run_ms=2500.0, job=job)
+    time.sleep(0.4)
+    deployment.set_faults(silent=[0, 1])
+    assert answers([sent])[0].status in (503, 504)
+    about = grep(deployment, job)
+    assert with_message(about, "job ended")[0]["end"] == "out_of_time"
+    lost = with_message(about, "run lost")[0]
+    assert lost["inputs"]["silent_ms"] > 500
+    upstream = grep(deployment, lost["upstream"])
+    assert with_message(upstream, "upstream silent")[0]["inputs"]["runs"] >= 1
+
+
+def test_from_a_refused_request_to_what_it_would_have_needed(deployment):
+    # A client is told to come back later: there was more work than the workers could
+    # end in time.
+    host = deployment.hosts[1]
+    sent = [deployment.submit(host, run_ms=400.0, tasks=4) for _ in range(12)]
+    got = answers(sent)
+    refused = [answer for answer in got if answer.status == 429]
+    assert refused
+    assert all(int(answer.retry_after) >= 1 for answer in refused)
+    assert all(answer.body["not_run"] for answer in refused)
+    ended = [x for x in grep(deployment, "job ended") if x["end"] == "refused"]
+    about = grep(deployment, ended[0]["job"])
+    inputs = with_message(about, "job refused")[0]["inputs"]
+    assert inputs["needs_ms"] * 1.2 > inputs["useful_ms"]
+    assert inputs["jobs"] > 1
+
+
+def test_from_a_host_without_the_store_to_when_it_lost_it(deployment):
+    # Operators see an old configuration in force: the store refuses the hosts.
+    before = {word: len(grep(deployment, f"store {word}")) for word in STORE_WORDS}
+    deployment.set_faults(store_down=True)
+    wait_until(lambda: len(grep(deployment, "store lost")) > before["lost"], "losses")
+    lost = grep(deployment, "store lost")[-1]
+    assert lost["reason"]
+    assert lost["list_age_s"] < 5.0
+    assert answers([deployment.submit(deployment.hosts[0])])[0].status == 200
+    deployment.set_faults(store_down=False)
+    wait_until(
+        lambda: len(grep(deployment, "store regained")) > before["regained"], "returns"
+    )
