--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -12,7 +12,7 @@
 # How long no host may lead before another takes over: all have then heard the same.
 VACANT_S = 0.1
 # At a start all hosts are to find each other before one leads.
-FIRST_VACANT_S = 1.0
+FIRST_VACANT_S = 0.4
 # A host just started is likely to be one that fails; it leads if no other can.
 SETTLED_MS = 2000
 # Upstreams that obey an unknown fence again within this time show another host that
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -139,3 +139,11 @@
     hosts.advance(0.3)
     assert hosts.groups[leader].leader(hosts.now) == second
     assert not hosts.groups[leader].yielding
+
+
+def test_one_host_leads_soon_after_all_have_started():
+    # After all hosts lost power no request is served though all hosts are back: each
+    # waits for the others before it leads.
+    hosts = Hosts("a", "b", "c")
+    hosts.advance(0.6)
+    assert len(hosts.leaders()) == 1
