Judge upstreams anew with each lead; type what the host's parts ask of each other

Cause, by reading: starts counted under an earlier lead, whose ends went to another host, stayed counted, and an upstream that is suspect gets one task at a time. What: the judgement begins anew with each lead. Also: the page of counters and the service of callers say by types what they need; unused parts dropped; a host that claims again tells the others at once.

--- a/jackdawspur/front/_gauges.py
+++ b/jackdawspur/front/_gauges.py
@@ -1,6 +1,7 @@
 """Counters and histograms of a host, as text."""
 
 from collections import Counter
+from typing import Protocol
 
 from jackdawspur.adapters import Call, WebService
 from jackdawspur.callers import HttpReply
@@ -40,18 +41,29 @@
         return lines
 
 
+class GaugeOwner(Protocol):
+    """Show figures."""
+
+    gauges: Gauges
+
+    def gauge_lines(self) -> list[str]:
+        """Return one line for each figure of this moment."""
+
+    def reply_metrics(self, number: int, reply: HttpReply) -> None:
+        """Reply to a request for the counters."""
+
+
 class MetricsPage(WebService):
     """Serve the counters of a host."""
 
-    def __init__(self, owner) -> None:
+    def __init__(self, owner: "GaugeOwner") -> None:
         self._owner = owner
-        self.reply = None
 
     def called(self, call: Call) -> None:
         """Answer with all counters and gauges."""
         lines = [*self._owner.gauges.lines(), *self._owner.gauge_lines(), ""]
         body = "\n".join(lines).encode()
-        self.reply(call.number, HttpReply(200, body, content_type=TEXT))
+        self._owner.reply_metrics(call.number, HttpReply(200, body, content_type=TEXT))
 
     def closed(self, number: int) -> None:
         """Do nothing; a page keeps nothing."""
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -10,6 +10,7 @@
 from circuits.core.pollers import EPoll
 
 from jackdawspur.adapters import Deadlines, WebServer
+from jackdawspur.callers import HttpReply
 from jackdawspur.front._clock import now_s, unix_ms
 from jackdawspur.front._gauges import Gauges, MetricsPage
 from jackdawspur.front._lead import LeadDriver
@@ -55,6 +56,7 @@
 FENCED_CLAIM_S = 0.2
 # Settings that need no restart.
 RELOADED = ("grace_s", "log_level")
+# Objects until a young collection, then how many of each until the next older one.
 COLLECTOR_THRESHOLDS = (10_000, 20, 100)
 
 log = logging.getLogger("jackdawspur.host")
@@ -123,10 +125,9 @@
             settings.ready, ReadyService(self), "ready"
         ).register(self)
         if settings.metrics is not None:
-            page = MetricsPage(self)
-            self._metrics_web = WebServer(settings.metrics, page, "metrics")
-            self._metrics_web.register(self)
-            page.reply = self._metrics_web.reply
+            self._metrics_web = WebServer(
+                settings.metrics, MetricsPage(self), "metrics"
+            ).register(self)
 
     @property
     def ready(self) -> bool:
@@ -138,24 +139,18 @@
         """Tell whether there are routes and a leading host."""
         return bool(self.routes.version) and self.group.leader(now_s()) is not None
 
-    @property
-    def draining(self) -> bool:
-        """Tell whether this host was told to stop."""
-        return self.group.draining
-
-    @property
-    def late_s(self) -> float:
-        """Return how late passes of the loop come on average."""
-        return self._late_s
-
-    def reply(self, number: int, reply) -> None:
+    def reply(self, number: int, reply: HttpReply) -> None:
         """Reply to a caller."""
         self._web.reply(number, reply)
 
-    def reply_ready(self, number: int, reply) -> None:
+    def reply_ready(self, number: int, reply: HttpReply) -> None:
         """Reply to a look at readiness."""
         self._ready_web.reply(number, reply)
 
+    def reply_metrics(self, number: int, reply: HttpReply) -> None:
+        """Reply to a request for the counters."""
+        self._metrics_web.reply(number, reply)
+
     def send(self, host: str, message: GroupMessage) -> None:
         """Send a message to another host."""
         self._mesh.send(host, message)
@@ -244,6 +239,7 @@
         if self.group.leads and fenced > FENCED_CLAIM_S:
             self.group.contested(unix_ms(), now)
             self.lead.leadership_changed(now)
+            self._beat(now)
         self.callers.offer_waiting(now)
 
     def _beat(self, now: float) -> None:
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -41,20 +41,36 @@
     group: Group
     gauges: Gauges
     routes: RouteTable
-    can_serve: bool
+    lead: "JobTaker"
     ready: bool
 
     def reply(self, number: int, reply: HttpReply) -> None:
         """Reply to a caller."""
 
+    def reply_ready(self, number: int, reply: HttpReply) -> None:
+        """Reply to a look at readiness."""
+
+    def waiting_jobs(self, route: str) -> int:
+        """Return the number of a route's jobs that wait."""
+
     def send(self, host: str, message: GroupMessage) -> None:
         """Send a message to another host."""
 
 
+class JobTaker(Protocol):
+    """Run jobs while this host leads."""
+
+    def take(self, offer: Offer, now: float) -> None:
+        """Take a job."""
+
+    def dropped(self, host: str, job: str, call: int, now: float) -> None:
+        """Stop a job whose caller left."""
+
+
 class ReadyService(WebService):
     """Tell the platform whether new connections are wanted."""
 
-    def __init__(self, owner) -> None:
+    def __init__(self, owner: ServiceOwner) -> None:
         self._owner = owner
 
     def called(self, call: Call) -> None:
@@ -69,11 +85,10 @@
 class CallerService(WebService):
     """Keep callers waiting while the leading host runs their jobs."""
 
-    def __init__(self, owner, port: CallerPort) -> None:
+    def __init__(self, owner: ServiceOwner, port: CallerPort) -> None:
         self._owner = owner
         self._port = port
         self._jobs = OwnJobs()
-        self._next_handed: dict[int, int] = {}
 
     @property
     def waiting(self) -> int:
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -90,10 +90,12 @@
         self._answers.clear()
         self.leads = True
         self._fleet.hold_all(fence, now)
+        self._estimates.forget_running(held.entry.id for held in self._fleet.held)
 
     def resign(self, now: float) -> None:
         """Give up all jobs and upstreams; the host that leads next takes them over."""
         self._jobs.clear()
+        self._answers.clear()
         self.leads = False
         self._fleet.release_all(now)
 
--- a/jackdawspur/runs/_estimates.py
+++ b/jackdawspur/runs/_estimates.py
@@ -30,6 +30,15 @@
         self._health.set_upstreams(kept)
         self._paces.set_upstreams(kept)
 
+    def forget_running(self, upstreams: Iterable[UpstreamId]) -> None:
+        """Judge upstreams anew: what ran under an earlier lead is not counted here.
+
+        Counted starts whose ends went to another host would bar a suspect upstream for
+        ever, since it gets one task at a time.
+        """
+        self._health = UpstreamHealth(self._own)
+        self._health.set_upstreams(upstreams)
+
     def expected_ms(
         self, route: Route, steps: tuple[JobStep, ...]
     ) -> tuple[float, ...]:
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -246,3 +246,22 @@
     leading.settle()
     assert [a.outcome.end for a in leading.answers] == [JobEnd.COMPLETE] * 2
     assert not leading.running()
+
+
+def test_a_host_that_leads_again_counts_no_starts_of_its_earlier_lead(
+    leading: Leading,
+):
+    # Upstreams that once failed a task get no more work: their one trial task counted
+    # as running for ever, since its end had gone to the host that led in between.
+    leading.offer("aa", tasks=4)
+    leading.settle()
+    leading.dispatcher.resign(leading.now)
+    for upstream in leading.upstreams.values():
+        upstream.running.clear()
+    leading.lead(FENCE * 2)
+    leading.offer("bb", tasks=2)
+    leading.settle()
+    for name, (place,) in list(leading.running().items()):
+        leading.upstreams[place].end(name, Ending.FAILED)
+    leading.settle()
+    assert leading.running()
