Let the test of a second lead fail without what it holds

Cause: both of its tasks went to one upstream, so the other took them on either way; the test passed without the change it was written for. Now both upstreams fail a task: it fails without the change and passes with it.

--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -259,7 +259,7 @@
     for upstream in leading.upstreams.values():
         upstream.running.clear()
     leading.lead(FENCE * 2)
-    leading.offer("bb", tasks=2)
+    leading.offer("bb", tasks=4)
     leading.settle()
     for name, (place,) in list(leading.running().items()):
         leading.upstreams[place].end(name, Ending.FAILED)
