Never refuse as not run what was once begun

The leading host drops the jobs of hosts that it has not heard, an offer can come before a host's first heartbeat, and the repeated offer counted as a new job, too late by then. What: a host remembers for 10 s what it began, over changes of the lead, and answers such jobs as out of time; an offer is a sign of life.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -299,6 +299,7 @@
             for progress in message.progress:
                 self.callers.note_done(progress)
         elif isinstance(message, JobOffered):
+            self.group.note_message(message.sender, now)
             self.lead.offered(message, now)
         elif isinstance(message, JobDropped):
             self.lead.dropped(message.sender, message.job, message.call, now)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -100,6 +100,10 @@
         self._heard[beat.host.name] = now
         self._highest = max(self._highest, beat.fence)
 
+    def note_message(self, name: str, now: float) -> None:
+        """Take a message as a sign of life; it may come before a heartbeat."""
+        self._heard[name] = now
+
     def alive(self, name: str, now: float) -> bool:
         """Tell whether a host was heard of lately; this one always is."""
         if name == self._own.name:
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -22,6 +22,7 @@
 from jackdawspur.runs._order import Standing, order_key, standing, useful_until
 from jackdawspur.runs._placing import choose
 from jackdawspur.runs._progress import Verdict
+from jackdawspur.runs._remembered import Remembered
 from jackdawspur.runs._review import Review
 from jackdawspur.runs._types import JobEnd, JobOutcome, Offer
 
@@ -33,6 +34,9 @@
 SETTLED_S = 1.1
 # Hosts offer their jobs again within this time of a change of the leading host.
 FOUND_KEPT_S = 2.0
+# Longer than any caller waits, so that a job which was dropped and is offered again is
+# never refused as one that did not run.
+BEGUN_KEPT_S = 10.0
 MS_PER_S = 1000.0
 LEAST_RETRY_S = 1.0
 MOST_RETRY_S = 30.0
@@ -53,7 +57,9 @@
         self._looks = Looks(self._fleet)
         self._review_of = Review(self._fleet, self._estimates, self._notes)
         self._jobs: dict[str, Job] = {}
-        self._found_done: dict[str, float] = {}
+        self._found_done = Remembered(FOUND_KEPT_S)
+        # Kept over changes of the lead: what began is never refused as not run.
+        self._begun = Remembered(BEGUN_KEPT_S)
         self._answers = Answers()
         self._now = now
         self.leads = False
@@ -124,9 +130,10 @@
         steps = offer.request.steps
         expected = self._estimates.expected_ms(offer.request.route, steps)
         job = Job(offer, expected, now)
+        job.started = job.started or job.id in self._begun
         self._jobs[job.id] = job
         for name in [name for name in job.by_name if name in self._found_done]:
-            del self._found_done[name]
+            self._found_done.discard(name)
             job.end_task(job.by_name[name])
         self._fleet.claim(job, now)
         if job.complete:
@@ -196,8 +203,9 @@
             self._give_up_if_late(job, now)
         for job in list(self._jobs.values()):
             self._review(job, now)
-        self._forget_found(now)
+        self._found_done.forget_old(now)
         self._answers.forget_old(now)
+        self._begun.forget_old(now)
         self._fleet.tick(now)
 
     # What the fleet tells of runs.
@@ -230,7 +238,7 @@
         """
         job = self.job_of(task_name)
         if job is None:
-            self._found_done[task_name] = now
+            self._found_done.add(task_name, now)
         elif task_name in job.by_name:
             self._end_found(job, job.by_name[task_name])
 
@@ -241,11 +249,6 @@
         if job.complete:
             self._complete(job)
 
-    def _forget_found(self, now: float) -> None:
-        old = [t for t, at in self._found_done.items() if now - at > FOUND_KEPT_S]
-        for name in old:
-            del self._found_done[name]
-
     def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Let a task wait again whose run can't exist any more."""
         self._estimates.lost(upstream, now)
@@ -383,5 +386,6 @@
                 return
             task.run += 1
             job.place(task, held.entry.id, now)
+            self._begun.add(job.id, now)
             self._estimates.started(held.entry.id)
             self._fleet.start(held, task, job.request.spec, now)
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -265,3 +265,20 @@
         leading.upstreams[place].end(name, Ending.FAILED)
     leading.settle()
     assert leading.running()
+
+
+def test_a_job_that_was_dropped_after_a_start_is_never_refused_as_not_run(
+    leading: Leading,
+):
+    # A client is told that its job did not run, and it did: its host had not been heard
+    # for a moment, the job was dropped while its task ran, and when the host offered it
+    # again it was too late for it.
+    leading.offer("aa")
+    leading.settle()
+    leading.dispatcher.drop_host("h2", leading.now)
+    leading.settle()
+    leading.offer("aa", deadline=leading.now + 0.1)
+    leading.advance(0.1)
+    (answer,) = leading.answers
+    assert not answer.outcome.not_run
+    assert answer.outcome.end is JobEnd.OUT_OF_TIME
