Check for names that the platform has; drop an attribute nothing reads

The test that the platform's names stay in its folder looked for last_seen_ms, which the platform does not have, so that entry could not fail; it looks for max_per_server, mem_mb and saves_progress now, which it does. The simulation of the bench kept the kinds of job without using them.

--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -85,7 +85,6 @@
         self._arrivals = random.Random(seed + 1)
         self.load = 1.0
         self.lost_replies = 0.0
-        self._kinds = kinds
         self._policy = policy
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
--- a/jackdawspur/tests/test_layers.py
+++ b/jackdawspur/tests/test_layers.py
@@ -40,7 +40,9 @@
     "log-newest",
     "keyed.",
     "best_effort",
-    "last_seen_ms",
+    "max_per_server",
+    "mem_mb",
+    "saves_progress",
     "X-Expect-Instance",
 )
 
