Stop jobs whose host follows a later lead

Change: heartbeats name the lead that their sender follows; a leading host drops the jobs of a host that follows a later one. A heartbeat is repeated, so a lost one costs 0.1 to 0.2 s; a host not heard for 0.4 s is dropped anyway. Both are within the 1.1 s that a successor waits before it starts what was handed over. Ruled out: one message to the earlier leading host at the hand-over (lost on a connection that went silent); giving up the whole lead on hearing of a later one (hosts that hear only the earlier one would have none).

Before: the new test of a host that follows a later lead fails (the job stays). After: it passes; jobs of hosts without or with an earlier lead go on (2 tests).

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -16,10 +16,12 @@
     JobOffered,
     JobProgress,
 )
+from jackdawspur.leases import Fence
 from jackdawspur.model import HostId
 from jackdawspur.runs import (
     AnswerJob,
     Dispatcher,
+    DropCause,
     Effect,
     LookAt,
     Note,
@@ -136,6 +138,17 @@
         self._dispatcher.drop(host, job, call, now)
         self._owner.flush_soon()
 
+    def follower_heard(self, host: str, follows: Fence, now: float) -> None:
+        """Stop the jobs of a host that hands them to a later lead.
+
+        The two leading hosts may not hear each other and reach different upstreams, so
+        no fence would keep the runs of one job apart. Its host is heard by both, and
+        its heartbeats repeat what a single message might lose.
+        """
+        if self._dispatcher.leads and follows > self._owner.group.fence:
+            self._dispatcher.drop_host(host, DropCause.HANDED_ON, now)
+            self._owner.flush_soon()
+
     def fenced_for(self, now: float) -> float:
         """Return for how long an upstream has obeyed a higher fence."""
         since = self._dispatcher.fleet.fenced_since
@@ -161,7 +174,7 @@
         group = self._owner.group
         for host in self._dispatcher.hosts():
             if not group.alive(host, now):
-                self._dispatcher.drop_host(host, now)
+                self._dispatcher.drop_host(host, DropCause.SILENT, now)
         self._dispatcher.tick(now)
 
     def flush(self, now: float) -> None:
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -244,7 +244,8 @@
 
     def _beat(self, now: float) -> None:
         done = self.lead.done_by_host()
-        leader = self.group.leader(now)
+        term = self.group.term(now)
+        leader = term.leader if term else None
         every_other = self._ticks // BEAT_TICKS % 2
         for peer in self.group.known:
             # Hosts that follow need each other only to choose the next leading host.
@@ -263,6 +264,7 @@
                 knows=self.group.known if self._ticks % PASS_EVERY_TICKS == 0 else (),
                 progress=done.get(peer.name, ()),
                 silent_s=self.group.silent_s(peer.name, now),
+                follows=term.fence if term else 0,
             )
             self._mesh.send(peer.name, beat)
             self._redial_if_silent(peer.name, beat.silent_s, now)
@@ -296,6 +298,7 @@
         if isinstance(message, HostBeat):
             self.group.heard(message, now)
             self._redial_if_silent(message.host.name, message.silent_s, now)
+            self.lead.follower_heard(message.host.name, message.follows, now)
             for progress in message.progress:
                 self.callers.note_done(progress)
         elif isinstance(message, JobOffered):
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -79,3 +79,26 @@
     assert driver.dispatcher.jobs == 0
     driver.offered(offer(owner.group.fence, handed=1), 5.3)
     assert driver.dispatcher.jobs == 1
+
+
+def test_a_job_whose_host_follows_a_later_lead_is_stopped(
+    owner: Owner, driver: LeadDriver
+):
+    # A task runs twice at one time: its host hears two leading hosts that do not hear
+    # each other. It follows the later lead and hands the job to it; the earlier one
+    # still hears the host, and ran the job on where the later one does not reach.
+    driver.offered(offer(owner.group.fence), 5.0)
+    driver.follower_heard("h2", owner.group.fence + 1, 5.1)
+    assert driver.dispatcher.jobs == 0
+
+
+@pytest.mark.parametrize("behind", [0, 1])
+def test_a_job_whose_host_has_not_heard_of_a_later_lead_goes_on(
+    owner: Owner, driver: LeadDriver, behind: int
+):
+    # A host without a leading host, or one that is late to hear of the present one,
+    # has handed its job to nobody else.
+    driver.offered(offer(owner.group.fence), 5.0)
+    driver.follower_heard("h2", behind * (owner.group.fence - 1), 5.1)
+    driver.follower_heard("h2", owner.group.fence, 5.2)
+    assert driver.dispatcher.jobs == 1
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -45,8 +45,9 @@
 class HostBeat(msgspec.Struct, frozen=True, tag="beat"):
     """Tell the other hosts how this one is; `sent_at` is on its own clock.
 
-    `fence` is its own when it leads, else 0. `silent_s` is for how long it has not
-    heard the receiver.
+    `fence` is its own when it leads, else 0; `follows` is that of the leading host to
+    which it hands its jobs, 0 without one. `silent_s` is for how long it has not heard
+    the receiver.
     """
 
     host: HostAddress
@@ -61,6 +62,7 @@
     knows: tuple[HostAddress, ...]
     progress: tuple["JobProgress", ...] = ()
     silent_s: float = 0.0
+    follows: int = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True):
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -4,6 +4,7 @@
 from jackdawspur.runs._effects import (
     AnswerJob,
     Decision,
+    DropCause,
     Effect,
     LookAt,
     Note,
@@ -24,6 +25,7 @@
     "AnswerJob",
     "Decision",
     "Dispatcher",
+    "DropCause",
     "Effect",
     "Job",
     "JobEnd",
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -13,7 +13,7 @@
 )
 from jackdawspur.model import HostId, UpstreamId
 from jackdawspur.runs._answers import Answers, offer_key
-from jackdawspur.runs._effects import AnswerJob, Decision, Effect
+from jackdawspur.runs._effects import AnswerJob, Decision, DropCause, Effect
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task, TaskState
@@ -147,10 +147,12 @@
         self._note_late(Decision.JOB_DROPPED, job, now)
         self._end(job, now)
 
-    def drop_host(self, host: str, now: float) -> None:
-        """Stop the jobs of a host that is gone; their callers will ask again."""
+    def drop_host(self, host: str, cause: DropCause, now: float) -> None:
+        """Stop the jobs of a host that is gone or has handed them to another."""
         for job in [j for j in self._jobs.values() if j.offer.host == host]:
-            self._notes.add(Decision.JOB_DROPPED, job.id, "", lost_host=host)
+            self._notes.add(
+                Decision.JOB_DROPPED, job.id, "", host=host, cause=cause.value
+            )
             self._end(job, now)
 
     def start_replied(
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -10,6 +10,7 @@
 __all__ = [
     "AnswerJob",
     "Decision",
+    "DropCause",
     "Effect",
     "LookAt",
     "Note",
@@ -87,6 +88,13 @@
     UPSTREAM_FENCED = "upstream obeys another host"
 
 
+class DropCause(Enum):
+    """Say for the log why all jobs of a host are dropped."""
+
+    SILENT = "its host is silent"
+    HANDED_ON = "its host follows a later lead"
+
+
 @dataclass(frozen=True, slots=True)
 class Note:
     """Explain one decision; `inputs` are what decided it."""
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -1,7 +1,7 @@
 """A task never has two runs at one time."""
 
 from jackdawspur.leases import CallOutcome, Ending
-from jackdawspur.runs import JobEnd
+from jackdawspur.runs import DropCause, JobEnd
 from jackdawspur.runs.tests.conftest import FENCE, PATIENT, Leading
 
 
@@ -275,7 +275,7 @@
     # again it was too late for it.
     leading.offer("aa")
     leading.settle()
-    leading.dispatcher.drop_host("h2", leading.now)
+    leading.dispatcher.drop_host("h2", DropCause.SILENT, leading.now)
     leading.settle()
     leading.offer("aa", deadline=leading.now + 0.1)
     leading.advance(0.1)
