Answer every caller before a stopping host ends

A host that drains takes requests until its end, from callers that come late; at the end of its time it closed with them waiting.

Change: once a host drains, no caller waits beyond the time at which it ends: new jobs get that as their limit, which the leading host refuses at once if they can't end by then; what is left is answered as out of time, and what comes after that is refused as not run, to be tried again elsewhere after 1 s.

--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -44,6 +44,11 @@
         """Keep a caller that waits."""
         self._by_call[job.call] = job
 
+    def end_by(self, deadline: float) -> None:
+        """Let no caller wait longer than this."""
+        for job in self._by_call.values():
+            job.deadline = min(job.deadline, deadline)
+
     def take(self, call: int) -> OwnJob | None:
         """Forget a caller and return its job."""
         return self._by_call.pop(call, None)
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -139,6 +139,11 @@
         """Tell whether there are routes and a leading host."""
         return bool(self.routes.version) and self.group.leader(now_s()) is not None
 
+    @property
+    def _stops_at(self) -> float:
+        """Return when a host that drains ends at the latest."""
+        return self._drain_from + self._settings.grace_s - DRAIN_MARGIN_S
+
     def reply(self, number: int, reply: HttpReply) -> None:
         """Reply to a caller."""
         self._web.reply(number, reply)
@@ -321,6 +326,7 @@
         if self._drain_from is None:
             self._drain_from = now_s()
             self.group.draining = True
+            self.callers.stop_by(self._stops_at)
             self._web.drain()
             log.info("draining", extra={"waiting_callers": self.callers.waiting})
 
@@ -354,19 +360,16 @@
         """Stop once no caller waits and the balancer sends nobody any more."""
         if self._drain_from is None or self._exiting:
             return
-        passed = now - self._drain_from
         idle = not self._web.open_calls and not self.group.leads
-        over = passed > self._settings.grace_s - DRAIN_MARGIN_S
-        if over or (idle and passed > LEAST_DRAIN_S):
+        settled = now - self._drain_from > LEAST_DRAIN_S
+        if now > self._stops_at or (idle and settled):
             self._exiting = True
             self._web.close_idle()
             self._deadlines.call_after(EXIT_GRACE_S, self._exit)
 
     def _exit(self) -> None:
         """Stop, unless a request came on a connection that was to be closed."""
-        passed = now_s() - self._drain_from
-        over = passed > self._settings.grace_s - DRAIN_MARGIN_S
-        if self._web.open_calls and not over:
+        if self._web.open_calls and now_s() <= self._stops_at:
             self._exiting = False
             return
         log.info("host stopped", extra={"waiting_callers": self.callers.waiting})
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -90,6 +90,7 @@
         self._owner = owner
         self._port = port
         self._jobs = OwnJobs()
+        self._stops_at: float | None = None
 
     @property
     def waiting(self) -> int:
@@ -121,6 +122,15 @@
         log.info("caller left", extra={"job": job.request.id})
         self._drop(job)
 
+    def stop_by(self, stops_at: float) -> None:
+        """Give every caller its answer by this time, also those still to come.
+
+        What is cut off when the process ends looks to its caller as if it might still
+        run. The balancer and open connections bring requests until the end.
+        """
+        self._stops_at = stops_at
+        self._jobs.end_by(stops_at - ANSWER_S)
+
     def answered(self, answer: JobAnswered) -> None:
         """Pass the leading host's answer on to the caller.
 
@@ -180,7 +190,14 @@
         patience = asked.route.timeout_ms / MS_PER_S
         if asked.patience_s is not None:
             patience = min(patience, asked.patience_s)
-        deadline = now + patience - ANSWER_S
+        ends = now + patience
+        if self._stops_at is not None:
+            ends = min(ends, self._stops_at)
+        deadline = ends - ANSWER_S
+        if deadline <= now:
+            reply = self._port.reply_not_ready("this host stops")
+            self._owner.reply(call.number, reply)
+            return
         self._jobs.add(OwnJob(call.number, asked.request, now, deadline))
         self.offer_waiting(now)
 
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -107,3 +107,23 @@
     service.closed(1)
     assert owner.sent[-1] == ("first", JobDropped("own", "aa", 1))
     assert not owner.replies
+
+
+def test_a_stopping_host_answers_all_callers_before_it_ends(owner, service):
+    # A request is cut off by a rolling restart: it came late in the host's time to
+    # stop, its caller would have waited longer than that, and the process ended.
+    service.stop_by(clock() + 0.1)
+    service.tick(clock() + 0.05)
+    assert not owner.replies
+    service.tick(clock() + 0.1)
+    assert [r.status for r in owner.replies] == [504]
+    assert owner.sent[-1] == ("first", JobDropped("own", "aa", 1))
+
+
+def test_a_host_at_its_end_refuses_as_not_run_at_once(owner, service):
+    # A caller waits in vain: its request reached a host that was about to end.
+    service.stop_by(clock())
+    service.called(Call(2, "POST", "/q/aa", "", None, b""))
+    (reply,) = owner.replies
+    assert (reply.status, reply.retry_after_s) == (503, 1)
+    assert len(owner.sent) == 1
