Add a fault soak: real processes, a loopback proxy, signals

What it is: `make soak` (50 seeds of 8 s) runs four hosts, six workers and a store as processes, draws faults from a seed (kill, freeze, stop, reload of hosts; the store silent for or resetting one host, down, forgetting; workers silent or resetting) and checks what callers got against what workers ran: no task twice at a time, no worker over its room, complete only when all is done, failed only with a cause, "not run" true and with Retry-After, no answer missing but from a killed host, and every host serving again afterwards. The stand-in tells which tasks started and which are done.

Found while building it: ports were chosen in the range of outgoing connections and lost to these beside another run (a host did not start, once in 11 tests); a deployment now holds a block of ports below that range. A deployment that does not become ready, or a soak that is ended, takes its processes with it.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: install test lint format demo demo-front bench bench-front bench-decisions bench-configuration \
-	bench-report slopes shares binary fuzz speed
+	bench-report slopes shares binary fuzz speed soak
 
 install: $(STAMP)
 
@@ -49,6 +49,10 @@
 fuzz: install
 	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),2000) $(BIN)/python -m pytest jackdawspur/fuzz
 
+# Real processes under faults, about 20 minutes; SOAK_FLAGS="--first=51 --seeds=10".
+soak: install
+	$(BIN)/python -m jackdawspur.soak $(SOAK_FLAGS)
+
 demo: install
 	PYTHON=$(BIN)/python scripts/demo $(DEPLOYMENT)
 
--- a/jackdawspur/cli/_standin.py
+++ b/jackdawspur/cli/_standin.py
@@ -76,6 +76,7 @@
             settings.zones,
             settings.configuration,
             settings.cpu,
+            settings.announced,
         )
     )
 
--- a/jackdawspur/front/tests/test_whole_path.py
+++ b/jackdawspur/front/tests/test_whole_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jackdawspur.front.tests.deployment import Deployment, answers, stop, wait_until
+from jackdawspur.soak import Deployment, answers, stop, wait_until
 
 
 @pytest.fixture
--- a/jackdawspur/settings/_standins.py
+++ b/jackdawspur/settings/_standins.py
@@ -49,6 +49,7 @@
     """Serve the customers' platform: a store and its workers, from one process.
 
     `configuration` is published as it stands; `cpu` in thousandths of a core.
+    `announced` are the addresses at which workers are reached, if not their own.
     """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
@@ -58,6 +59,7 @@
     zones: Annotated[tuple[str, ...], Field(min_length=1)]
     configuration: dict
     cpu: Annotated[int, Field(ge=2)] = 32_000
+    announced: tuple[Address, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawspur/shares.py
+++ b/jackdawspur/shares.py
@@ -43,6 +43,7 @@
     "bench": "bench and tools",
     "load": "bench and tools",
     "slopes": "bench and tools",
+    "soak": "bench and tools",
 }
 OTHER = "other"
 # Of the configuration, these check and show documents rather than decide or recover.
--- /dev/null
+++ b/jackdawspur/soak/__init__.py
@@ -0,0 +1,24 @@
+"""Real processes under faults: a deployment, its faults, and what must still hold."""
+
+from jackdawspur.soak._checks import Findings, check
+from jackdawspur.soak._deployment import Answer, Deployment, answers, stop, wait_until
+from jackdawspur.soak._plan import Fault, FaultKind, plan_faults
+from jackdawspur.soak._proxy import Passage, Proxy
+from jackdawspur.soak._soak import SoakResult, run_seed
+
+__all__ = [
+    "Answer",
+    "Deployment",
+    "Fault",
+    "FaultKind",
+    "Findings",
+    "Passage",
+    "Proxy",
+    "SoakResult",
+    "answers",
+    "check",
+    "plan_faults",
+    "run_seed",
+    "stop",
+    "wait_until",
+]
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -1,7 +1,6 @@
-"""A store, workers and hosts as processes of their own."""
+"""A store, workers and hosts as processes of their own, proxies between them."""
 
 import json
-import socket
 import subprocess
 import sys
 import time
@@ -11,6 +10,9 @@
 from pathlib import Path
 from signal import SIGTERM
 
+from jackdawspur.soak._ports import PortBlock
+from jackdawspur.soak._proxy import Proxy
+
 __all__ = ["Answer", "Deployment", "wait_until"]
 
 CALLERS = ThreadPoolExecutor(32, thread_name_prefix="callers")
@@ -29,22 +31,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Hold a reply; status 0 stands for a connection that broke."""
+    """Hold a reply; status 0 stands for a connection that broke.
+
+    `nobody_there` tells that there was no connection to break.
+    """
 
     status: int
     body: dict
     retry_after: str | None = None
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    nobody_there: bool = False
 
 
 def wait_until(condition, what: str, seconds: float = WAIT_S) -> None:
@@ -60,9 +55,12 @@
 class Host:
     """Run one host."""
 
-    def __init__(self, name: str, store: str, folder: Path) -> None:
-        callers, ready, link, metrics = free_ports(4)
+    def __init__(
+        self, name: str, store_port: int, ports: PortBlock, folder: Path
+    ) -> None:
+        callers, ready, link, metrics, passage = ports.take(5)
         self.name = name
+        self.to_store = Proxy(passage, store_port)
         self.callers, self.ready, self.metrics = callers, ready, metrics
         self._file = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
@@ -73,7 +71,7 @@
             "ready": f"127.0.0.1:{ready}",
             "link": f"127.0.0.1:{link}",
             "metrics": f"127.0.0.1:{metrics}",
-            "store": store,
+            "store": f"127.0.0.1:{passage}",
         }
         self._file.write_text(json.dumps(settings))
         self.start()
@@ -96,6 +94,10 @@
         text = _call(self.metrics, "GET", "/metrics", None, raw=True)
         return "jackdawspur_leads 1" in text
 
+    def names(self, job: str) -> bool:
+        """Tell whether a line of the log names a job."""
+        return job in self._log.read_text()
+
     def lines(self) -> list[dict]:
         """Return the log so far."""
         return [json.loads(line) for line in self._log.read_text().splitlines()]
@@ -105,12 +107,17 @@
     """Run a stand-in of the platform and some hosts."""
 
     def __init__(self, folder: Path, hosts: int = 3, workers: int = 4) -> None:
-        ports = free_ports(workers + 1)
-        self._store_port = ports[0]
-        store = f"127.0.0.1:{ports[0]}"
+        self._ports = PortBlock()
+        store, *ports = self._ports.take(2 * workers + 1)
+        self._store_port = store
+        listening, announced = ports[:workers], ports[workers:]
+        self.to_workers = [
+            Proxy(*pair) for pair in zip(announced, listening, strict=True)
+        ]
         settings = {
-            "store": store,
-            "workers": [f"127.0.0.1:{port}" for port in ports[1:]],
+            "store": f"127.0.0.1:{store}",
+            "workers": [f"127.0.0.1:{port}" for port in listening],
+            "announced": [f"127.0.0.1:{port}" for port in announced],
             "zones": ["z1"],
             "configuration": {"version": 3, "routes": [ROUTE]},
         }
@@ -118,17 +125,32 @@
         file.write_text(json.dumps(settings))
         words = ["standin", f"--settings={file}", "platform"]
         self._platform = _run(words, folder / "platform.log")
-        self.hosts = [Host(f"h{n}", store, folder) for n in range(hosts)]
+        self.hosts = [Host(f"h{n}", store, self._ports, folder) for n in range(hosts)]
         self._next_job = 0x1000
-        wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
-
-    def submit(self, host: Host, run_ms: float = 100.0, tasks: int = 1, job=None):
-        """Send a job from a thread and return its future answer."""
+        try:
+            wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
+        except AssertionError:
+            self.close()
+            raise
+
+    def next_job(self) -> str:
+        """Return the id of a job not sent yet."""
         self._next_job += 1
-        job = job or f"{self._next_job:016x}"
+        return f"{self._next_job:016x}"
+
+    def submit(
+        self,
+        host: Host,
+        run_ms: float = 100.0,
+        tasks: int = 1,
+        job: str | None = None,
+        fails: bool = False,
+    ) -> Future:
+        """Send a job from a thread and return its future answer."""
+        job = job or self.next_job()
         step = {"count": tasks, "cpu": 14_000, "mem_mb": 64, "estimate_ms": run_ms}
         body = {
-            "spec": json.dumps({"run_ms": run_ms}),
+            "spec": json.dumps({"run_ms": run_ms, "fails": fails}),
             "best_effort": True,
             "steps": [step],
         }
@@ -152,6 +174,9 @@
         for process in [*(h.process for h in self.hosts), self._platform]:
             process.kill()
             process.wait()
+        for proxy in [*(h.to_store for h in self.hosts), *self.to_workers]:
+            proxy.close()
+        self._ports.close()
 
     def _leads(self, host: Host) -> bool:
         return host.process.poll() is None and host.leads()
@@ -188,6 +213,8 @@
             return text
         retry = response.getheader("Retry-After")
         return Answer(response.status, json.loads(text or "{}"), retry)
+    except ConnectionRefusedError:
+        return "" if raw else Answer(0, {}, nobody_there=True)
     except OSError:
         return "" if raw else Answer(0, {})
     except Exception as error:
--- /dev/null
+++ b/jackdawspur/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jackdawspur.soak."""
--- /dev/null
+++ b/jackdawspur/soak/tests/test_proxy.py
@@ -0,0 +1,73 @@
+"""A proxy passes, keeps or breaks connections as it is told."""
+
+import socket
+from collections.abc import Iterator
+from threading import Thread
+
+import pytest
+
+from jackdawspur.soak import Passage, Proxy
+from jackdawspur.soak._ports import PortBlock
+
+SHORT_S = 0.3
+
+
+def _echo(listener: socket.socket) -> None:
+    while True:
+        try:
+            peer, _address = listener.accept()
+        except OSError:
+            # The fixture has closed the listener.
+            return
+        with peer:
+            while data := peer.recv(100):
+                peer.sendall(data)
+
+
+@pytest.fixture
+def proxy() -> Iterator[Proxy]:
+    listener = socket.create_server(("127.0.0.1", 0))
+    Thread(target=_echo, args=(listener,), daemon=True).start()
+    one = Proxy(0, listener.getsockname()[1])
+    yield one
+    one.close()
+    listener.close()
+
+
+def _connect(proxy: Proxy) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", proxy.port), timeout=5.0)
+
+
+def test_an_open_proxy_passes_bytes_both_ways(proxy: Proxy):
+    with _connect(proxy) as caller:
+        caller.sendall(b"hello")
+        assert caller.recv(100) == b"hello"
+
+
+def test_a_silent_proxy_answers_once_it_is_open_again(proxy: Proxy):
+    with _connect(proxy) as caller:
+        proxy.passage = Passage.SILENT
+        caller.settimeout(SHORT_S)
+        caller.sendall(b"hello")
+        with pytest.raises(TimeoutError):
+            caller.recv(100)
+        proxy.passage = Passage.OPEN
+        caller.settimeout(5.0)
+        assert caller.recv(100) == b"hello"
+
+
+def test_a_resetting_proxy_breaks_connections(proxy: Proxy):
+    with _connect(proxy) as caller:
+        caller.sendall(b"hello")
+        assert caller.recv(100) == b"hello"
+        proxy.passage = Passage.RESET
+        assert caller.recv(100) == b""
+
+
+def test_two_deployments_never_have_the_same_ports():
+    # Hosts do not start beside another run: the port chosen for one was taken by the
+    # other before the process listened on it.
+    first, second = PortBlock(), PortBlock()
+    assert not set(first.take(60)) & set(second.take(60))
+    first.close()
+    second.close()
--- a/jackdawspur/standins/_platform_service.py
+++ b/jackdawspur/standins/_platform_service.py
@@ -31,6 +31,7 @@
     """Say where the store and the workers listen and what the configuration is.
 
     Each worker has `cpu` thousandths of a core; `zones` are dealt to them in turn.
+    `announced` are the addresses at which workers are reached, if not their own.
     """
 
     store: str
@@ -38,6 +39,7 @@
     zones: tuple[str, ...]
     configuration: dict
     cpu: int = 32_000
+    announced: tuple[str, ...] = ()
 
 
 class _Start(msgspec.Struct):
@@ -73,6 +75,8 @@
     starts: int
     over_capacity: int
     two_at_once: int
+    started: list[str]
+    done: list[str]
 
 
 @dataclass(eq=False)
@@ -170,7 +174,7 @@
         name = f"w{number}"
         entry = {
             "service": settings.configuration["routes"][0]["service"],
-            "address": settings.workers[number],
+            "address": (settings.announced or settings.workers)[number],
             "zone": settings.zones[number % len(settings.zones)],
             "capacity": {"cpu": settings.cpu, "mem_mb": 131_072, "gpus": 0},
             "labels": [],
@@ -186,7 +190,13 @@
         elif exchange.path == "/report":
             tally = self._tally
             exchange.reply(
-                _Report(tally.starts, tally.over_capacity, tally.two_at_once)
+                _Report(
+                    tally.starts,
+                    tally.over_capacity,
+                    tally.two_at_once,
+                    sorted(tally.running),
+                    sorted(tally.done),
+                )
             )
         elif self._faults.store_down:
             exchange.reply(ErrorBody("the store is down"), 503)
