Read the store as often as each topic needs

Each host read the list of upstreams 2.5 times a second though one of them leads, and renewed two empty long reads each second.

Change: the list is read every 0.5 s by the host that leads and every 1.5 s by the others (which may lead at any moment, and must then know of an upstream that leaves within 2 s); empty long reads last 2 s (a silent channel is known after 2.6 s, within the 3 s in which a host counts as disturbed after such a loss); hosts' addresses are read every 2 s once the first 5 s are over, later hosts are learned from heartbeats.

Ruled out: only the leading host reads and passes the list on, which would leave the others without one when it is lost together with the store.

--- a/jackdawspur/front/_ports.py
+++ b/jackdawspur/front/_ports.py
@@ -54,6 +54,11 @@
 class StoreListener(abc.ABC):
     """Hear what stands in the platform's store."""
 
+    @property
+    @abc.abstractmethod
+    def list_every_s(self) -> float:
+        """Return how often the list of upstreams is to be read, in seconds."""
+
     @abc.abstractmethod
     def configuration_read(self, version: int, document: bytes) -> None:
         """Take in the newest configuration, as published."""
--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -12,6 +12,11 @@
 __all__ = ["StoreView"]
 
 NEVER_S = 1e9
+# Upstreams report all the time, and each read costs a call that is paid for. Who leads
+# must know within 2 s of an upstream that leaves; who follows may lead at any moment,
+# and its list must still be good for that.
+LEADING_LIST_S = 0.5
+FOLLOWING_LIST_S = 1.5
 
 log = logging.getLogger("jackdawspur.host")
 
@@ -41,6 +46,11 @@
         self.document = b""
         self.entries: tuple[UpstreamEntry, ...] = ()
 
+    @property
+    def list_every_s(self) -> float:
+        """Return how often the list of upstreams is to be read, in seconds."""
+        return LEADING_LIST_S if self._owner.group.leads else FOLLOWING_LIST_S
+
     def age_s(self, now: float) -> float:
         """Return how old the list of upstreams is."""
         return now - self._read_at
--- a/jackdawspur/platform/_store.py
+++ b/jackdawspur/platform/_store.py
@@ -28,9 +28,11 @@
 SERVERS_TOPIC = "keyed.servers"
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
-# Upstreams report all the time; reading at most this often bundles their records.
-SERVERS_EVERY_S = 0.4
 READ_AT_ONCE_S = 0.0
+# Hosts that start together find each other here. Later ones are learned from their
+# heartbeats, and this topic is only for hosts whose heartbeats get lost.
+STARTING_S = 5.0
+HOSTS_EVERY_S = 2.0
 ANNOUNCE_S = 1.0
 ANNOUNCE_AGAIN_S = 0.3
 # An upstream whose entry lapsed while the store was away writes it again within two
@@ -57,14 +59,16 @@
         self._entries: dict[str, UpstreamEntry] = {}
         self._lapsed: dict[str, float] = {}
         self._reachable = True
+        self._followed_since = deadlines.now
 
     def follow(self, listener: StoreListener) -> None:
         """Begin to read, and never stop."""
         self._listener = listener
+        self._followed_since = self._deadlines.now
         for topic, changed, pause_s in (
-            (OPERATOR_TOPIC, self._operator_wrote, READ_AT_ONCE_S),
-            (SERVERS_TOPIC, self._servers_wrote, SERVERS_EVERY_S),
-            (HOSTS_TOPIC, self._hosts_wrote, READ_AT_ONCE_S),
+            (OPERATOR_TOPIC, self._operator_wrote, lambda: READ_AT_ONCE_S),
+            (SERVERS_TOPIC, self._servers_wrote, lambda: listener.list_every_s),
+            (HOSTS_TOPIC, self._hosts_wrote, self._hosts_pause_s),
         ):
             KeyedTopic(
                 topic, self._client, self._deadlines, changed, self._reached, pause_s
@@ -88,6 +92,10 @@
         path = f"/log-append?topic={HOSTS_TOPIC}&part=0"
         self._client.request("POST", path, data, ANNOUNCE_S, done)
 
+    def _hosts_pause_s(self) -> float:
+        starting = self._deadlines.now - self._followed_since < STARTING_S
+        return READ_AT_ONCE_S if starting else HOSTS_EVERY_S
+
     def _reached(self, reachable: bool, reason: str) -> None:
         if reachable != self._reachable:
             self._reachable = reachable
--- a/jackdawspur/platform/_topics.py
+++ b/jackdawspur/platform/_topics.py
@@ -15,8 +15,9 @@
 __all__ = ["KeyedTopic", "UnreadableRecords"]
 
 # A long read is answered after this at the latest. One without an answer shows a
-# channel that went silent, so it is short beside the time a configuration may take.
-WAIT_MS = 1000
+# channel that went silent: with `ANSWER_S` that is known within the 3 s in which a host
+# counts as disturbed after such a loss, and half as many calls are made as with 1 s.
+WAIT_MS = 2000
 ANSWER_S = 0.6
 AGAIN_S = 0.15
 MS_PER_S = 1000.0
@@ -35,7 +36,7 @@
     """Read the newest record of each key, then each change of them.
 
     `changed` gets values by key, an empty one for a key that was dropped, and whether
-    these are all keys.
+    these are all keys. `pause_s` tells how long to wait before the next read.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         deadlines: Deadlines,
         changed: Changed,
         reached: Callable[[bool, str], None],
-        pause_s: float,
+        pause_s: Callable[[], float],
     ) -> None:
         self._topic = topic
         self._client = client
@@ -113,7 +114,7 @@
             return
         self._offset += read
         self._changed(changed, False)
-        self._deadlines.call_after(self._pause_s, self._read_on)
+        self._deadlines.call_after(self._pause_s(), self._read_on)
 
     def _answered(self, result: Result[HttpReply, PlatformError]) -> bool:
         if result.is_err():
