Prolong the lease of a run that is taken over at once

The look sent right after the first answer had no job for the runs yet, so it prolonged nothing, and it waited 0.2 s for an end; the leases of the host that died ended in that time. Ruled out: slow machine alone (the takeover itself was 0.02 s), runs restarted for slowness (no such line).

Change: taking a run over sends another look at once, which prolongs.

Before: the new test fails (no look with a lease after the job came).

--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -214,6 +214,9 @@
                 self.send_stop(held, run, now)
             return
         run.claimed = True
+        # The look that waits for an end there was sent before the run had a job, and
+        # prolongs nothing; the lease of the earlier leading host is about to end.
+        held.sure_look = held.looks + 1
         task.adopted = True
         task.run = run.id.number
         job.place(task, held.entry.id, now)
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -122,7 +122,7 @@
             self.collect()
             self._reply_starts()
             self._reply_stops()
-            self._reply_looks()
+            self.reply_looks()
         self.collect()
 
     def advance(self, seconds: float, step_s: float = 0.05) -> None:
@@ -178,7 +178,7 @@
                     upstream.end(order.run.task, Ending.STOPPED)
             self.dispatcher.stop_replied(order.upstream, order.run, outcome, self.now)
 
-    def _reply_looks(self) -> None:
+    def reply_looks(self) -> None:
         orders, self.looks = self.looks, []
         for order in orders:
             upstream = self.upstreams[order.upstream]
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -282,3 +282,21 @@
     (answer,) = leading.answers
     assert not answer.outcome.not_run
     assert answer.outcome.end is JobEnd.OUT_OF_TIME
+
+
+def test_the_lease_of_a_run_that_is_taken_over_is_prolonged_at_once():
+    # Callers wait 0.6 s longer after the leading host died: the next one found their
+    # runs, and its next look, sent before it had their jobs, waited 0.2 s for an end
+    # without prolonging the lease. The runs ended and started all over again.
+    leading = Leading(upstreams=1)
+    (upstream,) = leading.upstreams.values()
+    upstream.running["aa.0.0.0"] = 1
+    leading.dispatcher.lead(FENCE, leading.now)
+    leading.collect()
+    leading.reply_looks()
+    leading.collect()
+    assert [look.until_ms for look in leading.looks] == [None]
+    leading.offer("aa", handed=1)
+    leading.collect()
+    assert leading.looks[-1].until_ms is not None
+    assert leading.looks[-1].wait_ms == 0
