Show a host's status: store, peers, upstreams, queues

The figures of the metrics page moved from the process to its page. A page of the state of a host was missing on the new path; an operator had the counters alone.

--- a/jackdawspur/front/_gauges.py
+++ b/jackdawspur/front/_gauges.py
@@ -1,16 +1,11 @@
 """Counters and histograms of a host, as text."""
 
 from collections import Counter
-from typing import Protocol
 
-from jackdawspur.adapters import Call, WebService
-from jackdawspur.callers import HttpReply
 from jackdawspur.metrics import ClassName, Histograms
 from jackdawspur.runs import JobEnd
 
-__all__ = ["Gauges", "MetricsPage"]
-
-TEXT = "text/plain; charset=utf-8"
+__all__ = ["Gauges"]
 
 
 class Gauges:
@@ -39,31 +34,3 @@
                 quantile = f'{labels},quantile="{share}"'
                 lines.append(f"jackdawspur_job_ms{{{quantile}}} {value}")
         return lines
-
-
-class GaugeOwner(Protocol):
-    """Show figures."""
-
-    gauges: Gauges
-
-    def gauge_lines(self) -> list[str]:
-        """Return one line for each figure of this moment."""
-
-    def reply_metrics(self, number: int, reply: HttpReply) -> None:
-        """Reply to a request for the counters."""
-
-
-class MetricsPage(WebService):
-    """Serve the counters of a host."""
-
-    def __init__(self, owner: "GaugeOwner") -> None:
-        self._owner = owner
-
-    def called(self, call: Call) -> None:
-        """Answer with all counters and gauges."""
-        lines = [*self._owner.gauges.lines(), *self._owner.gauge_lines(), ""]
-        body = "\n".join(lines).encode()
-        self._owner.reply_metrics(call.number, HttpReply(200, body, content_type=TEXT))
-
-    def closed(self, number: int) -> None:
-        """Do nothing; a page keeps nothing."""
--- /dev/null
+++ b/jackdawspur/front/_pages.py
@@ -0,0 +1,67 @@
+"""The pages for operators on a host's metrics address."""
+
+from typing import Protocol
+
+import msgspec
+
+from jackdawspur.adapters import Call, WebService
+from jackdawspur.callers import HttpReply
+from jackdawspur.front._clock import now_s
+from jackdawspur.front._gauges import Gauges
+from jackdawspur.front._status import StatusOwner, status_of, text_of
+
+__all__ = ["OperatorPages"]
+
+TEXT = "text/plain; charset=utf-8"
+STATUS_PATH = "/status"
+AS_TEXT = "format=text"
+
+
+class PageOwner(StatusOwner, Protocol):
+    """Show figures, and reply."""
+
+    gauges: Gauges
+    late_s: float
+
+    def reply_metrics(self, number: int, reply: HttpReply) -> None:
+        """Reply to a request for a page."""
+
+
+class OperatorPages(WebService):
+    """Serve the counters of a host, and its status as JSON or text."""
+
+    def __init__(self, owner: PageOwner) -> None:
+        self._owner = owner
+
+    def called(self, call: Call) -> None:
+        """Answer with one page."""
+        reply = self._status(call) if call.path == STATUS_PATH else self._metrics()
+        self._owner.reply_metrics(call.number, reply)
+
+    def closed(self, number: int) -> None:
+        """Do nothing; a page keeps nothing."""
+
+    def _status(self, call: Call) -> HttpReply:
+        status = status_of(self._owner, now_s())
+        if AS_TEXT in call.query:
+            return HttpReply(200, text_of(status).encode(), content_type=TEXT)
+        return HttpReply(200, msgspec.json.encode(status))
+
+    def _metrics(self) -> HttpReply:
+        lines = [*self._owner.gauges.lines(), *_gauge_lines(self._owner), ""]
+        return HttpReply(200, "\n".join(lines).encode(), content_type=TEXT)
+
+
+def _gauge_lines(owner: PageOwner) -> list[str]:
+    """Return one line for each figure of this moment."""
+    now = now_s()
+    return [
+        f"jackdawspur_leads {int(owner.group.leads)}",
+        f"jackdawspur_configuration_version {owner.routes.version}",
+        f"jackdawspur_upstreams {len(owner.views.entries)}",
+        f"jackdawspur_upstreams_age_s {owner.views.age_s(now):.3f}",
+        f"jackdawspur_hosts_alive {len(owner.group.live_beats(now)) + 1}",
+        f"jackdawspur_open_jobs {len(owner.lead.dispatcher.open_jobs)}",
+        f"jackdawspur_callers_waiting {owner.callers.waiting}",
+        f"jackdawspur_loop_late_ms {owner.late_s * 1000:.3f}",
+    ]
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -12,9 +12,10 @@
 from jackdawspur.adapters import Deadlines, WebServer
 from jackdawspur.callers import HttpReply
 from jackdawspur.front._clock import now_s, unix_ms
-from jackdawspur.front._gauges import Gauges, MetricsPage
+from jackdawspur.front._gauges import Gauges
 from jackdawspur.front._lead import LeadDriver
 from jackdawspur.front._mesh import Mesh
+from jackdawspur.front._pages import OperatorPages
 from jackdawspur.front._ports import CallerPort, StorePort, UpstreamPort
 from jackdawspur.front._routes import NO_ROUTES, RouteTable
 from jackdawspur.front._service import CallerService, ReadyService
@@ -104,7 +105,7 @@
         self._deadlines = Deadlines(now_s).register(self)
         self._ports = make_ports(self, self._deadlines)
         self.group = Group(self.address, now)
-        self.views = StoreView(self, now)
+        self.views = StoreView(self)
         self._mesh = Mesh(settings.link, poller, self._on_message).register(self)
         self.lead = LeadDriver(self, self._ports.upstreams, now)
         self.callers = CallerService(self, self._ports.callers)
@@ -113,7 +114,7 @@
         self._ticks = 0
         self._redialled: dict[str, float] = {}
         self._tick_due = now
-        self._late_s = 0.0
+        self.late_s = 0.0
         self._drain_from: float | None = None
         self._exiting = False
         self._deadlines.call_after(0.0, self._begin)
@@ -126,7 +127,7 @@
         ).register(self)
         if settings.metrics is not None:
             self._metrics_web = WebServer(
-                settings.metrics, MetricsPage(self), "metrics"
+                settings.metrics, OperatorPages(self), "metrics"
             ).register(self)
 
     @property
@@ -153,7 +154,7 @@
         self._ready_web.reply(number, reply)
 
     def reply_metrics(self, number: int, reply: HttpReply) -> None:
-        """Reply to a request for the counters."""
+        """Reply to an operator."""
         self._metrics_web.reply(number, reply)
 
     def send(self, host: str, message: GroupMessage) -> None:
@@ -169,21 +170,6 @@
         """Return the number of a route's jobs that wait, as far as known here."""
         return self.lead.dispatcher.waiting_jobs(route)
 
-    def gauge_lines(self) -> list[str]:
-        """Return one line for each figure of this moment."""
-        now = now_s()
-        dispatcher = self.lead.dispatcher
-        return [
-            f"jackdawspur_leads {int(self.group.leads)}",
-            f"jackdawspur_configuration_version {self.routes.version}",
-            f"jackdawspur_upstreams {len(self.views.entries)}",
-            f"jackdawspur_upstreams_age_s {self.views.age_s(now):.3f}",
-            f"jackdawspur_hosts_alive {len(self.group.live_beats(now)) + 1}",
-            f"jackdawspur_open_jobs {dispatcher.jobs}",
-            f"jackdawspur_callers_waiting {self.callers.waiting}",
-            f"jackdawspur_loop_late_ms {self._late_s * 1000:.3f}",
-        ]
-
     def set_routes(self, routes: RouteTable) -> None:
         """Serve these routes from now on; older versions are ignored."""
         if routes.version > self.routes.version:
@@ -219,10 +205,10 @@
             self._reload()
         now = now_s()
         late = min(1.0, max(0.0, now - self._tick_due))
-        self._late_s += LATE_SMOOTHING * (late - self._late_s)
+        self.late_s += LATE_SMOOTHING * (late - self.late_s)
         self._tick_due = now + TICK_S
         self._ticks += 1
-        self.group.slow = self._late_s > SLOW_LATE_S
+        self.group.slow = self.late_s > SLOW_LATE_S
         self._mesh.set_peers(self.group.known)
         self._follow_leader(now)
         self.callers.tick(now)
--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -39,11 +39,14 @@
 class StoreView(StoreListener):
     """Keep the newest configuration and the list of upstreams, with their age."""
 
-    def __init__(self, owner: "ViewOwner", now: float) -> None:
+    def __init__(self, owner: "ViewOwner") -> None:
         self._owner = owner
-        self._read_at = now - NEVER_S
         self._version = 0
         self.document = b""
+        self.reachable = False
+        self.store_said = "not asked yet"
+        self.list_read_at: float | None = None
+        self.in_force_at: float | None = None
         self.entries: tuple[UpstreamEntry, ...] = ()
 
     @property
@@ -53,7 +56,7 @@
 
     def age_s(self, now: float) -> float:
         """Return how old the list of upstreams is."""
-        return now - self._read_at
+        return NEVER_S if self.list_read_at is None else now - self.list_read_at
 
     def configuration_read(self, version: int, document: bytes) -> None:
         """Put a newer configuration in force; an unreadable one changes nothing."""
@@ -69,17 +72,20 @@
             return
         self._version = version
         self.document = document
+        self.in_force_at = now_s()
         self._owner.set_routes(routes)
 
     def upstreams_read(self, entries: tuple[UpstreamEntry, ...]) -> None:
         """Take in the list as the store has it."""
-        self._read_at = now_s()
+        self.list_read_at = now_s()
+        self.reachable = True
+        self.store_said = ""
         self._set_entries(entries)
 
     def upstreams_passed(self, passed: UpstreamsPassed, now: float) -> None:
         """Take in another host's list if it is newer."""
         if passed.age_s < self.age_s(now):
-            self._read_at = now - passed.age_s
+            self.list_read_at = now - passed.age_s
             self._set_entries(passed.entries)
 
     def hosts_read(self, hosts: tuple[HostAddress, ...]) -> None:
@@ -89,6 +95,8 @@
 
     def store_changed(self, reachable: bool, reason: str) -> None:
         """Say in the log that the store is lost or regained."""
+        self.reachable = reachable
+        self.store_said = "" if reachable else reason
         text = "store regained" if reachable else "store lost"
         log.info(
             text, extra={"reason": reason, "list_age_s": round(self.age_s(now_s()), 3)}
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -62,7 +62,7 @@
 
 def test_an_offer_for_the_present_term_is_taken(owner: Owner, driver: LeadDriver):
     driver.offered(offer(owner.group.fence), 5.0)
-    assert driver.dispatcher.jobs == 1
+    assert len(driver.dispatcher.open_jobs) == 1
 
 
 def test_an_offer_repeated_for_an_earlier_term_is_not_taken_as_new(
@@ -76,9 +76,9 @@
     owner.group.contested(UNIX_MS, 5.1)
     driver.leadership_changed(5.1)
     driver.offered(offer(before), 5.2)
-    assert driver.dispatcher.jobs == 0
+    assert len(driver.dispatcher.open_jobs) == 0
     driver.offered(offer(owner.group.fence, handed=1), 5.3)
-    assert driver.dispatcher.jobs == 1
+    assert len(driver.dispatcher.open_jobs) == 1
 
 
 def test_a_job_whose_host_follows_a_later_lead_is_stopped(
@@ -89,7 +89,7 @@
     # still hears the host, and ran the job on where the later one does not reach.
     driver.offered(offer(owner.group.fence), 5.0)
     driver.follower_heard("h2", owner.group.fence + 1, 5.1)
-    assert driver.dispatcher.jobs == 0
+    assert len(driver.dispatcher.open_jobs) == 0
 
 
 @pytest.mark.parametrize("behind", [0, 1])
@@ -101,4 +101,4 @@
     driver.offered(offer(owner.group.fence), 5.0)
     driver.follower_heard("h2", behind * (owner.group.fence - 1), 5.1)
     driver.follower_heard("h2", owner.group.fence, 5.2)
-    assert driver.dispatcher.jobs == 1
+    assert len(driver.dispatcher.open_jobs) == 1
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -66,6 +66,11 @@
         """Return the other hosts of the group that are known by address."""
         return tuple(h for h in self._known.values() if self.covers(h.zone))
 
+    @property
+    def last_beats(self) -> tuple[HostBeat, ...]:
+        """Return the last heartbeat of every other host, alive or not."""
+        return tuple(self._beats.values())
+
     def set_size(self, upstreams: int) -> None:
         """Be one group of all zones, or of the own zone where that is too large."""
         self._by_zone = upstreams > MOST_UPSTREAMS
@@ -82,12 +87,6 @@
         if known is None or known.started_ms < host.started_ms:
             self._known[host.name] = host
 
-    def forget(self, name: str) -> None:
-        """Drop a host that is gone for good."""
-        self._known.pop(name, None)
-        self._beats.pop(name, None)
-        self._heard.pop(name, None)
-
     def heard(self, beat: HostBeat, now: float) -> None:
         """Take in a heartbeat."""
         self.learn(beat.host)
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -81,11 +81,6 @@
             return NO_RESOURCES
         return self.entry.capacity - self._taken
 
-    @property
-    def taken(self) -> Resources:
-        """Return what the known runs take."""
-        return self._taken
-
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.id] = run
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -1,6 +1,6 @@
 """Decide, on the leading host, which task starts where and when."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from jackdawspur.leases import (
     CallOutcome,
@@ -63,8 +63,6 @@
         self._answers = Answers()
         self._now = now
         self.leads = False
-        self.completed = 0
-        self.refused = 0
 
     @property
     def fleet(self) -> Fleet:
@@ -77,9 +75,9 @@
         return self._estimates
 
     @property
-    def jobs(self) -> int:
-        """Return the number of jobs not yet ended."""
-        return len(self._jobs)
+    def open_jobs(self) -> Collection[Job]:
+        """Return the jobs not yet ended."""
+        return self._jobs.values()
 
     def hosts(self) -> set[str]:
         """Return the hosts whose callers wait for a job."""
@@ -279,7 +277,6 @@
             self._end(job, now)
 
     def _complete(self, job: Job) -> None:
-        self.completed += 1
         self._estimates.learn_paces(job)
         self._answer(job, JobOutcome(JobEnd.COMPLETE, not_run=False))
         del self._jobs[job.id]
@@ -333,7 +330,6 @@
             self._give_up(job, Decision.JOB_HOPELESS, now)
 
     def _refuse(self, job: Job, now: float) -> None:
-        self.refused += 1
         waited_ms = (now - job.offer.arrived) * MS_PER_S
         left_ms = (job.offer.deadline - now) * MS_PER_S
         self._notes.add(
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -125,11 +125,14 @@
         file.write_text(json.dumps(settings))
         words = ["standin", f"--settings={file}", "platform"]
         self._platform = _run(words, folder / "platform.log")
-        self.hosts = [Host(f"h{n}", store, self._ports, folder) for n in range(hosts)]
+        self.hosts: list[Host] = []
         self._next_job = 0x1000
         try:
+            for number in range(hosts):
+                host = Host(f"h{number}", store, self._ports, folder)
+                self.hosts.append(host)
             wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
-        except AssertionError:
+        except Exception:
             self.close()
             raise
 
