Pass jobs that find no room on to a zone that has it

Cause: above 64 upstreams each zone has a leading host of its own and served its own callers alone. Ruled out: a second try after a refusal (too late by then), one leading host for all zones (2 ms a start, 1,450 starts a second).

Change: leading hosts of zones tell each other the room they have, dealt out so that no place is offered twice; a job that found no room for 20 ms and was never started goes to one that offers enough for all its tasks, through its caller's host, once. When that zone's lead is lost the caller is answered at once. Heartbeats moved from the process to `front/_heartbeats.py`. `most_upstreams` is a setting now, 64 as before.

Eight tests of the decisions.

--- /dev/null
+++ b/jackdawspur/front/_heartbeats.py
@@ -0,0 +1,134 @@
+"""Heartbeats to the hosts of the own group and to other groups."""
+
+from typing import Protocol
+
+from jackdawspur.front._lead import LeadDriver
+from jackdawspur.front._mesh import Mesh
+from jackdawspur.front._routes import RouteTable
+from jackdawspur.front._service import CallerService
+from jackdawspur.front._views import StoreView
+from jackdawspur.group import (
+    SILENCE_S,
+    Group,
+    HostAddress,
+    HostBeat,
+    JobProgress,
+    RoomOffered,
+)
+
+__all__ = ["Heartbeats"]
+
+# A peer silent for this long gets a new connection, before it counts as lost.
+REDIAL_S = 0.28
+# Of the heartbeats to the own group, at 10 a second, every so many also tell which
+# hosts are known, go to the leading hosts of other groups, and to all of their hosts.
+KNOWN_EVERY = 5
+OTHER_LEADS_EVERY = 2
+OUTSIDERS_EVERY = 10
+
+
+class BeatOwner(Protocol):
+    """Tell how a host is."""
+
+    address: HostAddress
+    group: Group
+    routes: RouteTable
+    views: StoreView
+    lead: LeadDriver
+    callers: CallerService
+
+
+class Heartbeats:
+    """Tell other hosts how this one is, and connect anew to silent ones."""
+
+    def __init__(self, owner: BeatOwner, mesh: Mesh) -> None:
+        self._owner = owner
+        self._mesh = mesh
+        self._redialled: dict[str, float] = {}
+        self._sent = 0
+
+    def peers(self, now: float) -> tuple[HostAddress, ...]:
+        """Return the hosts to be connected to.
+
+        Who leads tells all other groups, to find those that lead them; other hosts
+        may have to offer a job to one of these at any moment.
+        """
+        group = self._owner.group
+        if group.leads:
+            return group.known + group.outsiders
+        leads = {beat.host.name for beat in group.other_leads(now)}
+        leads |= self._owner.callers.far_leaders()
+        return group.known + tuple(h for h in group.outsiders if h.name in leads)
+
+    def send(self, now: float) -> None:
+        """Send what is due to each host."""
+        self._sent += 1
+        owner, group = self._owner, self._owner.group
+        done = owner.lead.done_by_host()
+        leader = group.leader(now)
+        every_other = self._sent % 2
+        for peer in group.known:
+            # Hosts that follow need each other only to choose the next leading host.
+            if every_other and leader not in (owner.address.name, peer.name, None):
+                continue
+            beat = self._beat(peer.name, now, done.get(peer.name, ()))
+            self._mesh.send(peer.name, beat)
+            self.redial_if_silent(peer.name, beat.silent_s, now)
+        if group.leads:
+            self._send_outside(now)
+
+    def redial_if_silent(self, name: str, silent_s: float, now: float) -> None:
+        """Connect anew to a host that this one does not hear, or that does not hear it.
+
+        Each connection carries one direction and may go silent by itself; who sends on
+        it learns that only from the other side. What is queued on it is lost.
+        """
+        last = self._redialled.get(name, now - 2 * SILENCE_S)
+        ends = (name, self._owner.address.name)
+        limit_s = REDIAL_S if self._owner.group.leader(now) in ends else SILENCE_S
+        if silent_s > limit_s and now - last > SILENCE_S:
+            self._redialled[name] = now
+            self._mesh.redial(name)
+
+    def _send_outside(self, now: float) -> None:
+        """Tell other groups who leads here, and their leading hosts what room there is.
+
+        A host whose job was passed on to this one hears it at the full rate, so that it
+        notices its loss.
+        """
+        group = self._owner.group
+        waiting = self._owner.lead.far_hosts()
+        leads = [beat.host.name for beat in group.other_leads(now)]
+        offers_room = self._sent % OTHER_LEADS_EVERY == 0
+        room = self._owner.lead.room_for(leads, now) if offers_room else {}
+        for peer in group.outsiders:
+            due = peer.name in waiting or peer.name in room
+            if due or self._sent % OUTSIDERS_EVERY == 0:
+                beat = self._beat(peer.name, now, (), room.get(peer.name, ()))
+                self._mesh.send(peer.name, beat)
+
+    def _beat(
+        self,
+        receiver: str,
+        now: float,
+        progress: tuple[JobProgress, ...],
+        room: tuple[RoomOffered, ...] = (),
+    ) -> HostBeat:
+        owner, group = self._owner, self._owner.group
+        term = group.term(now)
+        return HostBeat(
+            host=owner.address,
+            sent_at=now,
+            leads=group.leads,
+            fence=group.fence if group.leads else 0,
+            ready=bool(owner.routes.version) and bool(owner.views.entries),
+            draining=group.draining,
+            slow=group.slow,
+            configuration=owner.routes.version,
+            upstreams_age_s=owner.views.age_s(now),
+            knows=group.known if self._sent % KNOWN_EVERY == 0 else (),
+            progress=progress,
+            silent_s=group.silent_s(receiver, now),
+            follows=term.fence if term else 0,
+            room=room,
+        )
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -12,9 +12,12 @@
     Group,
     GroupMessage,
     HostAddress,
+    HostBeat,
     JobAnswered,
     JobOffered,
+    JobPassedOn,
     JobProgress,
+    RoomOffered,
 )
 from jackdawspur.leases import Fence
 from jackdawspur.model import HostId
@@ -26,8 +29,11 @@
     LookAt,
     Note,
     Offer,
+    PassJobOn,
+    Place,
     StartRun,
     StopRun,
+    deal,
 )
 
 __all__ = ["LeadDriver"]
@@ -68,6 +74,7 @@
             StopRun: self._stop,
             LookAt: self._look,
             AnswerJob: self._answer,
+            PassJobOn: self._pass_on,
             Note: self._note,
         }
 
@@ -124,6 +131,7 @@
                 deadline,
                 message.handed,
                 message.done,
+                message.far,
             ),
             now,
         )
@@ -149,6 +157,31 @@
             self._dispatcher.drop_host(host, DropCause.HANDED_ON, now)
             self._owner.flush_soon()
 
+    def room_heard(self, beat: HostBeat, now: float) -> None:
+        """Take in the room that the leading host of another group offers."""
+        room = {one.service: one.free for one in beat.room}
+        place = Place(beat.host.name, beat.fence)
+        self._dispatcher.room_offered(place, room, now)
+
+    def room_for(
+        self, leaders: list[str], now: float
+    ) -> dict[str, tuple[RoomOffered, ...]]:
+        """Return what room is offered to each leading host of another group."""
+        spare = self._dispatcher.spare_room(now)
+        dealt = {service: deal(rows, leaders) for service, rows in spare.items()}
+        room: dict[str, tuple[RoomOffered, ...]] = {}
+        for name in leaders:
+            offers = [
+                RoomOffered(service, rows[name]) for service, rows in dealt.items()
+            ]
+            room[name] = tuple(offers)
+        return room
+
+    def far_hosts(self) -> set[str]:
+        """Return the hosts of other groups whose jobs are here."""
+        jobs = self._dispatcher.open_jobs
+        return {job.offer.host for job in jobs if job.offer.far}
+
     def fenced_for(self, now: float) -> float:
         """Return for how long an upstream has obeyed a higher fence."""
         since = self._dispatcher.fleet.fenced_since
@@ -221,6 +254,14 @@
         else:
             self._owner.send(answer.host, message)
 
+    def _pass_on(self, order: PassJobOn) -> None:
+        place = order.place
+        message = JobPassedOn(order.job, order.call, place.leader, place.fence)
+        if order.host == self._owner.address.name:
+            self._owner.callers.passed_on(message)
+        else:
+            self._owner.send(order.host, message)
+
     def _note(self, note: Note) -> None:
         inputs = dict(note.inputs)
         log.info(
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -15,7 +15,10 @@
 
 @dataclass(eq=False, slots=True)
 class OwnJob:
-    """Keep one waiting caller; times in seconds of this host's clock."""
+    """Keep one waiting caller; times in seconds of this host's clock.
+
+    `far` is the term of another group that has the job since `far_since`.
+    """
 
     call: int
     request: JobRequest
@@ -25,6 +28,8 @@
     offered_to: Term | None = None
     offered_at: float = 0.0
     done: set[str] = field(default_factory=set)
+    far: Term | None = None
+    far_since: float = 0.0
 
 
 class OwnJobs:
@@ -74,9 +79,14 @@
         return [
             job
             for job in self._by_call.values()
-            if job.offered_to != term or now - job.offered_at > OFFER_AGAIN_S
+            if job.far is None
+            and (job.offered_to != term or now - job.offered_at > OFFER_AGAIN_S)
         ]
 
+    def far_jobs(self) -> list[OwnJob]:
+        """Return the jobs that other groups have."""
+        return [job for job in self._by_call.values() if job.far is not None]
+
     def note_done(self, job_id: str, done: tuple[str, ...]) -> None:
         """Keep which tasks are done, for the next leading host."""
         job = self.by_job(job_id)
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -13,6 +13,7 @@
 from jackdawspur.callers import HttpReply
 from jackdawspur.front._clock import now_s, unix_ms
 from jackdawspur.front._gauges import Gauges
+from jackdawspur.front._heartbeats import Heartbeats
 from jackdawspur.front._lead import LeadDriver
 from jackdawspur.front._mesh import Mesh
 from jackdawspur.front._pages import OperatorPages
@@ -21,7 +22,6 @@
 from jackdawspur.front._service import CallerService, ReadyService
 from jackdawspur.front._views import StoreView
 from jackdawspur.group import (
-    SILENCE_S,
     ConfigurationPassed,
     Group,
     GroupMessage,
@@ -30,6 +30,7 @@
     JobAnswered,
     JobDropped,
     JobOffered,
+    JobPassedOn,
     UpstreamsPassed,
 )
 from jackdawspur.settings import HostSettings, SettingsError
@@ -41,8 +42,6 @@
 # A pass that comes this much late on average shows a processor that can't keep up.
 SLOW_LATE_S = 0.035
 LATE_SMOOTHING = 0.1
-# A peer silent for this long gets a new connection, before it counts as lost.
-REDIAL_S = 0.28
 # What a peer lacks is passed on to it at most this often.
 PASS_EVERY_TICKS = 20
 # An own list of upstreams older than this is refreshed from a peer's.
@@ -104,7 +103,7 @@
         self.gauges = Gauges()
         self._deadlines = Deadlines(now_s).register(self)
         self._ports = make_ports(self, self._deadlines)
-        self.group = Group(self.address, now)
+        self.group = Group(self.address, now, settings.most_upstreams)
         self.views = StoreView(self)
         self._mesh = Mesh(settings.link, poller, self._on_message).register(self)
         self.lead = LeadDriver(self, self._ports.upstreams, now)
@@ -112,7 +111,7 @@
         self._open_web(settings)
         self._flushing = False
         self._ticks = 0
-        self._redialled: dict[str, float] = {}
+        self._heartbeats = Heartbeats(self, self._mesh)
         self._tick_due = now
         self.late_s = 0.0
         self._drain_from: float | None = None
@@ -132,13 +131,9 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether new connections are wanted."""
-        return self.can_serve and not self.group.draining
-
-    @property
-    def can_serve(self) -> bool:
-        """Tell whether there are routes and a leading host."""
-        return bool(self.routes.version) and self.group.leader(now_s()) is not None
+        """Tell whether new connections are wanted: with routes and a leading host."""
+        led = self.group.leader(now_s()) is not None
+        return bool(self.routes.version) and led and not self.group.draining
 
     @property
     def _stops_at(self) -> float:
@@ -209,12 +204,12 @@
         self._tick_due = now + TICK_S
         self._ticks += 1
         self.group.slow = self.late_s > SLOW_LATE_S
-        self._mesh.set_peers(self.group.known)
+        self._mesh.set_peers(self._heartbeats.peers(now))
         self._follow_leader(now)
         self.callers.tick(now)
         self.lead.tick(now)
         if self._ticks % BEAT_TICKS == 0:
-            self._beat(now)
+            self._heartbeats.send(now)
         if self._ticks % PASS_EVERY_TICKS == 0:
             self._pass_on(now)
         self._exit_when_drained(now)
@@ -225,54 +220,14 @@
         able = bool(self.routes.version) and bool(self.views.entries)
         if self.group.decide(able, unix_ms(), now):
             self.lead.leadership_changed(now)
-            self._beat(now)
+            self._heartbeats.send(now)
         fenced = self.lead.fenced_for(now)
         if self.group.leads and fenced > FENCED_CLAIM_S:
             self.group.contested(unix_ms(), now)
             self.lead.leadership_changed(now)
-            self._beat(now)
+            self._heartbeats.send(now)
         self.callers.offer_waiting(now)
 
-    def _beat(self, now: float) -> None:
-        done = self.lead.done_by_host()
-        term = self.group.term(now)
-        leader = term.leader if term else None
-        every_other = self._ticks // BEAT_TICKS % 2
-        for peer in self.group.known:
-            # Hosts that follow need each other only to choose the next leading host.
-            if every_other and leader not in (self.address.name, peer.name, None):
-                continue
-            beat = HostBeat(
-                host=self.address,
-                sent_at=now,
-                leads=self.group.leads,
-                fence=self.group.fence if self.group.leads else 0,
-                ready=bool(self.routes.version) and bool(self.views.entries),
-                draining=self.group.draining,
-                slow=self.group.slow,
-                configuration=self.routes.version,
-                upstreams_age_s=self.views.age_s(now),
-                knows=self.group.known if self._ticks % PASS_EVERY_TICKS == 0 else (),
-                progress=done.get(peer.name, ()),
-                silent_s=self.group.silent_s(peer.name, now),
-                follows=term.fence if term else 0,
-            )
-            self._mesh.send(peer.name, beat)
-            self._redial_if_silent(peer.name, beat.silent_s, now)
-
-    def _redial_if_silent(self, name: str, silent_s: float, now: float) -> None:
-        """Connect anew to a host that this one does not hear, or that does not hear it.
-
-        Each connection carries one direction and may go silent by itself; who sends on
-        it learns that only from the other side. What is queued on it is lost.
-        """
-        last = self._redialled.get(name, now - 2 * SILENCE_S)
-        ends = (name, self.address.name)
-        limit_s = REDIAL_S if self.group.leader(now) in ends else SILENCE_S
-        if silent_s > limit_s and now - last > SILENCE_S:
-            self._redialled[name] = now
-            self._mesh.redial(name)
-
     def _pass_on(self, now: float) -> None:
         """Give peers what the store refuses them: a newer configuration, the list."""
         for beat in self.group.live_beats(now):
@@ -287,14 +242,12 @@
     def _on_message(self, message: GroupMessage) -> None:
         now = now_s()
         if isinstance(message, HostBeat):
-            self.group.heard(message, now)
-            self._redial_if_silent(message.host.name, message.silent_s, now)
-            self.lead.follower_heard(message.host.name, message.follows, now)
-            for progress in message.progress:
-                self.callers.note_done(progress)
+            self._heard(message, now)
         elif isinstance(message, JobOffered):
             self.group.note_message(message.sender, now)
             self.lead.offered(message, now)
+        elif isinstance(message, JobPassedOn):
+            self.callers.passed_on(message)
         elif isinstance(message, JobDropped):
             self.lead.dropped(message.sender, message.job, message.call, now)
         elif isinstance(message, JobAnswered):
@@ -305,6 +258,17 @@
             self.views.upstreams_passed(message, now)
         self.flush_soon()
 
+    def _heard(self, beat: HostBeat, now: float) -> None:
+        self.group.heard(beat, now)
+        if not self.group.covers(beat.host.zone):
+            if beat.leads:
+                self.lead.room_heard(beat, now)
+            return
+        self._heartbeats.redial_if_silent(beat.host.name, beat.silent_s, now)
+        self.lead.follower_heard(beat.host.name, beat.follows, now)
+        for progress in beat.progress:
+            self.callers.note_done(progress)
+
     @handler("signal", channel="*")
     def _on_signal(self, event, signo, _stack) -> None:
         """Drain at the first signal that asks to stop."""
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -17,6 +17,7 @@
     JobAnswered,
     JobDropped,
     JobOffered,
+    JobPassedOn,
     JobProgress,
     Term,
 )
@@ -29,6 +30,9 @@
 ANSWER_S = 0.012
 # How long a job waits for a host to lead: the time in which a lost one is replaced.
 LEADERLESS_S = 0.8
+# A host counts as lost after 0.4 s without a sign; offers are all that another group's
+# leading host hears of this one.
+FAR_AGAIN_S = 0.12
 READY = HttpReply(200, b"{}")
 NOT_READY = HttpReply(503, b"{}")
 
@@ -148,6 +152,24 @@
             self._drop(job)
         self._reply(job, answer.outcome)
 
+    def passed_on(self, message: JobPassedOn) -> None:
+        """Offer a job to another group, for which the own one has no room.
+
+        Only what was never handed over: an earlier leading host may run it.
+        """
+        job = self._jobs.find(message.call, message.job)
+        if job is None or job.handed or job.far is not None:
+            return
+        now = now_s()
+        job.far = Term(message.leader, message.fence)
+        job.far_since = now
+        self._owner.gauges.count("jobs_passed_on")
+        self._offer(job, job.far, now)
+
+    def far_leaders(self) -> set[str]:
+        """Return the leading hosts of other groups that have jobs of this host."""
+        return {job.far.leader for job in self._jobs.far_jobs()}
+
     def note_done(self, progress: JobProgress) -> None:
         """Keep which tasks are done."""
         self._jobs.note_done(progress.job, progress.done)
@@ -161,6 +183,21 @@
             self._jobs.take(job.call)
             self._drop(job)
             self._reply(job, outcome)
+        for job in self._jobs.far_jobs():
+            self._tend_far(job, now)
+
+    def _tend_far(self, job: OwnJob, now: float) -> None:
+        """Repeat the offer of a job that another group has, or give it up.
+
+        The repeated offer is also what tells that group that this host lives. When it
+        is lost the job may have run there, on upstreams that this group does not hold.
+        """
+        if not self._owner.group.still_leads(job.far, job.far_since, now):
+            self._jobs.take(job.call)
+            reason = "the other group that had it is lost"
+            self._reply(job, JobOutcome(JobEnd.OUT_OF_TIME, False, 0.0, reason))
+        elif now - job.offered_at > FAR_AGAIN_S:
+            self._offer(job, job.far, now)
 
     def offer_waiting(self, now: float) -> None:
         """Hand the jobs that the leading host does not have to it."""
@@ -171,7 +208,6 @@
             if job.offered_to not in (None, term):
                 job.handed += 1
             job.offered_to = term
-            job.offered_at = now
             self._offer(job, term, now)
 
     def _asked(self, call: Call, asked: CallerQuestion) -> None:
@@ -202,6 +238,7 @@
         self.offer_waiting(now)
 
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
+        job.offered_at = now
         done = tuple(job.done)
         own = self._owner.address.name
         if term.leader == own:
@@ -228,6 +265,7 @@
             left_ms=(job.deadline - now) * MS_PER_S,
             handed=job.handed,
             done=done,
+            far=job.far is not None,
         )
         self._owner.send(term.leader, message)
 
@@ -243,7 +281,7 @@
 
     def _drop(self, job: OwnJob) -> None:
         now = now_s()
-        leader = self._owner.group.leader(now)
+        leader = job.far.leader if job.far else self._owner.group.leader(now)
         own = self._owner.address.name
         if leader == own:
             self._owner.lead.dropped(own, job.request.id, job.call, now)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -11,6 +11,8 @@
 # Four heartbeats: a host whose share of the processor is used up stands still for up
 # to 0.1 s, and a lost message must not cost a change of the leading host.
 SILENCE_S = 0.4
+# Other groups' leading hosts tell of themselves every second, and of room more often.
+OTHER_LEAD_SILENCE_S = 2.5
 # How long no host may lead before another takes over: all have then heard the same.
 VACANT_S = 0.1
 # At a start all hosts are to find each other before one leads.
@@ -45,8 +47,11 @@
     higher fence alone, and the lower one gives up as soon as it hears of the other.
     """
 
-    def __init__(self, own: HostAddress, now: float) -> None:
+    def __init__(
+        self, own: HostAddress, now: float, most_upstreams: int = MOST_UPSTREAMS
+    ) -> None:
         self._own = own
+        self._most_upstreams = most_upstreams
         self._beats: dict[str, HostBeat] = {}
         self._heard: dict[str, float] = {}
         self._known: dict[str, HostAddress] = {}
@@ -66,6 +71,33 @@
         """Return the other hosts of the group that are known by address."""
         return tuple(h for h in self._known.values() if self.covers(h.zone))
 
+    @property
+    def outsiders(self) -> tuple[HostAddress, ...]:
+        """Return the hosts of other groups that are known by address."""
+        return tuple(h for h in self._known.values() if not self.covers(h.zone))
+
+    def other_leads(self, now: float) -> list[HostBeat]:
+        """Return the last heartbeats of the hosts that lead other groups."""
+        return [
+            beat
+            for beat in self._beats.values()
+            if beat.leads
+            and not self.covers(beat.host.zone)
+            and now - self._heard[beat.host.name] < OTHER_LEAD_SILENCE_S
+        ]
+
+    def still_leads(self, term: Term, since: float, now: float) -> bool:
+        """Tell whether another group's term goes on; `since` is when it was named.
+
+        Its host tells all hosts that wait for it, from the first it hears of them.
+        """
+        silent_s = min(self.silent_s(term.leader, now), now - since)
+        beat = self._beats.get(term.leader)
+        changed = beat is not None and beat.fence != term.fence
+        # What was heard before the term was named may be of an earlier one.
+        heard_since = self._heard.get(term.leader, since) > since
+        return silent_s < SILENCE_S and not (changed and heard_since)
+
     @property
     def last_beats(self) -> tuple[HostBeat, ...]:
         """Return the last heartbeat of every other host, alive or not."""
@@ -73,7 +105,7 @@
 
     def set_size(self, upstreams: int) -> None:
         """Be one group of all zones, or of the own zone where that is too large."""
-        self._by_zone = upstreams > MOST_UPSTREAMS
+        self._by_zone = upstreams > self._most_upstreams
 
     def covers(self, zone: str) -> bool:
         """Tell whether hosts and upstreams of a zone belong to the group."""
@@ -92,7 +124,8 @@
         self.learn(beat.host)
         for host in beat.knows:
             self.learn(host)
-        if beat.host.name not in self._beats or not self.alive(beat.host.name, now):
+        fresh = beat.host.name not in self._beats or not self.alive(beat.host.name, now)
+        if fresh and self.covers(beat.host.zone):
             self._yields = 0
             self._yield_until = now
         self._beats[beat.host.name] = beat
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -16,7 +16,9 @@
     "JobAnswered",
     "JobDropped",
     "JobOffered",
+    "JobPassedOn",
     "JobProgress",
+    "RoomOffered",
     "UnreadableGroupMessage",
     "UpstreamsPassed",
     "decode_message",
@@ -47,7 +49,7 @@
 
     `fence` is its own when it leads, else 0; `follows` is that of the leading host to
     which it hands its jobs, 0 without one. `silent_s` is for how long it has not heard
-    the receiver.
+    the receiver. `room` is what a leading host offers to that of another group.
     """
 
     host: HostAddress
@@ -63,6 +65,14 @@
     progress: tuple["JobProgress", ...] = ()
     silent_s: float = 0.0
     follows: int = 0
+    room: tuple["RoomOffered", ...] = ()
+
+
+class RoomOffered(msgspec.Struct, frozen=True):
+    """Offer what some upstreams of a service have left, in thousandths of a core."""
+
+    service: str
+    free: tuple[int, ...]
 
 
 class JobProgress(msgspec.Struct, frozen=True):
@@ -77,7 +87,7 @@
 
     `handed` counts earlier hand-overs, `done` names the tasks known to be done. `fence`
     names the term to whose leading host it goes: in a later one the job counts as new
-    unless it is handed over.
+    unless it is handed over. `far` tells that it comes from another group.
     """
 
     sender: str
@@ -89,6 +99,16 @@
     left_ms: float
     handed: int
     done: tuple[str, ...]
+    far: bool = False
+
+
+class JobPassedOn(msgspec.Struct, frozen=True, tag="passed"):
+    """Tell a job's host to offer it to the leading host of another group."""
+
+    job: str
+    call: int
+    leader: str
+    fence: int
 
 
 class JobDropped(msgspec.Struct, frozen=True, tag="drop"):
@@ -125,6 +145,7 @@
 GroupMessage = (
     HostBeat
     | JobOffered
+    | JobPassedOn
     | JobDropped
     | JobAnswered
     | ConfigurationPassed
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jackdawspur.group import Group, HostAddress, HostBeat
+from jackdawspur.group import Group, HostAddress, HostBeat, Term
 from jackdawspur.group._group import FIRST_VACANT_S, SILENCE_S, VACANT_S
 
 UNIX_MS = 1_800_000_000_000
@@ -147,3 +147,40 @@
     hosts = Hosts("a", "b", "c")
     hosts.advance(0.6)
     assert len(hosts.leaders()) == 1
+
+
+def far_beat(fence: int, leads: bool = True) -> HostBeat:
+    host = HostAddress("far", "z9", "127.0.0.1:9", 1)
+    return HostBeat(host, 0.0, leads, fence, True, False, False, 1, 0.0, ())
+
+
+def test_another_groups_lead_is_found_but_never_followed():
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0, most_upstreams=2)
+    group.set_size(3)
+    group.heard(far_beat(50), 1.0)
+    assert [beat.host.name for beat in group.other_leads(1.1)] == ["far"]
+    assert group.leader(1.1) is None
+    assert not group.known
+    assert [host.name for host in group.outsiders] == ["far"]
+    assert not group.other_leads(4.0)
+
+
+def test_a_job_elsewhere_is_given_up_when_that_lead_is_silent_or_another():
+    # A caller waits in vain: the other zone's leading host died, or another leads there
+    # that knows nothing of the job.
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0, most_upstreams=2)
+    group.set_size(3)
+    term = Term("far", 50)
+    assert group.still_leads(term, 5.0, 5.3)
+    assert not group.still_leads(term, 5.0, 5.5)
+    group.heard(far_beat(50), 5.4)
+    assert group.still_leads(term, 5.0, 5.7)
+    group.heard(far_beat(0, leads=False), 5.8)
+    assert not group.still_leads(term, 5.0, 5.9)
+
+
+def test_what_another_lead_said_before_it_got_the_job_does_not_count():
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0, most_upstreams=2)
+    group.set_size(3)
+    group.heard(far_beat(40), 4.9)
+    assert group.still_leads(Term("far", 50), 5.0, 5.1)
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -8,9 +8,11 @@
     Effect,
     LookAt,
     Note,
+    PassJobOn,
     StartRun,
     StopRun,
 )
+from jackdawspur.runs._elsewhere import Place, deal
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._placer import Placer
 from jackdawspur.runs._types import (
@@ -36,10 +38,13 @@
     "LookAt",
     "Note",
     "Offer",
+    "PassJobOn",
+    "Place",
     "Placer",
     "Route",
     "StartRun",
     "StopRun",
     "Task",
     "TaskState",
+    "deal",
 ]
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -1,6 +1,6 @@
 """Decide, on the leading host, which task starts where and when."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 from jackdawspur.leases import (
     CallOutcome,
@@ -13,7 +13,14 @@
 )
 from jackdawspur.model import HostId, UpstreamId
 from jackdawspur.runs._answers import Answers, offer_key
-from jackdawspur.runs._effects import AnswerJob, Decision, DropCause, Effect
+from jackdawspur.runs._effects import (
+    AnswerJob,
+    Decision,
+    DropCause,
+    Effect,
+    PassJobOn,
+)
+from jackdawspur.runs._elsewhere import Elsewhere, Place, may_go
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task, TaskState
@@ -57,6 +64,7 @@
         # Kept over changes of the lead: what began is never refused as not run.
         self._begun = Remembered(BEGUN_KEPT_S)
         self._placer = Placer(self._fleet, self._estimates, self._begun)
+        self._elsewhere = Elsewhere()
         self._answers = Answers()
         self._now = now
         self.leads = False
@@ -85,6 +93,21 @@
         jobs = self._jobs.values()
         return sum(j.request.route.name == route and not j.started for j in jobs)
 
+    def spare_room(self, now: float) -> dict[str, list[int]]:
+        """Return what each upstream has left, by service, while no job waits."""
+        if any(job.has_waiting for job in self._jobs.values()):
+            return {}
+        return {
+            service: [held.free.cpu_millis for held in upstreams]
+            for service, upstreams in self._fleet.with_room(now).items()
+        }
+
+    def room_offered(
+        self, place: Place, room: dict[str, Sequence[int]], now: float
+    ) -> None:
+        """Take in the room that another group offers."""
+        self._elsewhere.offered(place, room, now)
+
     def lead(self, fence: Fence, now: float) -> None:
         """Begin to lead: nothing starts on an upstream before a look at it."""
         self._jobs.clear()
@@ -203,11 +226,33 @@
             job.reported = False
             self._review(job, now)
         self._placer.due = True
+        self._pass_on(now)
         self._found_done.forget_old(now)
         self._answers.forget_old(now)
         self._begun.forget_old(now)
         self._fleet.tick(now)
 
+    def _pass_on(self, now: float) -> None:
+        """Send jobs that wait in vain to groups that have room for them."""
+        if not self._elsewhere.heard_of:
+            return
+        waiting = [job for job in self._jobs.values() if may_go(job, now)]
+        for job in self._placer.ordered(waiting, now):
+            place = self._elsewhere.take(job, now)
+            if place is None:
+                continue
+            offer = job.offer
+            waited_ms = round((now - offer.arrived) * MS_PER_S)
+            self._notes.add(
+                Decision.JOB_PASSED_ON,
+                job.id,
+                "",
+                leader=place.leader,
+                waited_ms=waited_ms,
+            )
+            self._effects.append(PassJobOn(offer.host, offer.call, job.id, place))
+            del self._jobs[job.id]
+
     # What the fleet tells of runs.
 
     def job_of(self, task_name: str) -> Job | None:
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -5,6 +5,7 @@
 
 from jackdawspur.leases import Fence, RunId
 from jackdawspur.model import UpstreamId
+from jackdawspur.runs._elsewhere import Place
 from jackdawspur.runs._types import JobOutcome
 
 __all__ = [
@@ -14,6 +15,7 @@
     "Effect",
     "LookAt",
     "Note",
+    "PassJobOn",
     "StartRun",
     "StopRun",
 ]
@@ -68,6 +70,16 @@
     outcome: JobOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class PassJobOn:
+    """Tell a job's host to offer it to the leading host of another group."""
+
+    host: str
+    call: int
+    job: str
+    place: Place
+
+
 class Decision(Enum):
     """Name what was decided or believed, for the log."""
 
@@ -77,6 +89,7 @@
     JOB_FAILED = "job failed"
     JOB_DROPPED = "job dropped"
     JOB_ADOPTED = "job taken over"
+    JOB_PASSED_ON = "job passed on to another group"
     RUN_UNSURE = "outcome of a start unknown"
     RUN_LOST = "run lost"
     RUN_RESTARTED = "run stopped to start elsewhere"
@@ -105,4 +118,4 @@
     inputs: tuple[tuple[str, str | int | float], ...] = ()
 
 
-Effect = StartRun | StopRun | LookAt | AnswerJob | Note
+Effect = StartRun | StopRun | LookAt | AnswerJob | PassJobOn | Note
--- /dev/null
+++ b/jackdawspur/runs/_elsewhere.py
@@ -0,0 +1,101 @@
+"""Room that other groups offer, for jobs that would wait here."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from jackdawspur.leases import Fence
+from jackdawspur.runs._job import Job
+from jackdawspur.runs._types import JobStep
+
+__all__ = ["Elsewhere", "Place", "deal", "may_go"]
+
+# Room is offered anew every 0.2 s; an older offer has been used by others.
+OFFER_KEPT_S = 0.5
+# A job that finds no room waits this long for an end before it goes elsewhere: with
+# sixty places and tasks of a quarter of a second one ends every few milliseconds, and
+# a job that goes costs bytes between zones and a millisecond each way.
+PATIENCE_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Name the leading host of another group, and its term by its fence."""
+
+    leader: str
+    fence: Fence
+
+
+@dataclass(eq=False, slots=True)
+class _Offered:
+    place: Place
+    at: float
+    free: dict[str, list[int]]
+
+
+class Elsewhere:
+    """Keep what room other leading hosts offer to this one, and use it up.
+
+    Each leading host deals its room out to the others, so that two of them never fill
+    the same place.
+    """
+
+    def __init__(self) -> None:
+        self._offered: dict[str, _Offered] = {}
+
+    @property
+    def heard_of(self) -> bool:
+        """Tell whether there are other groups."""
+        return bool(self._offered)
+
+    def offered(self, place: Place, room: dict[str, Sequence[int]], now: float) -> None:
+        """Take in the room of each service, as thousandths of a core an upstream."""
+        free = {service: sorted(rows) for service, rows in room.items()}
+        self._offered[place.leader] = _Offered(place, now, free)
+
+    def take(self, job: Job, now: float) -> Place | None:
+        """Return where all tasks of a job find room at once, and count it as used."""
+        service = job.request.route.service
+        for offered in self._offered.values():
+            if now - offered.at > OFFER_KEPT_S:
+                continue
+            left = _fill(offered.free.get(service, ()), job.request.steps)
+            if left is not None:
+                offered.free[service] = left
+                return offered.place
+        return None
+
+
+def may_go(job: Job, now: float) -> bool:
+    """Tell whether a job may go to another group.
+
+    What was started, or may have been by an earlier leading host, stays. So does what
+    another group sent here, and what must or had better run on certain upstreams.
+    """
+    offer = job.offer
+    bound = any(step.label or step.near for step in job.request.steps)
+    came = offer.far or offer.handed or job.started
+    return not (bound or came) and now - job.offered_at >= PATIENCE_S
+
+
+def deal(rows: Iterable[int], leaders: Sequence[str]) -> dict[str, tuple[int, ...]]:
+    """Deal rows of room out to other leading hosts, one each in turn."""
+    ordered = sorted(rows, reverse=True)
+    count = len(leaders)
+    return {name: tuple(ordered[n::count]) for n, name in enumerate(leaders)}
+
+
+def _fill(rows: Sequence[int], steps: Sequence[JobStep]) -> list[int] | None:
+    """Return what is left of rows of room, None when not all tasks find some.
+
+    Each task takes the smallest room that is enough.
+    """
+    left = sorted(rows)
+    for step in steps:
+        needed = step.resources.cpu_millis
+        for _ in range(step.count):
+            number = next((n for n, row in enumerate(left) if row >= needed), None)
+            if number is None:
+                return None
+            left[number] -= needed
+            left.sort()
+    return left
--- a/jackdawspur/runs/_types.py
+++ b/jackdawspur/runs/_types.py
@@ -59,7 +59,8 @@
     """Carry a job and who waits for it; times in seconds of the leading host's clock.
 
     `call` names the waiting request on `host`. `handed` counts earlier hand-overs and
-    `done` names the tasks that ended well under them.
+    `done` names the tasks that ended well under them. `far` tells that the host belongs
+    to another group, which had no room.
     """
 
     request: JobRequest
@@ -69,6 +70,7 @@
     deadline: float
     handed: int = 0
     done: tuple[str, ...] = ()
+    far: bool = False
 
 
 class JobEnd(Enum):
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -23,6 +23,7 @@
     JobStep,
     LookAt,
     Offer,
+    PassJobOn,
     Route,
     StartRun,
     StopRun,
@@ -86,6 +87,7 @@
         self.starts: list[StartRun] = []
         self.stops: list[StopRun] = []
         self.looks: list[LookAt] = []
+        self.passed_on: list[PassJobOn] = []
         self.silent: set[UpstreamId] = set()
         self.dispatcher.set_upstreams([self.entry(one) for one in ids], self.now)
 
@@ -114,6 +116,7 @@
         self.starts += [e for e in effects if isinstance(e, StartRun)]
         self.stops += [e for e in effects if isinstance(e, StopRun)]
         self.looks += [e for e in effects if isinstance(e, LookAt)]
+        self.passed_on += [e for e in effects if isinstance(e, PassJobOn)]
         return effects
 
     def settle(self, passes: int = 6) -> None:
--- /dev/null
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -0,0 +1,66 @@
+"""Jobs that would wait go to a group that has room for all their tasks."""
+
+from jackdawspur.runs import PassJobOn, Place, deal
+from jackdawspur.runs.tests.conftest import FENCE, PATIENT, Leading
+
+PLACE = Place("far", FENCE * 2)
+
+
+def passed_on(leading: Leading) -> list[PassJobOn]:
+    return leading.passed_on
+
+
+def fill(leading: Leading) -> None:
+    leading.offer("aa", tasks=4)
+    leading.settle()
+    assert len(leading.running()) == 4
+
+
+def test_a_job_that_finds_no_room_goes_where_all_its_tasks_fit(leading: Leading):
+    # Callers of one zone are refused while upstreams of the next zone stand idle: each
+    # zone's hosts ran the jobs of their own callers and of nobody else.
+    fill(leading)
+    room = {"roster": (14_000, 28_000, 10_000)}
+    leading.dispatcher.room_offered(PLACE, room, leading.now)
+    leading.offer("bb", tasks=3, route=PATIENT, call=7)
+    leading.offer("cc", tasks=1, route=PATIENT, call=8)
+    leading.advance(0.05)
+    (order,) = passed_on(leading)
+    assert (order.job, order.host, order.call, order.place) == ("bb", "h2", 7, PLACE)
+    assert {job.id for job in leading.dispatcher.open_jobs} == {"aa", "cc"}
+
+
+def test_a_job_stays_while_there_is_room_or_what_is_offered_is_old(leading: Leading):
+    leading.dispatcher.room_offered(PLACE, {"roster": (32_000,)}, leading.now)
+    fill(leading)
+    leading.now += 0.6
+    leading.offer("bb", route=PATIENT, call=7)
+    leading.dispatcher.room_offered(PLACE, {"other": (32_000,)}, leading.now)
+    leading.now += 0.05
+    leading.dispatcher.tick(leading.now)
+    leading.collect()
+    assert not passed_on(leading)
+
+
+def test_what_may_have_run_or_came_from_elsewhere_stays(leading: Leading):
+    # A task runs twice: a job that an earlier leading host may still run is sent to
+    # another group, whose upstreams know nothing of the first run.
+    fill(leading)
+    leading.dispatcher.room_offered(PLACE, {"roster": (32_000,)}, leading.now)
+    leading.offer("bb", route=PATIENT, call=7, handed=1)
+    leading.offer("cc", route=PATIENT, call=8, far=True)
+    leading.advance(0.05)
+    assert not passed_on(leading)
+
+
+def test_room_is_told_only_while_no_job_waits(leading: Leading):
+    assert leading.dispatcher.spare_room(leading.now) == {"roster": [32_000, 32_000]}
+    leading.offer("aa", tasks=5)
+    leading.settle()
+    assert leading.dispatcher.spare_room(leading.now) == {}
+
+
+def test_room_is_dealt_so_that_no_place_is_offered_twice():
+    dealt = deal([5, 1, 4, 2, 3], ["a", "b"])
+    assert dealt == {"a": (5, 3, 1), "b": (4, 2)}
+    assert deal([5], []) == {}
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -56,7 +56,13 @@
     """Run one host."""
 
     def __init__(
-        self, name: str, store_port: int, ports: PortBlock, folder: Path
+        self,
+        name: str,
+        store_port: int,
+        ports: PortBlock,
+        folder: Path,
+        zone: str = "z1",
+        most_upstreams: int = 64,
     ) -> None:
         callers, ready, link, metrics, passage = ports.take(5)
         self.name = name
@@ -66,7 +72,8 @@
         self._log = folder / f"{name}.log"
         settings = {
             "name": name,
-            "zone": "z1",
+            "zone": zone,
+            "most_upstreams": most_upstreams,
             "callers": f"127.0.0.1:{callers}",
             "ready": f"127.0.0.1:{ready}",
             "link": f"127.0.0.1:{link}",
@@ -106,7 +113,14 @@
 class Deployment:
     """Run a stand-in of the platform and some hosts."""
 
-    def __init__(self, folder: Path, hosts: int = 3, workers: int = 4) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        hosts: int = 3,
+        workers: int = 4,
+        zones: tuple[str, ...] = ("z1",),
+        most_upstreams: int = 64,
+    ) -> None:
         self._ports = PortBlock()
         store, *ports = self._ports.take(2 * workers + 1)
         self._store_port = store
@@ -118,7 +132,7 @@
             "store": f"127.0.0.1:{store}",
             "workers": [f"127.0.0.1:{port}" for port in listening],
             "announced": [f"127.0.0.1:{port}" for port in announced],
-            "zones": ["z1"],
+            "zones": list(zones),
             "configuration": {"version": 3, "routes": [ROUTE]},
         }
         file = folder / "platform.json"
@@ -129,7 +143,10 @@
         self._next_job = 0x1000
         try:
             for number in range(hosts):
-                host = Host(f"h{number}", store, self._ports, folder)
+                zone = zones[number % len(zones)]
+                host = Host(
+                    f"h{number}", store, self._ports, folder, zone, most_upstreams
+                )
                 self.hosts.append(host)
             wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
         except Exception:
