Serve both kinds of links with one inbox and outbox

The mesh of `front` received and dialled as the links of `entry` do, in code that stood twice. Both use `adapters/_queues.py` now.

--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -7,6 +7,7 @@
 from jackdawspur.adapters._http_connection import HttpReply
 from jackdawspur.adapters._links import Links
 from jackdawspur.adapters._log_http import HttpLog, LogTimeouts
+from jackdawspur.adapters._queues import Inbox, Outbox
 from jackdawspur.adapters._upstream_http import HttpUpstream, UpstreamTimeouts
 from jackdawspur.adapters._web import Call, WebServer, WebService
 
@@ -19,7 +20,9 @@
     "HttpLog",
     "HttpReply",
     "HttpUpstream",
+    "Inbox",
     "LogTimeouts",
+    "Outbox",
     "Replied",
     "UpstreamTimeouts",
     "Call",
--- a/jackdawspur/adapters/_links.py
+++ b/jackdawspur/adapters/_links.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from time import monotonic
 
-import pynng
-from circuits import BaseComponent, handler
+from circuits import BaseComponent
 from circuits.core.pollers import BasePoller
 
+from jackdawspur.adapters._queues import Inbox, Outbox
 from jackdawspur.links import Envelope, LinkError, StaleFilter, decode, encode
 from jackdawspur.messages import Heartbeat, Message, Pulse, RecordsPassed, RecordsWanted
 from jackdawspur.model import EntryHost, HostId
@@ -15,11 +15,9 @@
 __all__ = ["Links"]
 
 SEND_QUEUE = 256
-RECEIVE_QUEUE = 1024
 MAX_MESSAGE_BYTES = 8_388_608
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
-MESSAGES_A_PASS = 200
 # These concern any run of the host; all others are for the one run they name.
 FOR_ANY_RUN = (Heartbeat, Pulse, RecordsWanted, RecordsPassed)
 
@@ -41,17 +39,13 @@
     ) -> None:
         super().__init__()
         self._own = own
-        self._poller = poller
         self._deliver = deliver
         self._bytes_sent = bytes_sent
         self._stale = StaleFilter()
         self._addresses: dict[str, str] = {}
-        self._out: dict[str, pynng.Push0] = {}
-        self._in = pynng.Pull0(
-            recv_buffer_size=RECEIVE_QUEUE, recv_max_size=MAX_MESSAGE_BYTES
-        )
-        self._in.listen(f"tcp://{bind}")
-        self._poller.addReader(self, self._in.recv_fd)
+        self._out: dict[str, Outbox] = {}
+        self._in = Inbox(bind, poller, MAX_MESSAGE_BYTES, self._receive)
+        self._in.register(self)
         self.dropped = 0
 
     def set_peers(self, hosts: tuple[EntryHost, ...]) -> None:
@@ -69,40 +63,24 @@
                 self._dial(name, address)
 
     def _dial(self, name: str, address: str) -> None:
-        push = pynng.Push0(
-            send_buffer_size=SEND_QUEUE,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
+        self._out[name] = Outbox(
+            address, SEND_QUEUE, RECONNECT_MIN_MS, RECONNECT_MAX_MS
         )
-        push.dial(f"tcp://{address}", block=False)
-        self._out[name] = push
         self._addresses[name] = address
 
     def send(self, to: HostId, message: Message) -> bool:
         """Queue a message; False when the peer is unknown or its queue is full."""
-        push = self._out.get(_name(to.zone, to.name))
-        if push is None:
+        outbox = self._out.get(_name(to.zone, to.name))
+        if outbox is None:
             self.dropped += 1
             return False
         data = encode(Envelope(self._own, to, monotonic(), message))
-        try:
-            push.send(data, block=False)
-        except pynng.TryAgain:
+        if not outbox.send(data):
             self.dropped += 1
             return False
         self._bytes_sent(len(data))
         return True
 
-    @handler("_read")
-    def _on_readable(self, _descriptor: int) -> None:
-        """Take what has arrived, a bounded number a pass so that callers get a turn."""
-        for _ in range(MESSAGES_A_PASS):
-            try:
-                data = self._in.recv(block=False)
-            except pynng.TryAgain:
-                return
-            self._receive(data)
-
     def _receive(self, data: bytes) -> None:
         try:
             envelope = decode(data)
@@ -127,10 +105,9 @@
 
     def close(self) -> None:
         """Close all sockets."""
-        self._poller.discard(self._in.recv_fd)
         self._in.close()
-        for push in self._out.values():
-            push.close()
+        for outbox in self._out.values():
+            outbox.close()
         self._out.clear()
 
 
--- a/jackdawspur/front/_mesh.py
+++ b/jackdawspur/front/_mesh.py
@@ -3,10 +3,10 @@
 import logging
 from collections.abc import Callable
 
-import pynng
-from circuits import BaseComponent, handler
+from circuits import BaseComponent
 from circuits.core.pollers import BasePoller
 
+from jackdawspur.adapters import Inbox, Outbox
 from jackdawspur.group import (
     GroupMessage,
     HostAddress,
@@ -18,11 +18,9 @@
 __all__ = ["Mesh"]
 
 SEND_QUEUE = 128
-RECEIVE_QUEUE = 1024
 MAX_MESSAGE_BYTES = 4_194_304
 RECONNECT_MIN_MS = 20
 RECONNECT_MAX_MS = 300
-MESSAGES_A_PASS = 200
 
 log = logging.getLogger(__name__)
 
@@ -36,14 +34,9 @@
         self, bind: str, poller: BasePoller, deliver: Callable[[GroupMessage], None]
     ) -> None:
         super().__init__()
-        self._poller = poller
         self._deliver = deliver
-        self._out: dict[str, tuple[HostAddress, pynng.Push0]] = {}
-        self._in = pynng.Pull0(
-            recv_buffer_size=RECEIVE_QUEUE, recv_max_size=MAX_MESSAGE_BYTES
-        )
-        self._in.listen(f"tcp://{bind}")
-        self._poller.addReader(self, self._in.recv_fd)
+        self._out: dict[str, tuple[HostAddress, Outbox]] = {}
+        Inbox(bind, poller, MAX_MESSAGE_BYTES, self._receive).register(self)
         self.dropped = 0
         self.bytes_sent = 0
 
@@ -75,35 +68,21 @@
             self.dropped += 1
             return False
         data = encode_message(message)
-        try:
-            known[1].send(data, block=False)
-        except pynng.TryAgain:
+        if not known[1].send(data):
             self.dropped += 1
             return False
         self.bytes_sent += len(data)
         return True
 
     def _dial(self, host: HostAddress) -> None:
-        push = pynng.Push0(
-            send_buffer_size=SEND_QUEUE,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
-        push.dial(f"tcp://{host.link}", block=False)
-        self._out[host.name] = (host, push)
+        outbox = Outbox(host.link, SEND_QUEUE, RECONNECT_MIN_MS, RECONNECT_MAX_MS)
+        self._out[host.name] = (host, outbox)
 
     def _close(self, name: str) -> None:
         self._out.pop(name)[1].close()
 
-    @handler("_read")
-    def _on_readable(self, _descriptor: int) -> None:
-        """Take what has arrived, a bounded number a pass so that callers get a turn."""
-        for _ in range(MESSAGES_A_PASS):
-            try:
-                data = self._in.recv(block=False)
-            except pynng.TryAgain:
-                return
-            try:
-                self._deliver(decode_message(data))
-            except UnreadableGroupMessage as error:
-                log.warning("message dropped", extra={"reason": str(error)})
+    def _receive(self, data: bytes) -> None:
+        try:
+            self._deliver(decode_message(data))
+        except UnreadableGroupMessage as error:
+            log.warning("message dropped", extra={"reason": str(error)})
