Leave the lead to the one that others follow while a cut heals

All jobs were handed over twice within 0.2 s. Ruled out: the order of succession alone keeps a third host from leading (it does when the one that gave up comes first, which is why no test had shown it).

Change: heartbeats name the lead that their sender follows; a host leaves the lead to one that others follow, later than the one that it followed itself, for 0.6 s after it last heard any.

Before: the new test fails (two leading hosts 0.4 s after the healing). After: it passes, and a host that stays cut off from the others' lead still leads after that.

--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -15,6 +15,9 @@
 OTHER_LEAD_SILENCE_S = 2.5
 # How long no host may lead before another takes over: all have then heard the same.
 VACANT_S = 0.1
+# How long a host that does not hear a lead which others follow leaves it to that one:
+# links over which a cut healed connect again within half a second.
+UNHEARD_S = 0.6
 # At a start all hosts are to find each other before one leads.
 FIRST_VACANT_S = 0.4
 # A host just started is likely to be one that fails; it leads if no other can.
@@ -57,6 +60,7 @@
         self._known: dict[str, HostAddress] = {}
         self._vacant_since = now + FIRST_VACANT_S - VACANT_S
         self._highest: Fence = 0
+        self._followed: Fence = 0
         self._by_zone = False
         self._contested_at = now - CONTEST_MEMORY_S
         self._yields = 0
@@ -177,8 +181,9 @@
             return self._give_up(leader, now)
         if leader is not None:
             self._vacant_since = now
+            self._followed = self.term(now).fence
             return False
-        if now < self._yield_until:
+        if now < self._yield_until or self._leaves_it_to_others(now):
             return False
         vacant = now - self._vacant_since >= VACANT_S
         if not vacant or not ready or not self._is_first(unix_ms, now):
@@ -186,6 +191,17 @@
         self._lead(unix_ms)
         return True
 
+    def _leaves_it_to_others(self, now: float) -> bool:
+        """Tell whether others follow a lead that this host does not hear yet.
+
+        After a cut one side's leading host gives up at once. A host of that side which
+        led before it heard the other's would have all work handed over twice. The lead
+        that was lost just now is not meant: others may notice its loss a little later.
+        """
+        if now - self._vacant_since > UNHEARD_S:
+            return False
+        return any(beat.follows > self._followed for beat in self.live_beats(now))
+
     @property
     def yielding(self) -> bool:
         """Tell whether this host leaves the lead to one that it can't hear."""
@@ -220,7 +236,7 @@
     def _lead(self, unix_ms: float) -> None:
         self.leads = True
         self.fence = fence_at(unix_ms, self._own.name, self._highest)
-        self._highest = self.fence
+        self._highest = self._followed = self.fence
 
     def _give_up(self, leader: str | None, now: float) -> bool:
         outranked = leader != self._own.name
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -3,7 +3,7 @@
 import pytest
 
 from jackdawspur.group import Group, HostAddress, HostBeat, Term
-from jackdawspur.group._group import FIRST_VACANT_S, SILENCE_S, VACANT_S
+from jackdawspur.group._group import FIRST_VACANT_S, SILENCE_S, UNHEARD_S, VACANT_S
 
 UNIX_MS = 1_800_000_000_000
 
@@ -23,6 +23,7 @@
 
     def beat(self, name: str) -> HostBeat:
         group = self.groups[name]
+        term = group.term(self.now)
         return HostBeat(
             host=address(name),
             sent_at=self.now,
@@ -34,6 +35,7 @@
             configuration=1,
             upstreams_age_s=0.0,
             knows=(),
+            follows=term.fence if term else 0,
         )
 
     def advance(self, seconds: float) -> None:
@@ -184,3 +186,43 @@
     group.set_size(3)
     group.heard(far_beat(40), 4.9)
     assert group.still_leads(Term("far", 50), 5.0, 5.1)
+
+
+@pytest.fixture
+def healing() -> Hosts:
+    """Return two sides of a cut that has healed between their leading hosts alone.
+
+    The host that follows on the first side would be chosen before the one that leads.
+    """
+    four = Hosts("a", "b", "c", "d")
+    four.advance(FIRST_VACANT_S + 1.0)
+    (mate,) = four.leaders()
+    four.away.add(mate)
+    four.advance(1.0)
+    four.away.clear()
+    four.advance(0.5)
+    (first,) = four.leaders()
+    others = [name for name in four.groups if name not in (first, mate)]
+    four.cut = {frozenset((n, other)) for n in (first, mate) for other in others}
+    four.advance(1.0)
+    second = next(name for name in four.leaders() if name != first)
+    four.cut.remove(frozenset((first, second)))
+    return four
+
+
+def test_no_third_host_leads_while_a_cut_heals(healing: Hosts):
+    # All work is handed over twice: the side whose leading host gave up had a host that
+    # did not hear the other side's yet, and led in its place for a moment.
+    healing.advance(0.4)
+    assert len(healing.leaders()) == 1
+    (leader,) = healing.leaders()
+    healing.cut.clear()
+    healing.advance(0.3)
+    assert healing.leaders() == [leader]
+
+
+def test_a_host_that_stays_cut_off_from_the_others_lead_leads_in_the_end(
+    healing: Hosts,
+):
+    healing.advance(UNHEARD_S + VACANT_S + 0.3)
+    assert len(healing.leaders()) == 2
