Give a handed-over job up early when it must wait too long

Change: once upstreams had 0.3 s to answer, the wait counts when a job's end is judged. A job with time enough still waits and runs.

Before: the new test fails (no answer 0.4 s after the change). After: it passes, and the test of a job with time left.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -347,9 +347,11 @@
     def _give_up_if_late(self, job: Job, now: float) -> None:
         if now >= job.offer.deadline:
             self._give_up(job, Decision.JOB_OUT_OF_TIME, now)
-        elif standing(job, now) is not Standing.HOPELESS:
             return
-        elif not job.started:
+        start = self._placer.earliest_start(job, now)
+        if standing(job, start) is not Standing.HOPELESS:
+            return
+        if not job.started:
             self._refuse(job, now)
         elif not job.placed():
             self._give_up(job, Decision.JOB_HOPELESS, now)
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -16,6 +16,8 @@
 # still have had running is stopped or has lapsed: 0.4 s until that gives up, a lease,
 # and a margin.
 SETTLED_S = 1.1
+# Upstreams that answer a new leading host at all do so within this time.
+ANSWERS_S = 0.3
 
 
 class Placer:
@@ -40,6 +42,16 @@
             self.due = self._fleet.gained = False
             self._place(jobs, now)
 
+    def earliest_start(self, job: Job, now: float) -> float:
+        """Return when a job's waiting tasks may start, room or not.
+
+        Upstreams get a moment for their first answer: with that of the last one a job
+        that was handed over may start at once.
+        """
+        if self._may_place(job, now) or now - job.offered_at < ANSWERS_S:
+            return now
+        return job.offered_at + SETTLED_S
+
     def ordered(self, waiting: list[Job], now: float) -> Sequence[Job]:
         """Return the waiting jobs, the one to be served first at the front."""
         return sorted(waiting, key=lambda job: order_key(job, now))
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -300,3 +300,27 @@
     leading.collect()
     assert leading.looks[-1].until_ms is not None
     assert leading.looks[-1].wait_ms == 0
+
+
+def test_a_handed_over_job_that_must_wait_too_long_is_given_up_early():
+    # A skipper is kept waiting for nothing: after a cut the new leading host may start
+    # the tasks again only 1.1 s later, too late for the caller, who got no answer until
+    # its time was nearly over.
+    leading = Leading()
+    leading.silent.add(next(iter(leading.upstreams)))
+    leading.lead()
+    leading.offer("aa", handed=1, arrived=leading.now - 0.5, deadline=leading.now + 1.0)
+    leading.advance(0.2)
+    assert not leading.answers
+    leading.advance(0.2)
+    assert [a.outcome.end for a in leading.answers] == [JobEnd.OUT_OF_TIME]
+
+
+def test_a_handed_over_job_with_time_left_waits_and_runs():
+    leading = Leading()
+    leading.silent.add(next(iter(leading.upstreams)))
+    leading.lead()
+    leading.offer("aa", route=PATIENT, handed=1, deadline=leading.now + 3.0)
+    leading.advance(1.2)
+    assert not leading.answers
+    assert len(leading.running()) == 1
