Pass on only the last offer of a job; groups don't flap about the limit

A host that stands still may offer its job again when it wakes and only then read that the first offer was passed on; the leading host has taken the second offer, and the task would run in two zones. And a number of upstreams about the limit would split the hosts into groups by zone and join them again with every upstream, each time with a hand-over of all work.

Change: offers are counted, and a job goes to another group only in reply to its last offer. Zones that split join again below three quarters of the limit.

Before: both new tests fail (the far zone gets the job; covers flips with each size). After: they pass. Neither concerns one group of all zones.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -132,6 +132,7 @@
                 message.handed,
                 message.done,
                 message.far,
+                message.attempt,
             ),
             now,
         )
@@ -256,7 +257,9 @@
 
     def _pass_on(self, order: PassJobOn) -> None:
         place = order.place
-        message = JobPassedOn(order.job, order.call, place.leader, place.fence)
+        message = JobPassedOn(
+            order.job, order.call, order.attempt, place.leader, place.fence
+        )
         if order.host == self._owner.address.name:
             self._owner.callers.passed_on(message)
         else:
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -17,6 +17,7 @@
 class OwnJob:
     """Keep one waiting caller; times in seconds of this host's clock.
 
+    `attempt` counts the offers of its job, to whomever.
     `far` is the term of another group that has the job since `far_since`.
     """
 
@@ -28,6 +29,7 @@
     offered_to: Term | None = None
     offered_at: float = 0.0
     done: set[str] = field(default_factory=set)
+    attempt: int = 0
     far: Term | None = None
     far_since: float = 0.0
 
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -155,11 +155,14 @@
     def passed_on(self, message: JobPassedOn) -> None:
         """Offer a job to another group, for which the own one has no room.
 
-        Only what was never handed over: an earlier leading host may run it.
+        Only what was never handed over: an earlier leading host may run it. And only in
+        reply to the last offer: the leading host has taken that one, and may run it.
         """
         job = self._jobs.find(message.call, message.job)
         if job is None or job.handed or job.far is not None:
             return
+        if message.attempt != job.attempt:
+            return
         now = now_s()
         job.far = Term(message.leader, message.fence)
         job.far_since = now
@@ -239,6 +242,7 @@
 
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
         job.offered_at = now
+        job.attempt += 1
         done = tuple(job.done)
         own = self._owner.address.name
         if term.leader == own:
@@ -251,6 +255,7 @@
                     job.deadline,
                     job.handed,
                     done,
+                    attempt=job.attempt,
                 ),
                 now,
             )
@@ -266,6 +271,7 @@
             handed=job.handed,
             done=done,
             far=job.far is not None,
+            attempt=job.attempt,
         )
         self._owner.send(term.leader, message)
 
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -16,6 +16,7 @@
     JobAnswered,
     JobDropped,
     JobOffered,
+    JobPassedOn,
 )
 from jackdawspur.leases import Resources
 from jackdawspur.platform import PlatformCallers
@@ -109,6 +110,21 @@
     assert not owner.replies
 
 
+def test_a_job_offered_again_is_not_also_passed_on(owner, service):
+    # A crew is sent twice: a host stood still, offered its job again when it woke, and
+    # then read that the leading host had passed the first offer on to another group.
+    # The leading host has taken the second offer by then.
+    ((_, first),) = owner.sent
+    owner.group.note_message("first", clock() + 0.9)
+    service.offer_waiting(clock() + 1.0)
+    service.passed_on(JobPassedOn("aa", 1, first.attempt, "far", 30))
+    assert [to for to, _ in owner.sent] == ["first", "first"]
+    service.passed_on(JobPassedOn("aa", 1, owner.sent[-1][1].attempt, "far", 30))
+    assert [to for to, _ in owner.sent] == ["first", "first", "far"]
+    service.passed_on(JobPassedOn("aa", 1, owner.sent[-1][1].attempt, "other", 40))
+    assert len(owner.sent) == 3
+
+
 def test_a_stopping_host_answers_all_callers_before_it_ends(owner, service):
     # A request is cut off by a rolling restart: it came late in the host's time to
     # stop, its caller would have waited longer than that, and the process ended.
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -30,6 +30,9 @@
 # One leading host carries about 20 starts a second for each upstream; above this many
 # each zone has a group of its own.
 MOST_UPSTREAMS = 64
+# Zones that split become one group again below this share of that: a number about the
+# limit must not change the groups with each upstream that comes or leaves.
+JOIN_SHARE = 0.75
 # By how many milliseconds' worth a fence rises over one that an upstream refused: more
 # than clocks of hosts are known to differ.
 CLAIM_STEPS = 5000
@@ -109,7 +112,10 @@
 
     def set_size(self, upstreams: int) -> None:
         """Be one group of all zones, or of the own zone where that is too large."""
-        self._by_zone = upstreams > self._most_upstreams
+        most = self._most_upstreams
+        if self._by_zone:
+            most *= JOIN_SHARE
+        self._by_zone = upstreams > most
 
     def covers(self, zone: str) -> bool:
         """Tell whether hosts and upstreams of a zone belong to the group."""
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -87,7 +87,8 @@
 
     `handed` counts earlier hand-overs, `done` names the tasks known to be done. `fence`
     names the term to whose leading host it goes: in a later one the job counts as new
-    unless it is handed over. `far` tells that it comes from another group.
+    unless it is handed over. `far` tells that it comes from another group. `attempt`
+    counts the offers of the job.
     """
 
     sender: str
@@ -100,13 +101,18 @@
     handed: int
     done: tuple[str, ...]
     far: bool = False
+    attempt: int = 0
 
 
 class JobPassedOn(msgspec.Struct, frozen=True, tag="passed"):
-    """Tell a job's host to offer it to the leading host of another group."""
+    """Tell a job's host to offer it to the leading host of another group.
+
+    `attempt` names the offer that this replies to.
+    """
 
     job: str
     call: int
+    attempt: int
     leader: str
     fence: int
 
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -156,6 +156,19 @@
     return HostBeat(host, 0.0, leads, fence, True, False, False, 1, 0.0, ())
 
 
+def test_a_group_does_not_split_and_join_with_every_upstream():
+    # All work is handed over again and again: the number of upstreams was about the
+    # limit, and with each that came or left the hosts changed between one group and one
+    # a zone.
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0, most_upstreams=64)
+    sizes = (64, 65, 64, 60, 66, 47, 60, 64)
+    covers = []
+    for size in sizes:
+        group.set_size(size)
+        covers.append(group.covers("z2"))
+    assert covers == [True, False, False, False, False, True, True, True]
+
+
 def test_another_groups_lead_is_found_but_never_followed():
     group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0, most_upstreams=2)
     group.set_size(3)
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -12,7 +12,7 @@
     UpstreamEntry,
 )
 from jackdawspur.model import HostId, UpstreamId
-from jackdawspur.runs._answers import Answers, offer_key
+from jackdawspur.runs._answers import Answers
 from jackdawspur.runs._effects import (
     AnswerJob,
     Decision,
@@ -138,8 +138,7 @@
         """
         known = self._jobs.get(offer.request.id)
         if known is not None:
-            if offer_key(known.offer) != offer_key(offer):
-                known.offer = offer
+            known.offer = offer
             return
         answer = self._answers.find(offer)
         if answer is not None:
@@ -250,7 +249,9 @@
                 leader=place.leader,
                 waited_ms=waited_ms,
             )
-            self._effects.append(PassJobOn(offer.host, offer.call, job.id, place))
+            self._effects.append(
+                PassJobOn(offer.host, offer.call, offer.attempt, job.id, place)
+            )
             del self._jobs[job.id]
 
     # What the fleet tells of runs.
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -72,10 +72,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PassJobOn:
-    """Tell a job's host to offer it to the leading host of another group."""
+    """Tell a job's host to offer it to the leading host of another group.
+
+    `attempt` names the offer that is replied to.
+    """
 
     host: str
     call: int
+    attempt: int
     job: str
     place: Place
 
--- a/jackdawspur/runs/_types.py
+++ b/jackdawspur/runs/_types.py
@@ -60,7 +60,7 @@
 
     `call` names the waiting request on `host`. `handed` counts earlier hand-overs and
     `done` names the tasks that ended well under them. `far` tells that the host belongs
-    to another group, which had no room.
+    to another group, which had no room. `attempt` counts the offers of the job.
     """
 
     request: JobRequest
@@ -71,6 +71,7 @@
     handed: int = 0
     done: tuple[str, ...] = ()
     far: bool = False
+    attempt: int = 0
 
 
 class JobEnd(Enum):
--- a/jackdawspur/runs/tests/test_elsewhere.py
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -22,11 +22,12 @@
     fill(leading)
     room = {"roster": (14_000, 28_000, 10_000)}
     leading.dispatcher.room_offered(PLACE, room, leading.now)
-    leading.offer("bb", tasks=3, route=PATIENT, call=7)
+    leading.offer("bb", tasks=3, route=PATIENT, call=7, attempt=2)
     leading.offer("cc", tasks=1, route=PATIENT, call=8)
     leading.advance(0.05)
     (order,) = passed_on(leading)
     assert (order.job, order.host, order.call, order.place) == ("bb", "h2", 7, PLACE)
+    assert order.attempt == 2
     assert {job.id for job in leading.dispatcher.open_jobs} == {"aa", "cc"}
 
 
