Count the wait before a first lead from when a host is able to lead

Cause: a host led 0.25 s after its start if it heard of no other. When the store answered late (its first connection broke, the next came 0.15 s later), that time was over before any host had read where the others are; all read it within 20 ms and all took the lead. Ruled out: lost heartbeats (none of the hosts knew of another yet), the clock of the fence (it rose each time as it should). Now a host that is not able keeps the vacancy open, so that 0.1 s pass from its first reading. A host that reads the store at once is able 0.05 s after its start and still leads at 0.25 s. Before: the new test had three leading hosts; after: one.

--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -191,10 +191,15 @@
             self._vacant_since = now
             self._followed = self.term(now).fence
             return False
+        if not ready:
+            # What it has not read tells of the others too: hosts that read the store
+            # late, all at one moment, would otherwise all lead before they met.
+            self._vacant_since = max(self._vacant_since, now)
+            return False
         if now < self._yield_until or self._leaves_it_to_others(now):
             return False
         vacant = now - self._vacant_since >= VACANT_S
-        if not vacant or not ready or not self._is_first(unix_ms, now):
+        if not vacant or not self._is_first(unix_ms, now):
             return False
         self._lead(unix_ms)
         return True
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -19,6 +19,7 @@
         self.now = 50.0
         self.groups = {name: Group(address(name), self.now) for name in names}
         self.away: set[str] = set()
+        self.unready: set[str] = set()
         self.cut: set[frozenset[str]] = set()
 
     def beat(self, name: str) -> HostBeat:
@@ -48,7 +49,8 @@
                     if other != name and frozenset((name, other)) not in self.cut:
                         self.groups[name].heard(beats[other], self.now)
             for name in present:
-                self.groups[name].decide(True, UNIX_MS, self.now)
+                ready = name not in self.unready
+                self.groups[name].decide(ready, UNIX_MS, self.now)
 
     def leaders(self) -> list[str]:
         return [name for name, group in self.groups.items() if group.leads]
@@ -239,3 +241,19 @@
 ):
     healing.advance(UNHEARD_S + VACANT_S + 0.3)
     assert len(healing.leaders()) == 2
+
+
+def test_hosts_that_read_the_store_late_have_one_leading_host():
+    # All callers wait longer after a power cut: the store answers late, all hosts learn
+    # of each other through it at one moment, and each takes the lead at once, since it
+    # has started long enough ago. They then take the upstreams from each other in turn.
+    three = Hosts("a", "b", "c")
+    three.unready = set(three.groups)
+    three.cut = {frozenset(pair) for pair in ("ab", "ac", "bc")}
+    three.advance(FIRST_VACANT_S + 0.2)
+    three.unready = set()
+    three.advance(0.05)
+    assert three.leaders() == []
+    three.cut = set()
+    three.advance(VACANT_S)
+    assert len(three.leaders()) == 1
