Judge a test of takeovers by the workers' own count of ended leases

It took the first host that said it led for the leading one; while hosts start on a busy machine two may say so, and the host that it killed then had none of the jobs. Its count of what may run again was taken from log lines of takeovers, but a lease may also end between the look that lists a run and the next one, which prolongs it. The new check is as strict: starts are 4 and one for each lease that the worker itself counted as ended, no more; and all four callers' answers name one hand-over, which the old one did not ask for. Deployment.leader() waits until all hosts follow one host.

--- a/jackdawspur/front/tests/test_whole_path.py
+++ b/jackdawspur/front/tests/test_whole_path.py
@@ -35,8 +35,8 @@
 
 def test_callers_see_no_break_when_the_leading_host_dies(deployment: Deployment):
     # A supervisor's confirmation is lost: the leading host loses power while tasks of
-    # other hosts' callers run. Another host takes over what still runs. On a machine
-    # that is busy a lease (0.6 s) may end before that host has looked; then the task
+    # other hosts' callers run. Another host takes over what still runs. Leases (0.6 s)
+    # may end on a worker before it has looked there and prolonged them; then the task
     # runs again, and only then.
     host, leader = follower(deployment), deployment.leader()
     sent = [deployment.submit(host, run_ms=1500.0) for _ in range(4)]
@@ -44,9 +44,10 @@
     leader.process.kill()
     got = answers(sent)
     assert [a.status for a in got] == [200] * 4
-    lines = [line for host in deployment.hosts for line in host.lines()]
-    taken_over = sum(line["message"] == "job taken over" for line in lines)
-    assert deployment.report()["starts"] == 4 + (4 - taken_over)
+    report = deployment.report()
+    assert report["starts"] == 4 + report["lapsed"]
+    ended = [x for x in host.lines() if x["message"] == "job ended"]
+    assert [x["hand_overs"] for x in ended] == [1] * 4
 
 
 def test_a_graceful_stop_cuts_no_request(deployment: Deployment):
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -87,10 +87,13 @@
         """Tell whether the host wants connections."""
         return self.call("GET", "/ready", port=self.ready).status == 200
 
+    def leader(self) -> str | None:
+        """Return the name of the host that this one follows, its own if it leads."""
+        return self.call("GET", "/status", port=self.metrics).body.get("leader")
+
     def leads(self) -> bool:
         """Tell whether the host leads."""
-        text = _call(self.metrics, "GET", "/metrics", None, raw=True)
-        return "jackdawspur_leads 1" in text
+        return self.leader() == self.name
 
     def names(self, job: str) -> bool:
         """Tell whether a line of the log names a job."""
@@ -163,9 +166,13 @@
         return CALLERS.submit(host.call, "POST", f"/q/{job}", body)
 
     def leader(self) -> Host:
-        """Return the host that leads."""
-        wait_until(lambda: any(self._leads(h) for h in self.hosts), "leading host")
-        return next(host for host in self.hosts if self._leads(host))
+        """Return the host that leads, once all that run follow it.
+
+        While hosts start on a busy machine two may lead for a moment.
+        """
+        wait_until(lambda: self._followed() is not None, "leading host of all")
+        name = self._followed()
+        return next(host for host in self.hosts if host.name == name)
 
     def set_faults(self, **faults) -> None:
         """Let the store be away or workers be silent."""
@@ -184,8 +191,11 @@
             proxy.close()
         self._ports.close()
 
-    def _leads(self, host: Host) -> bool:
-        return host.process.poll() is None and host.leads()
+    def _followed(self) -> str | None:
+        """Return the host that all follow, None while they name different ones."""
+        running = [host for host in self.hosts if host.process.poll() is None]
+        names = {host.leader() for host in running}
+        return names.pop() or None if len(names) == 1 else None
 
 
 def stop(host: Host, seconds: float = 8.0) -> int:
@@ -208,22 +218,20 @@
         )
 
 
-def _call(port: int, method: str, path: str, body, raw: bool = False):
+def _call(port: int, method: str, path: str, body) -> Answer:
     connection = HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
     try:
         data = None if body is None else json.dumps(body)
         connection.request(method, path, data, {"Host": "a.example"})
         response = connection.getresponse()
         text = response.read().decode()
-        if raw:
-            return text
         retry = response.getheader("Retry-After")
         return Answer(response.status, json.loads(text or "{}"), retry)
     except ConnectionRefusedError:
-        return "" if raw else Answer(0, {}, nobody_there=True)
+        return Answer(0, {}, nobody_there=True)
     except OSError:
-        return "" if raw else Answer(0, {})
+        return Answer(0, {})
     except Exception as error:
-        return "" if raw else Answer(0, {"error": str(error)})
+        return Answer(0, {"error": str(error)})
     finally:
         connection.close()
--- a/jackdawspur/standins/_fenced_worker.py
+++ b/jackdawspur/standins/_fenced_worker.py
@@ -32,7 +32,7 @@
 
 @dataclass
 class WorkerTally:
-    """Count, over all workers, what must never happen.
+    """Count, over all workers, what must never happen, and runs whose lease ended.
 
     `running` has every task that was ever started, `done` those that ended so.
     """
@@ -40,6 +40,7 @@
     starts: int = 0
     over_capacity: int = 0
     two_at_once: int = 0
+    lapsed: int = 0
     running: dict[str, int] = field(default_factory=dict)
     done: set[str] = field(default_factory=set)
 
@@ -144,5 +145,6 @@
         self._ended.append((self._ends, task.name, task.run, how, ""))
         self._last_run[task.name] = max(task.run, self._last_run.get(task.name, 0))
         self._tally.running[task.name] -= 1
+        self._tally.lapsed += how == "lapsed"
         if how == "done":
             self._tally.done.add(task.name)
--- a/jackdawspur/standins/_platform_service.py
+++ b/jackdawspur/standins/_platform_service.py
@@ -75,6 +75,7 @@
     starts: int
     over_capacity: int
     two_at_once: int
+    lapsed: int
     started: list[str]
     done: list[str]
 
@@ -194,6 +195,7 @@
                     tally.starts,
                     tally.over_capacity,
                     tally.two_at_once,
+                    tally.lapsed,
                     sorted(tally.running),
                     sorted(tally.done),
                 )
