Set a host's next tick before the work of this one

Cause: something raised in a tick, or while the host began, ended all ticks to come, since the next one was set last: the host told nobody that it lives, and two SIGTERMs left it running for ten minutes. Ruled out: circuits drops signals (both were logged as draining), the poller (it went on). Before: of the two new tests one failed with one tick in 0.3 s; after: both pass. The other holds that ticks begin though the store's port fails.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -212,10 +212,10 @@
         self.lead.flush(now_s())
 
     def _begin(self) -> None:
-        self._ports.store.follow(self.views)
-        self._ports.store.announce(self.address)
         self._tick_due = now_s()
         self._tick()
+        self._ports.store.follow(self.views)
+        self._ports.store.announce(self.address)
 
     def _tick(self) -> None:
         if self._reload_asked:
@@ -225,6 +225,9 @@
         self.late_s += LATE_SMOOTHING * (late - self.late_s)
         tick_s = CALM_TICK_S if self._calm(now) else TICK_S
         self._tick_due = now + tick_s
+        # First, so that an error further down costs one tick and not all to come: a
+        # host without ticks tells nobody that it lives, and no signal would stop it.
+        self._deadlines.call_after(tick_s, self._tick)
         self.group.slow = self.late_s > SLOW_LATE_S
         self._mesh.set_peers(self._heartbeats.peers(now))
         self._follow_leader(now)
@@ -237,7 +240,6 @@
             self._pass_on(now)
         self._exit_when_drained(now)
         self.flush_soon()
-        self._deadlines.call_after(tick_s, self._tick)
 
     def _calm(self, now: float) -> bool:
         """Tell whether this host only follows."""
--- /dev/null
+++ b/jackdawspur/front/tests/test_process.py
@@ -0,0 +1,66 @@
+"""A host goes on when one of its parts fails."""
+
+from types import SimpleNamespace
+
+import pytest
+from circuits import Component
+from circuits.core.pollers import EPoll
+
+from jackdawspur.front import Ports
+from jackdawspur.front._process import FrontProcess
+from jackdawspur.settings import check_host_settings
+from jackdawspur.soak._ports import PortBlock
+
+SECONDS = 0.3
+PLACES = ("callers", "ready", "link", "metrics", "store")
+
+
+class Store:
+    """Be a store that can't be followed."""
+
+    def follow(self, _views) -> None:
+        raise RuntimeError("a fault of ours")
+
+    def announce(self, _address) -> None:
+        pass
+
+
+@pytest.fixture
+def process():
+    block = PortBlock()
+    ports = zip(PLACES, block.take(len(PLACES)), strict=True)
+    places = {name: f"127.0.0.1:{port}" for name, port in ports}
+    settings = check_host_settings({"name": "h0", "zone": "z1", **places}, "test")
+    root = Component()
+    poller = EPoll().register(root)
+    parts = Ports(SimpleNamespace(), SimpleNamespace(), Store())
+    one = FrontProcess(settings, poller, lambda *_: parts, lambda: settings)
+    one.register(root)
+    yield one
+    block.close()
+
+
+def run(process: FrontProcess) -> None:
+    process._deadlines.call_after(SECONDS, process.root.stop)
+    process.root.run()
+
+
+def test_a_part_that_fails_does_not_end_the_ticks(process: FrontProcess):
+    # A host can't be stopped and tells nobody that it lives, but its balancer still
+    # sends callers: something raised in a tick, and the next one was never set.
+    ticked = []
+    process._exit_when_drained = ticked.append
+    run(process)
+    assert len(ticked) >= 3
+
+
+def test_a_tick_that_fails_is_followed_by_others(process: FrontProcess):
+    ticked = []
+
+    def fail(now: float) -> None:
+        ticked.append(now)
+        raise RuntimeError("a fault of ours")
+
+    process.callers.tick = fail
+    run(process)
+    assert len(ticked) >= 3
