Give deployments of tests ports on which nothing listens

Cause: a deployment found no ready hosts in 20 s: its store could not listen ('Address already in use', in the stand-in's log). A test added just before left sockets listening in its block of ports after it had given that up; nothing looked whether a block is free. Ruled out: connections in TIME_WAIT (servers set SO_REUSEADDR), ports of outgoing ones (32768 and up, blocks are below 32000). That test now listens on ports of the kernel's choice, and a block in which something listens is passed over.

--- a/jackdawspur/front/tests/test_process.py
+++ b/jackdawspur/front/tests/test_process.py
@@ -9,7 +9,6 @@
 from jackdawspur.front import Ports
 from jackdawspur.front._process import FrontProcess
 from jackdawspur.settings import check_host_settings
-from jackdawspur.soak._ports import PortBlock
 
 SECONDS = 0.3
 PLACES = ("callers", "ready", "link", "metrics", "store")
@@ -27,17 +26,15 @@
 
 @pytest.fixture
 def process():
-    block = PortBlock()
-    ports = zip(PLACES, block.take(len(PLACES)), strict=True)
-    places = {name: f"127.0.0.1:{port}" for name, port in ports}
+    # It listens until the tests end: on ports that no deployment takes.
+    places = dict.fromkeys(PLACES, "127.0.0.1:0")
     settings = check_host_settings({"name": "h0", "zone": "z1", **places}, "test")
     root = Component()
     poller = EPoll().register(root)
     parts = Ports(SimpleNamespace(), SimpleNamespace(), Store())
     one = FrontProcess(settings, poller, lambda *_: parts, lambda: settings)
     one.register(root)
-    yield one
-    block.close()
+    return one
 
 
 def run(process: FrontProcess) -> None:
--- a/jackdawspur/soak/_ports.py
+++ b/jackdawspur/soak/_ports.py
@@ -41,5 +41,20 @@
             except OSError:
                 # Another deployment holds it.
                 continue
-            return first
+            if all(_is_free(port) for port in range(first + 1, first + BLOCK)):
+                return first
+            self._mark.close()
+            self._mark = socket.socket()
         raise OSError("every block of ports is held")
+
+
+def _is_free(port: int) -> bool:
+    """Tell whether a server may listen on a port.
+
+    A deployment that has left its block may still be closing what listened there.
+    """
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
