Let hosts meet before one leads when the store answers late at a start

Cause: two of three hosts led at a start (seen in a test run; jobs were handed over and ran out of time). The store was away when they came; they read it again after 0.15 s, but told where they are only after 0.3 s, when one had led for 0.05 s and the other led too. Ruled out: to lead only once announced (a store that takes no writes would leave hosts that read it without a leading one).

--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -23,6 +23,8 @@
 # At a start all hosts are to find each other before one leads: reading the store, a
 # connection and a heartbeat each way take 0.02 s, and hosts start within 0.3 s.
 FIRST_VACANT_S = 0.25
+# As long passes at least from when a host has read the store, which may answer late.
+MEET_S = 0.2
 # A host just started is likely to be one that fails; it leads if no other can.
 SETTLED_MS = 2000
 # Upstreams that obey an unknown fence again within this time show another host that
@@ -215,7 +217,7 @@
         if not ready:
             # What it has not read tells of the others too: hosts that read the store
             # late, all at one moment, would otherwise all lead before they met.
-            self._vacant_since = max(self._vacant_since, now)
+            self._vacant_since = max(self._vacant_since, now + MEET_S - VACANT_S)
             return False
         if now < self._yield_until or self._leaves_it_to_others(now):
             return False
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -3,7 +3,13 @@
 import pytest
 
 from jackdawspur.group import Group, HostAddress, HostBeat, Term
-from jackdawspur.group._group import FIRST_VACANT_S, SILENCE_S, UNHEARD_S, VACANT_S
+from jackdawspur.group._group import (
+    FIRST_VACANT_S,
+    MEET_S,
+    SILENCE_S,
+    UNHEARD_S,
+    VACANT_S,
+)
 
 UNIX_MS = 1_800_000_000_000
 
@@ -254,6 +260,8 @@
     three.unready = set()
     three.advance(0.05)
     assert three.leaders() == []
+    three.advance(MEET_S - 0.1)
+    assert three.leaders() == []
     three.cut = set()
-    three.advance(VACANT_S)
+    three.advance(0.1)
     assert len(three.leaders()) == 1
--- a/jackdawspur/platform/_store.py
+++ b/jackdawspur/platform/_store.py
@@ -59,6 +59,7 @@
         self._entries: dict[str, UpstreamEntry] = {}
         self._lapsed: dict[str, float] = {}
         self._reachable = True
+        self._unannounced: HostAddress | None = None
         self._followed_since = deadlines.now
 
     def follow(self, listener: StoreListener) -> None:
@@ -85,18 +86,26 @@
 
         def done(result: Result[HttpReply, PlatformError]) -> None:
             if result.is_err() or result.ok_value.status != 200:
-                self._deadlines.call_after(
-                    ANNOUNCE_AGAIN_S, lambda: self.announce(host)
-                )
+                self._unannounced = host
+                self._deadlines.call_after(ANNOUNCE_AGAIN_S, self._announce_again)
 
         path = f"/log-append?topic={HOSTS_TOPIC}&part=0"
         self._client.request("POST", path, data, ANNOUNCE_S, done)
 
+    def _announce_again(self) -> None:
+        host, self._unannounced = self._unannounced, None
+        if host is not None:
+            self.announce(host)
+
     def _hosts_pause_s(self) -> float:
         starting = self._deadlines.now - self._followed_since < STARTING_S
         return READ_AT_ONCE_S if starting else HOSTS_EVERY_S
 
     def _reached(self, reachable: bool, reason: str) -> None:
+        if reachable:
+            # Hosts that read each other's entries before these are written do not meet
+            # before they choose who leads.
+            self._announce_again()
         if reachable != self._reachable:
             self._reachable = reachable
             self._listener.store_changed(reachable, reason)
