Pass sockets' events on from one component in place of one a connection

Cause: each connection to an upstream was a component of circuits. With each new one it forgets its table of handlers, and then walks all components for every event of every connection. A host that takes over, or that opens more connections under load, spends its processor on that, just when all callers wait. Ruled out: connecting in advance (open_all; the same cost, only earlier), one client for all upstreams (they have addresses of their own). Connections are plain objects now; ClientSockets, one a loop, has the poller's events passed on to them, and an event of a socket that was closed reaches nobody, which the connections had to guard against before.

--- a/jackdawspur/adapters/_http_client.py
+++ b/jackdawspur/adapters/_http_client.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent
 from result import Err, Ok, Result
 
+from jackdawspur.adapters._client_sockets import ClientSockets
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
 from jackdawspur.adapters._http_connection import HttpConnection, HttpReply
 from jackdawspur.external import OutcomeUnknown, PlatformError, Unavailable
@@ -91,11 +92,7 @@
         self._pump()
 
     def open_all(self) -> None:
-        """Connect in advance with all connections of the limit.
-
-        Each new connection is a component, and the loop then rebuilds its table of
-        handlers event by event; under load that delays everything that waits.
-        """
+        """Connect in advance with all connections of the limit."""
         while len(self._connections) < self._limits.connections:
             self._add_connection()
 
@@ -172,9 +169,13 @@
 
     def _add_connection(self) -> None:
         connection = HttpConnection(
-            self._address, self, self._deadlines, self._limits.connect_s
+            self._address,
+            self,
+            ClientSockets.of(self),
+            self._deadlines,
+            self._limits.connect_s,
         )
-        self._connections.append(connection.register(self))
+        self._connections.append(connection)
         connection.open()
 
     def _late(self, call: _Call) -> None:
--- a/jackdawspur/adapters/_http_connection.py
+++ b/jackdawspur/adapters/_http_connection.py
@@ -1,16 +1,14 @@
 """One kept-alive HTTP connection that carries one request at a time."""
 
+from contextlib import suppress
 from dataclasses import dataclass
 from errno import EINPROGRESS
-from socket import SO_ERROR, SOL_SOCKET
+from socket import SHUT_RDWR, SO_ERROR, SOL_SOCKET, socket
 from typing import Protocol
 
-from circuits import handler
-from circuits.core.pollers import BasePoller
-from circuits.core.utils import findcmp
-from circuits.net.sockets import TCPClient
 from circuits.web.parsers import HttpParser
 
+from jackdawspur.adapters._client_sockets import ClientSockets, SocketOwner
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
 
 __all__ = ["ConnectionOwner", "HttpConnection", "HttpReply"]
@@ -47,40 +45,38 @@
         """Take the reply to the request in flight."""
 
 
-class HttpConnection(TCPClient):
-    """Send one request at a time and read its reply.
-
-    Three faults of circuits' TCPClient are guarded against here. Its connect looks
-    ten times a second whether it stands and sees a refusal only at the time limit,
-    so `open` waits for the poller instead. A send that would block loses its data,
-    so `_write` puts it back. An event of the old socket can reach the new one, so
-    the handlers check the state first.
-    """
-
-    _made = 0
+class HttpConnection(SocketOwner):
+    """Send one request at a time and read its reply."""
 
     def __init__(
         self,
         address: tuple[str, int],
         owner: ConnectionOwner,
+        sockets: ClientSockets,
         deadlines: Deadlines,
         connect_s: float,
     ) -> None:
-        HttpConnection._made += 1
-        channel = f"http-connection-{HttpConnection._made}"
-        super().__init__(channel=channel, bufsize=READ_BYTES)
         self._address = address
         self._owner = owner
+        self._sockets = sockets
         self._deadlines = deadlines
         self._connect_s = connect_s
         self._connect_limit: Deadline | None = None
+        self._sock: socket | None = None
+        self._unsent = b""
         self._in_flight = False
         self._left = False
         self._connecting = False
+        self._connected = False
         self._parser = HttpParser(RESPONSES_ONLY)
         self._received = 0
         self._head: bytes | None = b""
 
+    @property
+    def connected(self) -> bool:
+        """Tell whether the connection stands."""
+        return self._connected
+
     @property
     def idle(self) -> bool:
         """Tell whether a request can be sent now."""
@@ -99,13 +95,10 @@
     def open(self) -> None:
         """Begin to connect; the owner hears how it ends, never before this returns."""
         self._connecting = True
-        if self._poller is None:
-            self._poller = findcmp(self.root, BasePoller)
-        self._sock.close()
-        self._sock = self._create_socket()
+        self._sock = self._sockets.make(self)
         limit_s = self._connect_s
         if self._sock.connect_ex(self._address) in (0, EINPROGRESS):
-            self._poller.addWriter(self, self._sock)
+            self._sockets.watch_writes(self._sock)
         else:
             limit_s = 0.0
         self._connect_limit = self._deadlines.call_after(limit_s, self._fail)
@@ -118,32 +111,47 @@
         self._head = b""
         self._parser = HttpParser(RESPONSES_ONLY)
         self._write(request)
-        if self._buffer and not self._poller.isWriting(self._sock):
-            self._poller.addWriter(self, self._sock)
 
     def abandon(self) -> None:
         """Close at once, so that a late reply can reach no other request."""
         self._close()
 
+    def on_writable(self) -> None:
+        """Go on with a request of which the kernel took only a part."""
+        if self._connecting:
+            self._stand()
+        elif self._unsent:
+            self._write(self._unsent)
+        else:
+            self._sockets.ignore_writes(self._sock)
+
+    def on_hang_up(self) -> None:
+        """Close, or take note that the connect failed."""
+        if self._connecting:
+            self._fail()
+        else:
+            self._close()
+
     def _write(self, data: bytes) -> None:
         try:
             count = self._sock.send(data)
         except BlockingIOError:
-            self._buffer.appendleft(data)
-            return
+            count = 0
         except OSError:
             # The kernel took no byte of this call, so `_left` stands as it was.
             self._close()
             return
         self._left = self._left or count > 0
-        if count < len(data):
-            self._buffer.appendleft(data[count:])
+        self._unsent = data[count:]
+        if self._unsent:
+            self._sockets.watch_writes(self._sock)
 
-    def _read(self) -> None:
+    def on_readable(self) -> None:
+        """Read a part of a reply, or the peer's close."""
         if not self._connected:
             return
         try:
-            data = self._sock.recv(self._bufsize)
+            data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
         except OSError:
@@ -181,50 +189,38 @@
 
     def _close(self) -> None:
         self._stop_connecting()
-        stood = self._connected
-        super()._close()
         self._in_flight = False
-        if stood:
-            self._owner.connection_lost(self)
+        if not self._connected:
+            return
+        self._connected = False
+        self._unsent = b""
+        with suppress(OSError):
+            # The peer may have closed first, and then there is nothing to shut down.
+            self._sock.shutdown(SHUT_RDWR)
+        self._sockets.close(self._sock)
+        self._owner.connection_lost(self)
 
     def _stop_connecting(self) -> None:
         if self._connecting:
             self._connecting = False
             self._connect_limit.cancel()
-            self._poller.discard(self._sock)
-            self._sock.close()
+            self._sockets.close(self._sock)
 
     def _fail(self) -> None:
         self._stop_connecting()
         self._owner.connection_failed(self)
 
-    @handler("_write", priority=2)
-    def _on_writable(self, event, sock) -> None:
-        if sock is not self._sock:
-            event.stop()
-        elif self._connecting:
-            event.stop()
-            self._stand(sock)
-
-    def _stand(self, sock) -> None:
-        if sock.getsockopt(SOL_SOCKET, SO_ERROR):
+    def _stand(self) -> None:
+        if self._sock.getsockopt(SOL_SOCKET, SO_ERROR):
             self._fail()
             return
         self._connecting = False
         self._connected = True
         self._connect_limit.cancel()
-        self._poller.removeWriter(sock)
-        self._poller.addReader(self, sock)
+        self._sockets.ignore_writes(self._sock)
+        self._sockets.watch_reads(self._sock)
         self._owner.connection_ready(self)
 
-    @handler("_disconnect", priority=2)
-    def _on_hang_up(self, event, sock) -> None:
-        if sock is not self._sock:
-            event.stop()
-        elif self._connecting:
-            event.stop()
-            self._fail()
-
 
 def _parse(parser: HttpParser, data: bytes) -> HttpReply | None:
     """Feed the parser; return a complete reply or None, with `errno` on nonsense."""
--- a/jackdawspur/adapters/tests/test_http_client.py
+++ b/jackdawspur/adapters/tests/test_http_client.py
@@ -215,3 +215,21 @@
     client.close()
     assert isinstance(results[0][0].unwrap_err(), OutcomeUnknown)
     assert isinstance(results[1][0].unwrap_err(), Unavailable)
+
+
+def components_below(component) -> int:
+    return sum(1 + components_below(child) for child in component.components)
+
+
+def test_a_new_connection_leaves_the_loops_table_of_handlers_alone(loop, peer):
+    # Callers wait while a zone's upstreams are taken over: each connection was a
+    # component, with each new one circuits forgot its table of handlers, and it walked
+    # all components again for each event of each connection.
+    client = loop.client(address(peer), connections=4)
+    get(client)
+    loop.until(lambda: peer.requests)
+    before = components_below(loop.root)
+    client.open_all()
+    loop.until(lambda: all(each.connected for each in client._connections))
+    assert len(client._connections) == 4
+    assert components_below(loop.root) == before
