Give the soak's checks a typed report of the workers

One type now serves the stand-in and its readers. No check changed: the same counts, names and cases.

--- a/jackdawspur/front/tests/test_two_groups.py
+++ b/jackdawspur/front/tests/test_two_groups.py
@@ -19,7 +19,7 @@
     yield one
     report = one.report()
     one.close()
-    assert report["two_at_once"] == report["over_capacity"] == 0
+    assert report.two_at_once == report.over_capacity == 0
 
 
 def passed_on(deployment: Deployment) -> int:
@@ -37,7 +37,7 @@
     assert {a.body["state"] for a in got} == {"completed"}
     assert time.monotonic() - began < 2.8
     assert passed_on(deployment) == 1
-    assert deployment.report()["starts"] == 2 * ROOM
+    assert deployment.report().starts == 2 * ROOM
 
 
 def test_a_job_passed_on_gets_its_answer_when_the_other_zones_lead_is_lost(deployment):
--- a/jackdawspur/front/tests/test_whole_path.py
+++ b/jackdawspur/front/tests/test_whole_path.py
@@ -16,8 +16,8 @@
     yield one
     report = one.report()
     one.close()
-    assert report["over_capacity"] == 0
-    assert report["two_at_once"] == 0
+    assert report.over_capacity == 0
+    assert report.two_at_once == 0
 
 
 def follower(deployment: Deployment):
@@ -30,7 +30,7 @@
     got = answers(sent)
     assert [a.status for a in got] == [200] * 12
     assert {a.body["state"] for a in got} == {"completed"}
-    assert deployment.report()["starts"] == 36
+    assert deployment.report().starts == 36
 
 
 def test_callers_see_no_break_when_the_leading_host_dies(deployment: Deployment):
@@ -45,7 +45,7 @@
     got = answers(sent)
     assert [a.status for a in got] == [200] * 4
     report = deployment.report()
-    assert report["starts"] == 4 + report["lapsed"]
+    assert report.starts == 4 + report.lapsed
     ended = [x for x in host.lines() if x["message"] == "job ended"]
     assert [x["hand_overs"] for x in ended] == [1] * 4
 
--- a/jackdawspur/soak/_checks.py
+++ b/jackdawspur/soak/_checks.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from jackdawspur.soak._deployment import Answer
+from jackdawspur.standins import PlatformReport
 
 __all__ = ["Findings", "Sent", "check"]
 
@@ -46,13 +47,14 @@
     wrong: list[str] = field(default_factory=list)
 
 
-def check(sent: list[Sent], report: dict) -> Findings:
+def check(sent: list[Sent], report: PlatformReport) -> Findings:
     """Compare what callers got with what workers ran."""
     findings = Findings()
-    for name in ("two_at_once", "over_capacity"):
-        if report[name]:
-            findings.wrong.append(f"{name}: {report[name]}")
-    started, done = set(report["started"]), set(report["done"])
+    if report.two_at_once:
+        findings.wrong.append(f"two_at_once: {report.two_at_once}")
+    if report.over_capacity:
+        findings.wrong.append(f"over_capacity: {report.over_capacity}")
+    started, done = set(report.started), set(report.done)
     for one in sent:
         _check_one(one, started, done, findings)
     return findings
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -10,9 +10,11 @@
 from pathlib import Path
 from signal import SIGTERM
 
+import msgspec
+
 from jackdawspur.soak._ports import PortBlock
 from jackdawspur.soak._proxy import Proxy
-from jackdawspur.standins import PLATFORM_ROUTE, platform_job
+from jackdawspur.standins import PLATFORM_ROUTE, PlatformReport, platform_job
 
 __all__ = ["Answer", "Deployment", "wait_until"]
 
@@ -178,9 +180,10 @@
         """Let the store be away or workers be silent."""
         assert _call(self._store_port, "POST", "/faults", faults).status == 200
 
-    def report(self) -> dict:
+    def report(self) -> PlatformReport:
         """Return what the workers have counted."""
-        return _call(self._store_port, "GET", "/report", None).body
+        body = _call(self._store_port, "GET", "/report", None).body
+        return msgspec.convert(body, PlatformReport)
 
     def close(self) -> None:
         """End all processes of this deployment."""
--- a/jackdawspur/soak/tests/test_checks.py
+++ b/jackdawspur/soak/tests/test_checks.py
@@ -4,10 +4,11 @@
 
 from jackdawspur.soak._checks import Sent, check
 from jackdawspur.soak._deployment import Answer
+from jackdawspur.standins import PlatformReport
 
-CLEAN = {"two_at_once": 0, "over_capacity": 0, "started": [], "done": []}
-DONE = {**CLEAN, "started": ["aa.0.0.0"], "done": ["aa.0.0.0"]}
-STARTED = {**CLEAN, "started": ["aa.0.0.0"]}
+CLEAN = PlatformReport()
+DONE = PlatformReport(started=["aa.0.0.0"], done=["aa.0.0.0"])
+STARTED = PlatformReport(started=["aa.0.0.0"])
 COMPLETE = Answer(200, {"state": "completed"})
 FAILED = Answer(200, {"state": "failed"})
 REFUSED = Answer(503, {}, "1")
@@ -30,15 +31,15 @@
         ([Sent("aa", 1, False, BROKEN, False, unread=True)], CLEAN),
     ],
 )
-def test_what_may_happen_is_not_wrong(jobs: list[Sent], report: dict):
+def test_what_may_happen_is_not_wrong(jobs: list[Sent], report: PlatformReport):
     assert not check(jobs, report).wrong
 
 
 @pytest.mark.parametrize(
     ("jobs", "report", "said"),
     [
-        ([], {**CLEAN, "two_at_once": 1}, "two_at_once: 1"),
-        ([], {**CLEAN, "over_capacity": 2}, "over_capacity: 2"),
+        ([], PlatformReport(two_at_once=1), "two_at_once: 1"),
+        ([], PlatformReport(over_capacity=2), "over_capacity: 2"),
         (sent(COMPLETE), STARTED, "not all tasks are done"),
         (sent(FAILED), STARTED, "none of its tasks did"),
         (sent(REFUSED), STARTED, "but it started"),
@@ -47,5 +48,5 @@
         (sent(Answer(404, {})), CLEAN, "status 404"),
     ],
 )
-def test_what_must_not_be_is_found(jobs: list[Sent], report: dict, said: str):
+def test_what_must_not_be_is_found(jobs: list[Sent], report: PlatformReport, said: str):
     assert said in "; ".join(check(jobs, report).wrong)
--- a/jackdawspur/standins/__init__.py
+++ b/jackdawspur/standins/__init__.py
@@ -10,6 +10,7 @@
 from jackdawspur.standins._log_service import LogService, make_log, run_log
 from jackdawspur.standins._platform_caller import PLATFORM_ROUTE, platform_job
 from jackdawspur.standins._platform_service import (
+    PlatformReport,
     PlatformSettings,
     make_platform,
     run_platform,
@@ -41,6 +42,7 @@
     "LogService",
     "LogSettings",
     "PLATFORM_ROUTE",
+    "PlatformReport",
     "PlatformSettings",
     "RackSettings",
     "StartSlopes",
--- a/jackdawspur/standins/_platform_service.py
+++ b/jackdawspur/standins/_platform_service.py
@@ -18,7 +18,7 @@
 )
 from jackdawspur.standins._keyed_store import KeyedStore, split_records
 
-__all__ = ["PlatformSettings", "make_platform", "run_platform"]
+__all__ = ["PlatformReport", "PlatformSettings", "make_platform", "run_platform"]
 
 TICK_S = 0.005
 SERVERS = "keyed.servers"
@@ -71,13 +71,18 @@
     forget: bool = False
 
 
-class _Report(msgspec.Struct):
-    starts: int
-    over_capacity: int
-    two_at_once: int
-    lapsed: int
-    started: list[str]
-    done: list[str]
+class PlatformReport(msgspec.Struct):
+    """Tell what all workers counted, and the names of tasks that began and were done.
+
+    `lapsed` counts runs that ended with their lease; the other two must stay zero.
+    """
+
+    starts: int = 0
+    over_capacity: int = 0
+    two_at_once: int = 0
+    lapsed: int = 0
+    started: list[str] = []
+    done: list[str] = []
 
 
 @dataclass(eq=False)
@@ -191,7 +196,7 @@
         elif exchange.path == "/report":
             tally = self._tally
             exchange.reply(
-                _Report(
+                PlatformReport(
                     tally.starts,
                     tally.over_capacity,
                     tally.two_at_once,
