Give replies of upstreams back with the order that they answer

Cause: a reply was named by upstream and run (starts, stops) or by upstream, fence and number (looks), so nothing could tell whether the order had been sent by the present holding of the upstream.

--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -225,7 +225,7 @@
             reply(outcome if not lost else CallOutcome.UNKNOWN)
 
         def reply(outcome: CallOutcome) -> None:
-            leader.start_replied(order.upstream, order.run, outcome, self.now)
+            leader.start_replied(order, outcome, self.now)
 
         if upstream.silent or (lost and self.rng.random() < 0.5):
             self.at(self.now + TIMEOUT_S, lambda: reply(CallOutcome.UNKNOWN))
@@ -249,7 +249,7 @@
             outcome = CallOutcome.UNKNOWN
             if not upstream.silent:
                 outcome = upstream.stop(order.run, order.fence, self.now)
-            leader.stop_replied(order.upstream, order.run, outcome, self.now)
+            leader.stop_replied(order, outcome, self.now)
 
         wait = TIMEOUT_S if upstream.silent else CALL_S
         self.at(self.now + wait, arrive)
@@ -258,9 +258,7 @@
         upstream, leader = self.upstreams[order.upstream], self.dispatcher
 
         def fail(outcome: CallOutcome) -> None:
-            leader.look_replied(
-                order.upstream, order.fence, order.number, outcome, self.now
-            )
+            leader.look_replied(order, outcome, self.now)
 
         def arrive() -> None:
             outcome = upstream.hold(
@@ -288,9 +286,7 @@
             result = upstream.report(self.now)
             if upstream.silent:
                 result = CallOutcome.UNKNOWN
-            self.dispatcher.look_replied(
-                order.upstream, order.fence, order.number, result, self.now
-            )
+            self.dispatcher.look_replied(order, result, self.now)
 
     def _answered(self, answer: AnswerJob) -> None:
         asked = self._asked.pop(answer.job, None)
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -223,7 +223,7 @@
         self._owner.gauges.count("starts")
 
         def replied(outcome) -> None:
-            self._dispatcher.start_replied(order.upstream, order.run, outcome, now_s())
+            self._dispatcher.start_replied(order, outcome, now_s())
             self._owner.flush_soon()
 
         self._upstreams.start(order, replied)
@@ -232,7 +232,7 @@
         self._owner.gauges.count("stops")
 
         def replied(outcome) -> None:
-            self._dispatcher.stop_replied(order.upstream, order.run, outcome, now_s())
+            self._dispatcher.stop_replied(order, outcome, now_s())
             self._owner.flush_soon()
 
         self._upstreams.stop(order, replied)
@@ -241,9 +241,7 @@
         self._owner.gauges.count("looks")
 
         def replied(result) -> None:
-            self._dispatcher.look_replied(
-                order.upstream, order.fence, order.number, result, now_s()
-            )
+            self._dispatcher.look_replied(order, result, now_s())
             self._owner.flush_soon()
 
         self._upstreams.look(order, replied)
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -18,7 +18,10 @@
     Decision,
     DropCause,
     Effect,
+    LookAt,
     PassJobOn,
+    StartRun,
+    StopRun,
 )
 from jackdawspur.runs._elsewhere import Elsewhere, Place, may_go
 from jackdawspur.runs._estimates import Estimates
@@ -173,28 +176,19 @@
             )
             self._end(job, now)
 
-    def start_replied(
-        self, upstream: UpstreamId, run: RunId, outcome: CallOutcome, now: float
-    ) -> None:
+    def start_replied(self, order: StartRun, outcome: CallOutcome, now: float) -> None:
         """Take in what became of a start."""
-        self._fleet.start_replied(upstream, run, outcome, now)
+        self._fleet.start_replied(order, outcome, now)
 
-    def stop_replied(
-        self, upstream: UpstreamId, run: RunId, outcome: CallOutcome, now: float
-    ) -> None:
+    def stop_replied(self, order: StopRun, outcome: CallOutcome, now: float) -> None:
         """Take in what became of a stop."""
-        self._fleet.stop_replied(upstream, run, outcome, now)
+        self._fleet.stop_replied(order, outcome, now)
 
     def look_replied(
-        self,
-        upstream: UpstreamId,
-        fence: Fence,
-        number: int,
-        result: LookReport | CallOutcome,
-        now: float,
+        self, order: LookAt, result: LookReport | CallOutcome, now: float
     ) -> None:
         """Take in the reply to a look, or why there is none."""
-        self._looks.replied(upstream, fence, number, result, now)
+        self._looks.replied(order, result, now)
 
     def done_since(self) -> dict[str, dict[str, tuple[str, ...]]]:
         """Return the tasks done of each open job, by host and job."""
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -225,11 +225,9 @@
         job.place(task, held.entry.id, now)
         self.notes.add(Decision.JOB_ADOPTED, job.id, str(held.entry.id))
 
-    def start_replied(
-        self, upstream: UpstreamId, run_id: RunId, outcome: CallOutcome, now: float
-    ) -> None:
+    def start_replied(self, order: StartRun, outcome: CallOutcome, now: float) -> None:
         """Take in what became of a start."""
-        held, run = self._find(upstream, run_id)
+        held, run = self._find(order)
         if run is None or run.phase is not Phase.STARTING:
             return
         if outcome is CallOutcome.OK:
@@ -278,11 +276,9 @@
         elif outcome is CallOutcome.INVALID:
             self.owner.start_invalid(run.id.task, now)
 
-    def stop_replied(
-        self, upstream: UpstreamId, run_id: RunId, outcome: CallOutcome, now: float
-    ) -> None:
+    def stop_replied(self, order: StopRun, outcome: CallOutcome, now: float) -> None:
         """Take in what became of a stop; the room is free once the end is listed."""
-        held, run = self._find(upstream, run_id)
+        held, run = self._find(order)
         if run is not None and outcome is CallOutcome.OK:
             run.stop_acked = True
             run.sure_after = max(run.sure_after, held.looks + 1)
@@ -364,7 +360,7 @@
         ]
 
     def _find(
-        self, upstream: UpstreamId, run_id: RunId
+        self, order: StartRun | StopRun
     ) -> tuple[HeldUpstream | None, Run | None]:
-        held = self._held.get(upstream)
-        return held, held.runs.get(run_id) if held else None
+        held = self._held.get(order.upstream)
+        return held, held.runs.get(order.run) if held else None
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -5,7 +5,6 @@
     CallOutcome,
     EndedRun,
     Ending,
-    Fence,
     HeldUpstream,
     LookReport,
     Phase,
@@ -13,7 +12,6 @@
     RunId,
     RunningRun,
 )
-from jackdawspur.model import UpstreamId
 from jackdawspur.runs._effects import Decision, LookAt
 from jackdawspur.runs._fleet import Fleet
 
@@ -68,21 +66,16 @@
         return held.answered and not any(_must_end(run) for run in held.runs.values())
 
     def replied(
-        self,
-        upstream: UpstreamId,
-        fence: Fence,
-        number: int,
-        result: LookReport | CallOutcome,
-        now: float,
+        self, order: LookAt, result: LookReport | CallOutcome, now: float
     ) -> None:
         """Take in the reply to a look, or why there is none."""
-        held = self._fleet.find(upstream)
-        if held is None or held.fence // FENCE_STEP != fence // FENCE_STEP:
+        held = self._fleet.find(order.upstream)
+        if held is None or held.fence // FENCE_STEP != order.fence // FENCE_STEP:
             return
         held.looks_open -= 1
         if isinstance(result, LookReport):
             held.look_at = now
-            self._reported(held, number, result, now)
+            self._reported(held, order.number, result, now)
         elif result is CallOutcome.GONE:
             self._fleet.gone(held, now)
         else:
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -143,9 +143,7 @@
         order = self.starts.pop(0)
         if carried_out:
             self.upstreams[order.upstream].running[order.run.task] = order.run.number
-        self.dispatcher.start_replied(
-            order.upstream, order.run, CallOutcome.UNKNOWN, self.now
-        )
+        self.dispatcher.start_replied(order, CallOutcome.UNKNOWN, self.now)
         return order
 
     def running(self) -> dict[str, list[UpstreamId]]:
@@ -167,7 +165,7 @@
                 outcome = CallOutcome.FENCED
             else:
                 upstream.running[order.run.task] = order.run.number
-            self.dispatcher.start_replied(order.upstream, order.run, outcome, self.now)
+            self.dispatcher.start_replied(order, outcome, self.now)
 
     def _reply_stops(self) -> None:
         orders, self.stops = self.stops, []
@@ -179,7 +177,7 @@
                 upstream = self.upstreams[order.upstream]
                 if order.run.task in upstream.running:
                     upstream.end(order.run.task, Ending.STOPPED)
-            self.dispatcher.stop_replied(order.upstream, order.run, outcome, self.now)
+            self.dispatcher.stop_replied(order, outcome, self.now)
 
     def reply_looks(self) -> None:
         orders, self.looks = self.looks, []
@@ -192,9 +190,7 @@
                 result = CallOutcome.FENCED
             else:
                 upstream.fence = order.fence
-            self.dispatcher.look_replied(
-                order.upstream, order.fence, order.number, result, self.now
-            )
+            self.dispatcher.look_replied(order, result, self.now)
 
 
 @pytest.fixture
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -74,9 +74,7 @@
     leading.collect()
     (order,) = leading.stops
     leading.stops.clear()
-    leading.dispatcher.stop_replied(
-        order.upstream, order.run, CallOutcome.UNKNOWN, leading.now
-    )
+    leading.dispatcher.stop_replied(order, CallOutcome.UNKNOWN, leading.now)
     leading.looks.clear()
     leading.now += 0.01
     held = next(
