Take replies of upstreams only for the holding that asked; runs by upstream

Replies were matched by upstream, run and look number. An upstream is held anew with each term, and when it left the list and came back, and numbers begin anew then. Ruled out by reading: calls sent twice (a connection queues a call again only if no byte of it left), two looks that overtake each other within one holding.

--- a/jackdawspur/bench/__init__.py
+++ b/jackdawspur/bench/__init__.py
@@ -5,6 +5,7 @@
 from jackdawspur.bench._dispatcher import Dispatcher, DispatcherFactory
 from jackdawspur.bench._errors import BadBounds, BenchError
 from jackdawspur.bench._experiment import Experiment, Outcome, run_experiment
+from jackdawspur.bench._front_upstream import FrontUpstream, Tally, Work
 from jackdawspur.bench._measures import Figures
 from jackdawspur.bench._policies import OWN_POLICY, POLICIES, Policy
 from jackdawspur.bench._scenarios import PAIRS, SCENARIOS, Scenario, pair
@@ -27,12 +28,15 @@
     "DispatcherFactory",
     "Experiment",
     "Figures",
+    "FrontUpstream",
     "Invariant",
     "Job",
     "Outcome",
     "Policy",
     "Scenario",
     "Simulation",
+    "Tally",
+    "Work",
     "Workload",
     "build_world",
     "draw_jobs",
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -50,11 +50,15 @@
 
     Nothing starts before a look under this host's own token was answered: the list of
     what runs is then complete, since older tokens can start nothing any more.
+    `number` tells this holding from earlier ones of the same upstream.
     """
 
-    def __init__(self, entry: UpstreamEntry, fence: Fence, now: float) -> None:
+    def __init__(
+        self, entry: UpstreamEntry, fence: Fence, number: int, now: float
+    ) -> None:
         self._entry = entry
         self.fence = fence
+        self.number = number
         self.runs: dict[RunId, Run] = {}
         self.last_seen = 0
         self.heard_at = now
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -261,7 +261,7 @@
         job = self.job_of(ended.run.task)
         task = job.by_name.get(ended.run.task) if job else None
         self._estimates.ended(job, task, upstream, ended.ending, since, now)
-        if task is None or task.run != ended.run.number:
+        if task is None or not task.runs_as(ended.run, upstream):
             return
         if ended.ending is Ending.DONE:
             job.end_task(task)
@@ -300,7 +300,7 @@
         self._estimates.lost(upstream, now)
         job = self.job_of(run.task)
         task = job.by_name.get(run.task) if job else None
-        if task is not None and task.run == run.number:
+        if task is not None and task.runs_as(run, upstream):
             job.put_back(task)
 
     def start_invalid(self, task_name: str, now: float) -> None:
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -23,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Start a run; `until_ms` is the lease's end on the upstream's clock."""
+    """Start a run; `until_ms` is the lease's end on the upstream's clock.
+
+    `holding` names, here and below, the time for which the upstream is held.
+    """
 
     upstream: UpstreamId
     address: str
@@ -31,6 +34,7 @@
     spec: str
     until_ms: int
     fence: Fence
+    holding: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,7 @@
     address: str
     run: RunId
     fence: Fence
+    holding: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +62,7 @@
     last_seen: int
     until_ms: int | None
     wait_ms: int
+    holding: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -1,5 +1,6 @@
 """All upstreams that the leading host holds, and every run on them."""
 
+import itertools
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -14,7 +15,7 @@
     UpstreamEntry,
 )
 from jackdawspur.model import UpstreamId
-from jackdawspur.runs._effects import Decision, Effect, StartRun, StopRun
+from jackdawspur.runs._effects import Decision, Effect, LookAt, StartRun, StopRun
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._notes import Notes
 
@@ -70,6 +71,7 @@
         self._entries: dict[UpstreamId, UpstreamEntry] = {}
         self._vanished: dict[UpstreamId, float] = {}
         self._held: dict[UpstreamId, HeldUpstream] = {}
+        self._holdings = itertools.count()
         self._where: dict[str, list[HeldUpstream]] = {}
         self._fence: Fence = 0
         self._leads = False
@@ -141,13 +143,20 @@
                 del self._vanished[upstream]
 
     def _hold(self, entry: UpstreamEntry, now: float) -> None:
-        held = HeldUpstream(entry, self._fence, now)
+        held = HeldUpstream(entry, self._fence, next(self._holdings), now)
         held.sure_look = 1
         self._held[entry.id] = held
 
-    def find(self, upstream: UpstreamId) -> HeldUpstream | None:
-        """Return an upstream, if it is held or to be held."""
-        return self._held.get(upstream)
+    def asked_by(self, order: StartRun | StopRun | LookAt) -> HeldUpstream | None:
+        """Return the upstream that an order went to, if it is still held for it.
+
+        An upstream is held anew with each term, and when it left the list and came
+        back. A reply to an order from before names runs and looks by the same numbers:
+        a late refusal, or a report that lists none of the new runs, would give room
+        back that is in use, and their tasks would start once more elsewhere.
+        """
+        held = self._held.get(order.upstream)
+        return held if held and held.number == order.holding else None
 
     def takes_room(self, task_name: str) -> bool:
         """Tell whether a run of the task may exist."""
@@ -183,7 +192,15 @@
         until_ms = held.grant_until(now) or 0
         entry = held.entry
         self.effects.append(
-            StartRun(entry.id, entry.address, run.id, spec, until_ms, held.fence)
+            StartRun(
+                entry.id,
+                entry.address,
+                run.id,
+                spec,
+                until_ms,
+                held.fence,
+                held.number,
+            )
         )
 
     def stop(self, task_name: str, now: float) -> None:
@@ -198,7 +215,9 @@
             run.phase = Phase.STOPPING
         run.since = now
         entry = held.entry
-        self.effects.append(StopRun(entry.id, entry.address, run.id, held.fence))
+        self.effects.append(
+            StopRun(entry.id, entry.address, run.id, held.fence, held.number)
+        )
 
     def claim(self, job: Job, now: float) -> None:
         """Give a job the runs of it that an earlier leading host started."""
@@ -362,5 +381,5 @@
     def _find(
         self, order: StartRun | StopRun
     ) -> tuple[HeldUpstream | None, Run | None]:
-        held = self._held.get(order.upstream)
+        held = self.asked_by(order)
         return held, held.runs.get(order.run) if held else None
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -44,6 +44,15 @@
         """Return the name of the last run."""
         return RunId(self.name, self.run)
 
+    def runs_as(self, run: RunId, upstream: UpstreamId) -> bool:
+        """Tell whether a run on an upstream is the present one of the task.
+
+        Another leading host may have numbered a run alike on another upstream. Were
+        its end taken for this one's, the task would count as waiting while it runs,
+        and nothing would stop it when its job ends.
+        """
+        return self.run == run.number and self.upstream == upstream
+
 
 def task_name(job: str, step: int, index: int) -> str:
     """Return the name under which upstreams know a task; 0 is its only occurrence."""
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -1,7 +1,6 @@
 """Looks at upstreams: they prolong leases and show what runs and what ended."""
 
 from jackdawspur.leases import (
-    FENCE_STEP,
     CallOutcome,
     EndedRun,
     Ending,
@@ -51,6 +50,7 @@
                 held.last_seen,
                 until,
                 LOOK_WAIT_MS if calm else 0,
+                held.number,
             )
         )
 
@@ -69,8 +69,8 @@
         self, order: LookAt, result: LookReport | CallOutcome, now: float
     ) -> None:
         """Take in the reply to a look, or why there is none."""
-        held = self._fleet.find(order.upstream)
-        if held is None or held.fence // FENCE_STEP != order.fence // FENCE_STEP:
+        held = self._fleet.asked_by(order)
+        if held is None:
             return
         held.looks_open -= 1
         if isinstance(result, LookReport):
--- a/jackdawspur/runs/_paces.py
+++ b/jackdawspur/runs/_paces.py
@@ -50,7 +50,9 @@
         for upstream, log, pace in logs:
             if upstream in self._log_pace:
                 self._log_pace[upstream] = _moved(pace, log - middle)
-        self._centre()
+        # A job may end after all upstreams left the list, and then there is no median.
+        if self._log_pace:
+            self._centre()
 
     def _centre(self) -> None:
         """Keep the median pace at one.
--- a/jackdawspur/runs/tests/test_paces.py
+++ b/jackdawspur/runs/tests/test_paces.py
@@ -41,3 +41,13 @@
         paces.learn([(one, 100.0), (other, 100.0 * stalled)])
     middle = sorted(paces.of(one) for one in upstreams)[4]
     assert 0.8 < middle < 1.25
+
+
+def test_a_job_that_ends_when_all_upstreams_left_the_list_teaches_nothing():
+    # A host's decisions stop with an error: its last upstreams had left the list while
+    # the last job's tasks ended there, and there was no median of no paces.
+    paces = Paces()
+    paces.set_upstreams([])
+    gone = UpstreamId("z1", "gone")
+    paces.learn([(gone, 100.0), (gone, 110.0)])
+    assert paces.of(gone) == 1.0
