Let the bench's late looks be answered to the host that sent them

Cause: the simulation gave reports of looks of an earlier leading host to the new one. Fences kept them apart until replies were matched by holding, whose numbers begin anew in each process; real replies end with their process. Conclusion: a fault of the bench alone.

--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -74,6 +74,13 @@
     objective_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Look:
+    order: LookAt
+    leader: Dispatcher
+    until: float
+
+
 class FrontSimulation:
     """Feed jobs to a leading host, and carry its effects out on upstreams."""
 
@@ -91,7 +98,7 @@
         self._asked: dict[str, _Asked] = {}
         self._fence = 0
         self.upstreams = {one.entry.id: one for one in self._make_upstreams()}
-        self._waiting: list[tuple[LookAt, float]] = []
+        self._waiting: list[_Look] = []
         self.dispatcher = self._new_leader()
         self._every(TICK_S, self._tick)
         self._every(STEP_S, self._advance)
@@ -267,7 +274,8 @@
             if outcome is not CallOutcome.OK:
                 fail(outcome)
                 return
-            self._waiting.append((order, self.now + order.wait_ms / MS_PER_S))
+            until = self.now + order.wait_ms / MS_PER_S
+            self._waiting.append(_Look(order, leader, until))
             self._answer_looks()
 
         if upstream.silent:
@@ -278,15 +286,16 @@
 
     def _answer_looks(self) -> None:
         waiting, self._waiting = self._waiting, []
-        for order, until in waiting:
+        for look in waiting:
+            order = look.order
             upstream = self.upstreams[order.upstream]
-            if not upstream.unseen and self.now < until:
-                self._waiting.append((order, until))
+            if not upstream.unseen and self.now < look.until:
+                self._waiting.append(look)
                 continue
             result = upstream.report(self.now)
             if upstream.silent:
                 result = CallOutcome.UNKNOWN
-            self.dispatcher.look_replied(order, result, self.now)
+            look.leader.look_replied(order, result, self.now)
 
     def _answered(self, answer: AnswerJob) -> None:
         asked = self._asked.pop(answer.job, None)
