Keep the most jobs on time in an overload, and refuse at once what comes too late

Cause: with more work than room, order by urgency alone makes each job wait until its last moment, so that nearly all are late by a little; and what could not be served was refused after 0.45 to 0.76 s, though the work ahead of it was known when it came. Moore and Hodgson's rule now leaves out the largest job whenever one by urgency would be late; the rest goes after the others while it is of use, what is beyond use is refused at once.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -12,6 +12,7 @@
     UpstreamEntry,
 )
 from jackdawspur.model import HostId, UpstreamId
+from jackdawspur.runs._admission import Admission, retry_after_s
 from jackdawspur.runs._answers import Answers
 from jackdawspur.runs._effects import (
     AnswerJob,
@@ -46,8 +47,6 @@
 # never refused as one that did not run.
 BEGUN_KEPT_S = 10.0
 MS_PER_S = 1000.0
-LEAST_RETRY_S = 1.0
-MOST_RETRY_S = 30.0
 
 
 class Dispatcher:
@@ -71,6 +70,7 @@
         # Kept over changes of the lead: what began is never refused as not run.
         self._begun = Remembered(BEGUN_KEPT_S)
         self._placer = Placer(self._fleet, self._starts, self._estimates, self._begun)
+        self._admission = Admission()
         self._elsewhere = Elsewhere()
         self._answers = Answers()
         self._now = now
@@ -225,6 +225,7 @@
             return
         for job in list(self._jobs.values()):
             self._give_up_if_late(job, now)
+        self._refuse_beyond_use(now)
         for job in [job for job in self._jobs.values() if job.reported]:
             job.reported = False
             self._review(job, now)
@@ -366,7 +367,11 @@
         if job.started:
             self._estimates.learn_given_up(job)
         reason = "it can't end within the caller's time"
-        retry_s = 0.0 if job.started else self._retry_after_s()
+        retry_s = (
+            0.0
+            if job.started
+            else retry_after_s(self._jobs.values(), self._fleet.cpu_millis)
+        )
         outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, retry_s, reason)
         self._answer(job, outcome)
         self._end(job, now)
@@ -376,18 +381,15 @@
         if self._review_of.job(job, now) is Verdict.GIVE_UP:
             self._give_up(job, Decision.JOB_HOPELESS, now)
 
-    def _refuse(self, job: Job, now: float) -> None:
-        self._notes.refused(job, len(self._jobs), now)
+    def _refuse_beyond_use(self, now: float) -> None:
+        """Refuse what the work ahead of it makes too late, rather than in the end."""
+        jobs, cpu_millis = self._jobs.values(), self._fleet.cpu_millis
+        for beyond in self._admission.review(jobs, cpu_millis, now):
+            self._refuse(beyond.job, now, beyond.ahead_s)
+
+    def _refuse(self, job: Job, now: float, ahead_s: float = 0.0) -> None:
+        self._notes.refused(job, len(self._jobs), ahead_s, now)
         reason = "it could not end within the caller's time"
-        retry_s = self._retry_after_s()
+        retry_s = retry_after_s(self._jobs.values(), self._fleet.cpu_millis)
         self._answer(job, JobOutcome(JobEnd.REFUSED, True, retry_s, reason))
         self._end(job, now)
-
-    def _retry_after_s(self) -> float:
-        """Return how long the work that waits will keep the upstreams busy."""
-        waiting_s = sum(
-            job.expected_ms[task.step] * task.spec.resources.cpu_millis
-            for job in self._jobs.values()
-            for task in job.waiting()
-        ) / (MS_PER_S * max(1, self._fleet.cpu_millis))
-        return min(MOST_RETRY_S, max(LEAST_RETRY_S, waiting_s))
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -44,6 +44,11 @@
         """Return the name of the last run."""
         return RunId(self.name, self.run)
 
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the task has ended well."""
+        return self.state is TaskState.DONE
+
     def runs_as(self, run: RunId, upstream: UpstreamId) -> bool:
         """Tell whether a run on an upstream is the present one of the task.
 
@@ -73,6 +78,8 @@
         self.started = offer.handed > 0
         # Whether a run told its progress since the job was last reviewed.
         self.reported = False
+        # Whether others go first, since not all can be on time.
+        self.deferred = False
         first_run = offer.handed * RUNS_A_HAND_OVER
         self.tasks = [
             Task(task_name(self.request.id, number, index), number, step, first_run)
--- a/jackdawspur/runs/_notes.py
+++ b/jackdawspur/runs/_notes.py
@@ -35,8 +35,8 @@
             tasks=job.story(now),
         )
 
-    def refused(self, job: Job, jobs: int, now: float) -> None:
-        """Explain the refusal of a job among so many open ones."""
+    def refused(self, job: Job, jobs: int, ahead_s: float, now: float) -> None:
+        """Explain the refusal of a job among so many, with the work ahead of it."""
         self.add(
             Decision.JOB_REFUSED,
             job.id,
@@ -45,6 +45,7 @@
             left_ms=_ms(job.offer.deadline - now),
             useful_ms=_ms(useful_until(job) - now),
             needs_ms=round(job.left_ms()),
+            ahead_ms=_ms(ahead_s),
             jobs=jobs,
         )
 
--- a/jackdawspur/runs/_order.py
+++ b/jackdawspur/runs/_order.py
@@ -47,7 +47,7 @@
     return Standing.ON_TIME if now + left_s <= objective(job) else Standing.LATE
 
 
-def order_key(job: Job, now: float) -> tuple[bool, int, float]:
+def order_key(job: Job, now: float) -> tuple[bool, bool, int, float]:
     """Return the key whose lowest is served first.
 
     Jobs under way go before new ones: a job half done that waits wastes what it has
@@ -56,7 +56,7 @@
     """
     left_s = job.left_ms() / MS_PER_S
     spare = min(objective(job) - left_s, useful_until(job) - DOUBT_OF_LEFT * left_s)
-    return (not job.started, standing(job, now), spare)
+    return (not job.started, job.deferred, standing(job, now), spare)
 
 
 def _aim_s(job: Job) -> float:
