Claim upstreams only after links could connect; stop all starts at one fence

Upstreams are reached before the other hosts are, so each side's leading host met an unknown fence and claimed the upstreams 0.2 s later. Links need half a second; the claim now waits 0.6 s. Test of two sides that connect again after 0.5 s: the lead changed again with 0.2 s, once with 0.6 s. It costs 0.4 s more where a host is never heard. Test failed first.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -56,9 +56,6 @@
 EXIT_GRACE_S = 0.2
 # The last of the time until SIGKILL is left for closing.
 DRAIN_MARGIN_S = 0.6
-# A host that takes the lead tells all others at once. An upstream that still obeys an
-# unknown fence after this obeys a host that this one does not hear.
-FENCED_CLAIM_S = 0.2
 # Settings that need no restart.
 RELOADED = ("grace_s", "log_level")
 
@@ -277,9 +274,7 @@
         if changed or lost:
             # Who lost the leading host tells all others, which chooses the next one.
             self._beat(now, to_all=True)
-        fenced = self.lead.fenced_for(now)
-        if self.group.leads and fenced > FENCED_CLAIM_S:
-            self.group.contested(unix_ms(), now)
+        if self.group.claim(self.lead.fenced_for(now), unix_ms(), now):
             self.lead.leadership_changed(now)
             self._beat(now, to_all=True)
         self.callers.offer_waiting(now)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -17,6 +17,11 @@
 OTHER_LEAD_SILENCE_S = 2.5
 # How long no host may lead before another takes over: all have then heard the same.
 VACANT_S = 0.1
+# A host that takes the lead tells all others at once, but after a cut their links must
+# connect first, for which half a second is enough. An upstream that still obeys an
+# unknown fence after this obeys a host that this one does not hear. Both sides' leading
+# hosts claimed what the other held when this was 0.2 s: three changes of lead in 0.4 s.
+FENCED_CLAIM_S = 0.6
 # How long a host that does not hear a lead which others follow leaves it to that one:
 # links over which a cut healed connect again within half a second.
 UNHEARD_S = 0.6
@@ -243,6 +248,13 @@
         """Tell whether this host leaves the lead to one that it can't hear."""
         return self._yields > 0
 
+    def claim(self, fenced_s: float, unix_ms: float, now: float) -> bool:
+        """Contest upstreams that have obeyed an unknown fence; tell whether it did."""
+        if not self.leads or fenced_s <= FENCED_CLAIM_S:
+            return False
+        self.contested(unix_ms, now)
+        return True
+
     def contested(self, unix_ms: float, now: float) -> None:
         """Decide what to do when upstreams obey a fence that nobody here has.
 
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -12,6 +12,8 @@
 )
 
 UNIX_MS = 1_800_000_000_000
+# Links over which a cut healed stand again half a second later.
+RECONNECTED_TENTHS = 5
 
 
 def address(name: str, started_ms: int = UNIX_MS - 60_000) -> HostAddress:
@@ -151,6 +153,26 @@
     assert not hosts.groups[leader].yielding
 
 
+def test_the_lead_changes_once_after_a_cut_has_healed(hosts: Hosts):
+    # Jobs under way are handed over three times within half a second and end late.
+    # The upstreams were reached before the other hosts after a cut, so each side's
+    # leading host met a fence that it did not know, and claimed them from the other.
+    (leader,) = hosts.leaders()
+    others = [name for name in hosts.groups if name != leader]
+    hosts.cut = {frozenset((leader, other)) for other in others}
+    hosts.advance(1.0)
+    fences = {hosts.groups[name].fence for name in hosts.leaders()}
+    for tenth in range(1, 11):
+        both = hosts.leaders()
+        for name in both if len(both) == 2 else ():
+            hosts.groups[name].claim(tenth / 10, UNIX_MS, hosts.now)
+        if tenth == RECONNECTED_TENTHS:
+            hosts.cut.clear()
+        hosts.advance(0.1)
+    (second,) = hosts.leaders()
+    assert hosts.groups[second].fence in fences
+
+
 def test_one_host_leads_soon_after_all_have_started():
     # After all hosts lost power no request is served though all hosts are back: each
     # waits for the others before it leads.
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -164,6 +164,11 @@
         self.fence += 1
         self.sure_look = self.looks + 1
 
+    def doubt(self) -> None:
+        """Let nothing start before the next look is answered."""
+        self.held = False
+        self.sure_look = self.looks + 1
+
     def grant_until(self, now: float) -> int | None:
         """Return the end of a new lease on the upstream's clock, None before a look."""
         if self._clock_ms is None:
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -29,6 +29,9 @@
 # A run on an upstream that obeys another host may go on until that host stops it.
 FENCED_S = 1.5
 SMALLEST_ROOM_MILLIS = 1
+# Looks at all upstreams are answered within some milliseconds; what is refused
+# meanwhile was sent before.
+DOUBT_EVERY_S = 0.05
 # An upstream that vanished without draining may be cut off for about this long, and
 # work for the hosts on its side of the cut.
 VANISHED_S = 120.0
@@ -74,6 +77,7 @@
         self._leads = False
         # The last fences of upstreams that left the list, which may come back.
         self._fences: dict[UpstreamId, Fence] = {}
+        self._doubted_at = 0.0
         # Whether room may have come free since this was last reset.
         self.gained = False
 
@@ -148,6 +152,19 @@
         held.sure_look = 1
         self._held[entry.id] = held
 
+    def doubt_all(self, now: float) -> None:
+        """Start nothing anywhere until looks say who is obeyed.
+
+        One refusal as fenced shows that another host leads, which has taken other
+        upstreams too: after a cut had healed, each task of a job was refused by one
+        upstream after the other, dozens of starts in 40 ms.
+        """
+        if now - self._doubted_at < DOUBT_EVERY_S:
+            return
+        self._doubted_at = now
+        for held in self._held.values():
+            held.doubt()
+
     def asked_by(self, order: StartRun | StopRun | LookAt) -> HeldUpstream | None:
         """Return the upstream that an order went to, if it is still held for it.
 
--- a/jackdawspur/runs/_starts.py
+++ b/jackdawspur/runs/_starts.py
@@ -133,9 +133,10 @@
         if outcome is CallOutcome.FENCED and order.fence < held.fence:
             # This host raised its own fence meanwhile, to settle another start.
             return
-        if outcome in (CallOutcome.FENCED, CallOutcome.LATE):
-            held.held = False
-            held.sure_look = held.looks + 1
+        if outcome is CallOutcome.FENCED:
+            self._fleet.doubt_all(now)
+        elif outcome is CallOutcome.LATE:
+            held.doubt()
         elif outcome is CallOutcome.UNHEALTHY:
             held.refused_until = now + UNHEALTHY_S
         elif outcome in (CallOutcome.NO_ROOM, CallOutcome.NOT_SENT):
--- a/jackdawspur/runs/tests/test_replies.py
+++ b/jackdawspur/runs/tests/test_replies.py
@@ -66,3 +66,21 @@
     leading.dispatcher.drop("h2", "aa", 1, leading.now)
     leading.settle()
     assert not leading.running()
+
+
+def test_one_refusal_as_fenced_stops_all_starts_until_looks_are_answered():
+    # After a cut healed a job's tasks tried one upstream after the other, run after
+    # run: each had gone over to the other side's leading host already.
+    leading = Leading(upstreams=8)
+    leading.lead()
+    leading.offer("aa")
+    leading.collect()
+    (order,) = leading.starts
+    leading.starts.clear()
+    for upstream in leading.upstreams.values():
+        upstream.fence = LATER_FENCE
+    leading.dispatcher.start_replied(order, CallOutcome.FENCED, leading.now)
+    leading.collect()
+    assert not leading.starts
+    leading.settle()
+    assert not leading.starts and not leading.running()
