Let an entry of another writer name no upstream, and others hold

Cause: an entry in the store with an unknown state was used as one that is ready; one that had become unreadable was kept as it had been; an address without a port ended the loop's pass with an error when it was called; a host's entry could carry any number. Upstreams of services that no route names were held, looked at five times a second and counted as room. Entries are now read in a module of their own, which names the field that is wrong; the log says it once. Sizes, ports, times and shares outside what can be are wrong too. The test of an entry that became unreadable holds that it is used no more and is logged once. Fuzzed beside a sound entry that must hold (make fuzz).

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -6,6 +6,7 @@
 from jackdawspur.front._clock import now_s
 from jackdawspur.front._gauges import Gauges
 from jackdawspur.front._ports import UpstreamPort
+from jackdawspur.front._routes import RouteTable
 from jackdawspur.front._service import CallerService
 from jackdawspur.front._views import StoreView
 from jackdawspur.group import (
@@ -49,6 +50,7 @@
     address: HostAddress
     group: Group
     gauges: Gauges
+    routes: RouteTable
     views: StoreView
     callers: CallerService
 
@@ -107,7 +109,12 @@
     def upstreams_changed(self, now: float) -> None:
         """Use the newest list of upstreams."""
         group = self._owner.group
-        entries = [e for e in self._owner.views.entries if group.covers(e.id.zone)]
+        services = self._owner.routes.services
+        entries = [
+            entry
+            for entry in self._owner.views.entries
+            if group.covers(entry.id.zone) and entry.service in services
+        ]
         self._dispatcher.set_upstreams(entries, now)
         if self._dispatcher.leads:
             held = {one.entry.address for one in self._dispatcher.fleet.held}
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -195,7 +195,10 @@
                 "configuration in force",
                 extra={"version": routes.version, "before": self.routes.version},
             )
+            services = self.routes.services
             self.routes = routes
+            if routes.services != services:
+                self.upstreams_changed()
 
     def read_configuration(self, document: bytes) -> RouteTable:
         """Return the routes of a document; raise `UnreadableConfiguration`."""
--- a/jackdawspur/front/_routes.py
+++ b/jackdawspur/front/_routes.py
@@ -25,6 +25,11 @@
         for route in sorted(self.routes, key=lambda one: -len(one.path_prefix)):
             self._by_host.setdefault(route.host, []).append(route)
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that the routes name."""
+        return frozenset(route.service for route in self.routes)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that the path begins with."""
         for route in self._by_host.get(host, ()):
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -6,8 +6,10 @@
 
 from jackdawspur.front._gauges import Gauges
 from jackdawspur.front._lead import LeadDriver
+from jackdawspur.front._routes import RouteTable
 from jackdawspur.group import Group, HostAddress, JobOffered
-from jackdawspur.leases import Resources
+from jackdawspur.leases import Resources, UpstreamEntry
+from jackdawspur.model import UpstreamId
 from jackdawspur.runs import JobRequest, JobStep, Route
 
 ROUTE = Route("r", "h", "/q/", "s", 1500.0, 60.0, 1.6, 0, 3)
@@ -36,6 +38,7 @@
     address: HostAddress = HostAddress("own", "z1", "127.0.0.1:1", 1)
     group: Group = field(default_factory=lambda: Group(Owner.address, 0.0))
     gauges: Gauges = field(default_factory=Gauges)
+    routes: RouteTable = RouteTable(1, (ROUTE,))
     views: Views = field(default_factory=Views)
 
     def flush_soon(self) -> None:
@@ -102,3 +105,19 @@
     driver.follower_heard("h2", behind * (owner.group.fence - 1), 5.1)
     driver.follower_heard("h2", owner.group.fence, 5.2)
     assert len(driver.dispatcher.open_jobs) == 1
+
+
+def test_an_upstream_of_a_service_that_no_route_names_is_not_used(
+    owner: Owner, driver: LeadDriver
+):
+    # Each refused job is told to come back too soon: capacity that no job can use
+    # counted as room, and was asked for its runs five times a second.
+    entries = [
+        UpstreamEntry(
+            UpstreamId("z1", name), service, "127.0.0.1:1", Resources(8), (), False
+        )
+        for name, service in (("u1", "s"), ("u2", "nobody"))
+    ]
+    owner.views.entries = tuple(entries)
+    driver.upstreams_changed(6.0)
+    assert [held.entry.id.name for held in driver.dispatcher.fleet.held] == ["u1"]
--- /dev/null
+++ b/jackdawspur/fuzz/tests/test_entries.py
@@ -0,0 +1,31 @@
+"""Whatever stands in an entry, it is read or refused, and other entries hold."""
+
+from types import SimpleNamespace
+
+from circuits import Component
+from hypothesis import given, strategies as st
+
+from jackdawspur.fuzz.tests.mutations import FUZZ, mutated_json
+from jackdawspur.group import HostAddress
+from jackdawspur.leases import UpstreamEntry
+from jackdawspur.platform import PlatformStore
+from jackdawspur.platform.tests.test_entries import HOST, SOUND, changed
+
+OTHER = "i-2"
+ENTRIES = mutated_json(SOUND) | mutated_json(HOST) | st.binary(max_size=60)
+
+
+@FUZZ
+@given(name=st.text(max_size=30), data=ENTRIES)
+def test_any_entry_leaves_the_others(name: str, data: bytes):
+    upstreams, hosts = [], []
+    store = PlatformStore("127.0.0.1:1", Component(), SimpleNamespace(now=1.0))
+    store._listener = SimpleNamespace(
+        upstreams_read=upstreams.extend, hosts_read=hosts.extend
+    )
+    store._servers_wrote({name: data, OTHER: changed(SOUND)}, True)
+    store._hosts_wrote({name: data, OTHER: changed(HOST)}, True)
+    assert all(isinstance(entry, UpstreamEntry) for entry in upstreams)
+    assert all(isinstance(host, HostAddress) for host in hosts)
+    assert any(entry.id.name == OTHER for entry in upstreams)
+    assert any(host.name == HOST["name"] for host in hosts)
--- a/jackdawspur/platform/_callers.py
+++ b/jackdawspur/platform/_callers.py
@@ -78,7 +78,7 @@
             return _error(405, "expected POST, GET or DELETE")
         try:
             request = _request(job, route, _decode_job(call.body))
-        except (msgspec.DecodeError, ValueError) as error:
+        except (msgspec.DecodeError, RecursionError, ValueError) as error:
             return _error(400, str(error))
         if isinstance(request, HttpReply):
             return request
@@ -118,7 +118,7 @@
         """Return the routes of a configuration; raise `UnreadableConfiguration`."""
         try:
             body = _decode_configuration(document)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise UnreadableConfiguration(str(error)) from error
         routes = tuple(_route(one) for one in body.routes)
         return RouteTable(body.version, routes, body.limits.max_body_bytes)
--- a/jackdawspur/platform/_store.py
+++ b/jackdawspur/platform/_store.py
@@ -17,9 +17,9 @@
 from jackdawspur.external import PlatformError
 from jackdawspur.front import StoreListener, StorePort
 from jackdawspur.group import HostAddress
-from jackdawspur.leases import Resources, UpstreamEntry
-from jackdawspur.model import UpstreamId
-from jackdawspur.platform._bodies import HostBody, ServerBody
+from jackdawspur.leases import UpstreamEntry
+from jackdawspur.platform._bodies import HostBody
+from jackdawspur.platform._entries import UnreadableEntry, read_host, read_upstream
 from jackdawspur.platform._topics import KeyedTopic
 
 __all__ = ["PlatformStore"]
@@ -38,14 +38,15 @@
 # An upstream whose entry lapsed while the store was away writes it again within two
 # seconds of the store's return; before that a missing entry says nothing.
 RETURN_S = 2.5
+# Of so many unreadable entries it is remembered that the log named them, and so much of
+# a name is logged: whoever writes such entries may write many and long ones.
+MOST_UNREADABLE = 1000
+MOST_NAME = 80
 CONNECTIONS = 4
 CONNECT_S = 0.5
 
 log = logging.getLogger("jackdawspur.platform")
 
-_decode_server = msgspec.json.Decoder(ServerBody).decode
-_decode_host = msgspec.json.Decoder(HostBody).decode
-
 
 class PlatformStore(StorePort):
     """Read the configuration, the upstreams and the hosts; announce this host."""
@@ -58,6 +59,8 @@
         self._listener: StoreListener | None = None
         self._entries: dict[str, UpstreamEntry] = {}
         self._lapsed: dict[str, float] = {}
+        # Why each unreadable entry is, so that the log says it once.
+        self._unreadable: dict[str, str] = {}
         self._reachable = True
         self._unannounced: HostAddress | None = None
         self._followed_since = deadlines.now
@@ -116,7 +119,7 @@
             return
         try:
             version = msgspec.json.decode(document, type=_Version).version
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             log.error("configuration without version", extra={"reason": str(error)})
             return
         self._listener.configuration_read(version, document)
@@ -132,10 +135,14 @@
             if not value:
                 self._lapsed.setdefault(name, now)
                 continue
-            entry = _entry(name, value)
-            if entry is not None:
-                self._entries[name] = entry
-                self._lapsed.pop(name, None)
+            self._lapsed.pop(name, None)
+            try:
+                self._entries[name] = read_upstream(name, value)
+                self._unreadable.pop(name, None)
+            except UnreadableEntry as error:
+                # What it said before may have been of another upstream.
+                self._entries.pop(name, None)
+                self._note_unreadable(name, "upstream entry unreadable", str(error))
         for name, since in list(self._lapsed.items()):
             if now - since > RETURN_S:
                 self._entries.pop(name, None)
@@ -144,38 +151,23 @@
 
     def _hosts_wrote(self, changed: dict[str, bytes], whole: bool) -> None:
         hosts = []
-        for value in changed.values():
-            try:
-                body = _decode_host(value)
-            except msgspec.DecodeError as error:
-                log.warning("host entry unreadable", extra={"reason": str(error)})
+        for name, value in changed.items():
+            if not value:
                 continue
-            hosts.append(
-                HostAddress(
-                    body.name, body.zone, body.link, body.started_ms, body.processor
-                )
-            )
+            try:
+                hosts.append(read_host(value))
+            except UnreadableEntry as error:
+                self._note_unreadable(name, "host entry unreadable", str(error))
         self._listener.hosts_read(tuple(hosts))
 
+    def _note_unreadable(self, name: str, text: str, reason: str) -> None:
+        """Say it once: an upstream writes its entry anew every second or so."""
+        if self._unreadable.get(name) != reason:
+            self._unreadable[name] = reason
+            log.warning(text, extra={"entry": name[:MOST_NAME], "reason": reason})
+        while len(self._unreadable) > MOST_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
+
 
 class _Version(msgspec.Struct):
     version: int
-
-
-def _entry(name: str, value: bytes) -> UpstreamEntry | None:
-    try:
-        body = _decode_server(value)
-    except msgspec.DecodeError as error:
-        log.warning(
-            "upstream entry unreadable", extra={"upstream": name, "reason": str(error)}
-        )
-        return None
-    room = body.capacity
-    return UpstreamEntry(
-        id=UpstreamId(body.zone, name),
-        service=body.service,
-        address=body.address,
-        capacity=Resources(room.cpu, room.mem_mb, room.gpus),
-        labels=tuple(body.labels),
-        draining=body.state == "draining",
-    )
--- /dev/null
+++ b/jackdawspur/platform/tests/test_entries.py
@@ -0,0 +1,135 @@
+"""Entries that another writer left in the store name no upstream; the others hold."""
+
+import json
+import logging
+from types import SimpleNamespace
+
+import pytest
+from circuits import Component
+
+from jackdawspur.platform import PlatformStore
+from jackdawspur.platform._entries import UnreadableEntry, read_host, read_upstream
+
+SOUND = {
+    "service": "roster",
+    "address": "10.1.0.4:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "sequence": 4,
+    "capacity": {"cpu": 32000, "mem_mb": 65536, "gpus": 0},
+    "labels": ["a", "r1"],
+}
+HOST = {
+    "name": "h1",
+    "zone": "z1",
+    "link": "10.1.0.4:81",
+    "started_ms": 1,
+    "processor": 1.0,
+}
+NESTED = b"[" * 100_000
+BYTES = (b"", b"\xff\xfe", b"null", b"3", b'"text"', b"[]", b"{", NESTED)
+
+
+def changed(document: dict, **values) -> bytes:
+    return json.dumps({**document, **values}).encode()
+
+
+@pytest.fixture
+def seen() -> list:
+    return []
+
+
+@pytest.fixture
+def store(seen: list) -> PlatformStore:
+    one = PlatformStore("127.0.0.1:1", Component(), SimpleNamespace(now=1.0))
+    one._listener = SimpleNamespace(
+        upstreams_read=seen.append, hosts_read=lambda hosts: None
+    )
+    return one
+
+
+def test_a_sound_entry_names_its_upstream():
+    entry = read_upstream("i-1", changed(SOUND))
+    assert (entry.id.name, entry.service, entry.draining) == ("i-1", "roster", False)
+    assert read_upstream("i-1", changed(SOUND, state="draining")).draining
+
+
+@pytest.mark.parametrize("data", BYTES)
+def test_unreadable_bytes_name_nothing(data: bytes):
+    with pytest.raises(UnreadableEntry):
+        read_upstream("i-1", data)
+    with pytest.raises(UnreadableEntry):
+        read_host(data)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("state", "resting"),
+        ("state", ""),
+        ("state", None),
+        ("state", 3),
+        ("service", 7),
+        ("service", ""),
+        ("zone", ""),
+        ("address", "nowhere"),
+        ("address", "10.1.0.4:"),
+        ("address", "10.1.0.4:0"),
+        ("address", "10.1.0.4:70000"),
+        ("address", "10.1.0.999:80"),
+        ("address", "host.example:80"),
+        ("address", None),
+        ("capacity", {"cpu": -1}),
+        ("capacity", {"cpu": 1 << 62}),
+        ("capacity", {"cpu": 1e30}),
+        ("capacity", {"cpu": "32000"}),
+        ("capacity", [32000]),
+        ("labels", "a"),
+        ("labels", [1]),
+    ],
+)
+def test_a_wrong_field_names_no_upstream_and_is_named(field: str, value):
+    with pytest.raises(UnreadableEntry, match=field.replace("zone", "zone|empty")):
+        read_upstream("i-1", changed(SOUND, **{field: value}))
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone"])
+def test_a_missing_field_names_no_upstream(field: str):
+    rest = {name: value for name, value in SOUND.items() if name != field}
+    with pytest.raises(UnreadableEntry, match=field):
+        read_upstream("i-1", changed(rest))
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("name", ""),
+        ("link", "10.1.0.4"),
+        ("started_ms", -1),
+        ("started_ms", 1 << 60),
+        ("processor", 0),
+        ("processor", -2.0),
+        ("processor", 1e300),
+    ],
+)
+def test_a_wrong_host_entry_names_no_host(field: str, value):
+    with pytest.raises(UnreadableEntry):
+        read_host(changed(HOST, **{field: value}))
+
+
+def test_an_entry_that_became_unreadable_is_used_no_more(store, seen, caplog):
+    # Jobs go to an address that is not an upstream's any more: another writer had
+    # overwritten its entry, and what it said before was kept.
+    names = ("i-1", "i-2")
+    store._servers_wrote({name: changed(SOUND) for name in names}, True)
+    with caplog.at_level(logging.WARNING):
+        for _ in range(3):
+            store._servers_wrote({"i-1": changed(SOUND, state="?")}, False)
+    assert [entry.id.name for entry in seen[-1]] == ["i-2"]
+    (line,) = caplog.records
+    assert "state" in line.reason
+    store._servers_wrote({"i-1": changed(SOUND)}, False)
+    assert {entry.id.name for entry in seen[-1]} == set(names)
