--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -17,6 +17,10 @@
 # it. Of 0.03, 0.06 and 0.12 s this left the most jobs on time in bursts of 1.6 times
 # the usual load, after a start with 120 jobs waiting, and beside failing upstreams.
 DOUBT_S = 0.12
+# A run that stands still seems to need for ever. It is stopped before long, so it
+# counts for no more than this many times what was expected: else one such job would
+# keep out all others.
+MOST_OF_EXPECTED = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +108,8 @@
     for task in job.tasks:
         if task.is_done:
             continue
-        run_s = job.expected_ms[task.step] / MS_PER_S
+        most_ms = MOST_OF_EXPECTED * job.first_expected_ms[task.step]
+        run_s = min(job.expected_ms[task.step], most_ms) / MS_PER_S
         if task.upstream is not None:
             run_s = max(0.0, run_s - (now - task.placed_at))
         left += run_s * task.spec.resources.cpu_millis
--- a/jackdawspur/runs/tests/test_admission.py
+++ b/jackdawspur/runs/tests/test_admission.py
@@ -66,3 +66,17 @@
     serve(leading, 2.0)
     done = {a.job for a in leading.answers if a.outcome.end is JobEnd.COMPLETE}
     assert "big" in done
+
+
+def test_a_job_that_stands_still_keeps_no_other_out(leading: Leading):
+    # All requests are refused for a second, with free places: the tasks of one job
+    # stood still, and by their progress they seemed to need all room for minutes.
+    leading.offer("aa", tasks=2, route=PATIENT, deadline=leading.now + 5.0)
+    leading.settle()
+    for upstream in leading.upstreams.values():
+        upstream.percent = dict.fromkeys(upstream.running, 1.0)
+    leading.advance(0.3)
+    for number in range(2):
+        leading.offer(f"{number:02x}", call=number + 2)
+    leading.advance(0.1)
+    assert not [a for a in leading.answers if a.outcome.end is JobEnd.REFUSED]
