Tell in one place whether a host that stood still has read its replies

Cause: starts and looks kept the same stamp of the last pass and compared it with the same bound, in each pass of the loop. Replies now tells it once a pass, and both are counted or neither.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -207,8 +207,12 @@
         """Give room to waiting tasks and return all that is to be done."""
         self._now = now
         if self.leads:
-            self._starts.settle_overdue(now)
+            all_read = self._replies.all_read(now)
+            if all_read:
+                self._starts.settle_overdue(now)
             self._placer.place_if_due(self._jobs.values(), now)
+            if all_read:
+                self._looks.count_overdue(now)
             self._looks.send_due(now)
         effects = self._effects[:]
         self._effects.clear()
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -14,7 +14,6 @@
 from jackdawspur.runs._effects import Decision, LookAt
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._replies import Replies
-from jackdawspur.runs._starts import STOOD_STILL_S
 
 __all__ = ["Looks"]
 
@@ -43,7 +42,11 @@
     def __init__(self, fleet: Fleet, replies: Replies) -> None:
         self._fleet = fleet
         self._replies = replies
-        self._sent_at = 0.0
+
+    def count_overdue(self, now: float) -> None:
+        """Take note of the looks whose replies are overdue."""
+        for held in self._fleet.held:
+            self._count_overdue(held, now)
 
     def send_due(self, now: float) -> None:
         """Send the looks whose time has come, beside those that are overdue.
@@ -51,11 +54,7 @@
         A lost reply must cost one reply: were the next look to wait for the end of the
         call, leases would end of upstreams that are sound.
         """
-        stood_still = now - self._sent_at > STOOD_STILL_S
-        self._sent_at = now
         for held in self._fleet.held:
-            if not stood_still:
-                self._count_overdue(held, now)
             urgent = held.sure_look > held.looks
             few = len(held.open_looks) < self._wanted(held) and now >= held.look_at
             calls = len(held.open_looks) + len(held.overdue_looks)
--- a/jackdawspur/runs/_replies.py
+++ b/jackdawspur/runs/_replies.py
@@ -21,6 +21,9 @@
 # share on, replies are lost on the way and not by single upstreams that break.
 SHARE_WEIGHT = 1 / 64
 LOSSY_SHARE = 0.02
+# After a longer gap between two passes this process stood still, and replies that came
+# meanwhile are still to be read: leading hosts tick every 0.025 s.
+STOOD_STILL_S = 0.06
 
 
 class Replies:
@@ -30,6 +33,7 @@
         self._smoothed_s = LEAST_S / 2
         self._deviation_s = LEAST_S / 4
         self._lost_share = 0.0
+        self._passed_at = 0.0
 
     @property
     def overdue_s(self) -> float:
@@ -48,6 +52,12 @@
         """Tell whether replies get lost all the time."""
         return self._lost_share >= LOSSY_SHARE
 
+    def all_read(self, now: float) -> bool:
+        """Tell, once a pass, whether what came until now has been read."""
+        stood_still = now - self._passed_at > STOOD_STILL_S
+        self._passed_at = now
+        return not stood_still
+
     def came(self) -> None:
         """Count a reply that came."""
         self._lost_share -= SHARE_WEIGHT * self._lost_share
--- a/jackdawspur/runs/_starts.py
+++ b/jackdawspur/runs/_starts.py
@@ -14,9 +14,6 @@
 # A start that an upstream refused is not sent there again before this.
 REFUSED_S = 0.2
 UNHEALTHY_S = 0.5
-# After a longer gap between two passes this process stood still, and replies that came
-# meanwhile are still to be read: leading hosts tick every 0.025 s.
-STOOD_STILL_S = 0.06
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +30,6 @@
         self._fleet = fleet
         self._replies = replies
         self._open: deque[_Open] = deque()
-        self._settled_at = 0.0
 
     def start(self, held: HeldUpstream, task: Task, spec: str, now: float) -> None:
         """Take room and send a start."""
@@ -68,10 +64,6 @@
         Waiting for the call's own time limit would make each lost reply a late job: a
         look shows within milliseconds whether the run is there.
         """
-        stood_still = now - self._settled_at > STOOD_STILL_S
-        self._settled_at = now
-        if stood_still:
-            return
         before = now - self._replies.overdue_s
         while self._open and self._open[0].at <= before:
             one = self._open.popleft()
