--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -209,10 +209,24 @@
             return
         for job in self._jobs.to_offer(term, now):
             if job.offered_to not in (None, term):
-                job.handed += 1
+                self._hand_over(job, term)
             job.offered_to = term
             self._offer(job, term, now)
 
+    def _hand_over(self, job: OwnJob, term: Term) -> None:
+        job.handed += 1
+        log.info(
+            "job handed over",
+            extra={
+                "job": job.request.id,
+                "before": job.offered_to.leader,
+                "before_fence": job.offered_to.fence,
+                "leader": term.leader,
+                "fence": term.fence,
+                "hand_overs": job.handed,
+            },
+        )
+
     def _asked(self, call: Call, asked: CallerQuestion) -> None:
         if asked.kind is QuestionKind.SUBMIT:
             self._submit(call, asked)
