--- /dev/null
+++ b/jackdawspur/front/tests/virtual.py
@@ -0,0 +1,428 @@
+"""Whole hosts of several zones, with a store and upstreams, in virtual time.
+
+Everything of a host is the product's own but its sockets and its clock.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from jackdawspur.adapters import Call
+from jackdawspur.bench import FrontUpstream, Tally, Work
+from jackdawspur.callers import HttpReply
+from jackdawspur.front import (
+    CallerQuestion,
+    Ports,
+    QuestionKind,
+    RouteTable,
+    StoreListener,
+    StorePort,
+    UpstreamPort,
+    _clock,
+    _process,
+)
+from jackdawspur.front._process import FrontProcess
+from jackdawspur.group import (
+    GroupMessage,
+    HostAddress,
+    decode_message,
+    encode_message,
+)
+from jackdawspur.leases import CallOutcome, Resources, UpstreamEntry
+from jackdawspur.model import UpstreamId
+from jackdawspur.platform import PlatformCallers
+from jackdawspur.runs import JobRequest, JobStep, LookAt, Route, StartRun, StopRun
+from jackdawspur.settings import check_host_settings
+
+__all__ = ["Asked", "World"]
+
+ROUTE = Route("r", "h", "/q/", "s", 1500.0, 60.0, 1.6, 0, 3)
+TASK = Resources(14_000, 64, 0)
+ROOM = Resources(32_000, 131_072, 0)
+UNIX_S = 1_800_000_000.0
+# One way, in seconds.
+LINK_S = {True: 0.0005, False: 0.001}
+CALL_S = 0.0005
+READ_S = 0.01
+STEP_S = 0.002
+MS_PER_S = 1000.0
+
+
+@dataclass
+class Asked:
+    """Keep what a caller asked and was answered."""
+
+    request: JobRequest
+    sent_at: float
+    reply: HttpReply | None = None
+    answered_at: float = 0.0
+
+
+class Life:
+    """Be one process of a host, until it is killed."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.dead = False
+        self.frozen_until = 0.0
+        self.process: FrontProcess | None = None
+
+
+class VirtualDeadlines:
+    """Call back at virtual times."""
+
+    def __init__(self, world: "World", life: Life) -> None:
+        self._world = world
+        self._life = life
+
+    def register(self, _owner) -> "VirtualDeadlines":
+        return self
+
+    def call_after(self, seconds: float, callback: Callable[[], None]) -> None:
+        self._world.after(seconds, callback, self._life)
+
+
+class VirtualMesh:
+    """Carry messages to hosts that can be reached."""
+
+    dropped = 0
+    bytes_sent = 0
+
+    def __init__(self, world: "World", life: Life, deliver) -> None:
+        self._world = world
+        self._life = life
+        self.deliver = deliver
+        self._peers: dict[str, HostAddress] = {}
+
+    def register(self, _owner) -> "VirtualMesh":
+        return self
+
+    def set_peers(self, hosts: tuple[HostAddress, ...]) -> None:
+        self._peers = {host.name: host for host in hosts}
+
+    def redial(self, name: str) -> None:
+        self._world.silent_links.discard((self._life.name, name))
+
+    def send(self, name: str, message: GroupMessage) -> None:
+        if name in self._peers:
+            self._world.carry(self._life, name, encode_message(message))
+
+
+class VirtualWeb:
+    """Keep replies to callers."""
+
+    def __init__(self, world: "World", life: Life) -> None:
+        self._world = world
+        self._life = life
+        self.open_calls = 0
+
+    def register(self, _owner) -> "VirtualWeb":
+        return self
+
+    def reply(self, number: int, reply: HttpReply) -> None:
+        self.open_calls -= 1
+        self._world.replied(self._life, number, reply)
+
+    def drain(self) -> None:
+        pass
+
+    def close_idle(self) -> None:
+        pass
+
+
+class Callers(PlatformCallers):
+    """Know the jobs by their paths."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+
+    def read_call(self, call: Call, routes: RouteTable) -> CallerQuestion:
+        asked = self._world.asked[call.path]
+        return CallerQuestion(
+            QuestionKind.SUBMIT, ROUTE, asked.request.id, asked.request, None
+        )
+
+    def read_configuration(self, document: bytes) -> RouteTable:
+        return RouteTable(1, (ROUTE,))
+
+
+class Store(StorePort):
+    """Let a host read the configuration, the hosts and the list of upstreams."""
+
+    def __init__(self, world: "World", life: Life) -> None:
+        self._world = world
+        self._life = life
+
+    def follow(self, listener: StoreListener) -> None:
+        self._listener = listener
+        self._every(lambda: READ_S, self._read_configuration)
+        self._every(lambda: READ_S, self._read_hosts)
+        self._every(lambda: listener.list_every_s, self._read_list)
+
+    def announce(self, host: HostAddress) -> None:
+        self._world.after(READ_S, lambda: self._world.announce(host), self._life)
+
+    def _every(self, pause_s: Callable[[], float], read: Callable[[], None]) -> None:
+        def again() -> None:
+            if self._life.name not in self._world.storeless:
+                read()
+            self._world.after(pause_s(), again, self._life)
+
+        self._world.after(READ_S, again, self._life)
+
+    def _read_configuration(self) -> None:
+        self._listener.configuration_read(1, b"1")
+
+    def _read_hosts(self) -> None:
+        self._listener.hosts_read(tuple(self._world.announced.values()))
+
+    def _read_list(self) -> None:
+        shown = self._world.shown.get(self._life.name)
+        entries = self._world.listed[:shown]
+        if entries:
+            self._listener.upstreams_read(entries)
+
+
+class Upstreams(UpstreamPort):
+    """Call upstreams."""
+
+    def __init__(self, world: "World", life: Life) -> None:
+        self._world = world
+        self._life = life
+
+    def start(self, order: StartRun, done: Callable[[CallOutcome], None]) -> None:
+        world = self._world
+        work = world.work_of(order.run.task)
+
+        def act(upstream: FrontUpstream) -> CallOutcome:
+            return upstream.start(
+                order.run, order.until_ms, order.fence, work, world.now
+            )
+
+        world.call(self._life, order, act, done)
+
+    def stop(self, order: StopRun, done: Callable[[CallOutcome], None]) -> None:
+        def act(upstream: FrontUpstream) -> CallOutcome:
+            return upstream.stop(order.run, order.fence, self._world.now)
+
+        self._world.call(self._life, order, act, done)
+
+    def look(self, order: LookAt, done: Callable) -> None:
+        world = self._world
+
+        def act(upstream: FrontUpstream) -> CallOutcome | None:
+            outcome = upstream.hold(
+                order.fence, order.last_seen, order.until_ms, world.now
+            )
+            if outcome is not CallOutcome.OK:
+                return outcome
+            until = world.now + order.wait_ms / MS_PER_S
+            world.waiting.append((order, self._life, done, until))
+            return None
+
+        world.call(self._life, order, act, done)
+
+    def keep_only(self, addresses: set[str]) -> None:
+        pass
+
+
+class World:
+    """Run hosts; tests break what they like."""
+
+    def __init__(self, monkeypatch, most_upstreams: int) -> None:
+        self.now = 1000.0
+        self.rng = random.Random(1)
+        self.tally = Tally()
+        self.lives: dict[str, Life] = {}
+        self.zones: dict[str, str] = {}
+        self.announced: dict[str, HostAddress] = {}
+        self.upstreams: dict[UpstreamId, FrontUpstream] = {}
+        self.listed: tuple[UpstreamEntry, ...] = ()
+        self.asked: dict[str, Asked] = {}
+        self.storeless: set[str] = set()
+        # How many upstreams of the list a host reads, where these are not all.
+        self.shown: dict[str, int] = {}
+        self.silent_links: set[tuple[str, str]] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.waiting: list = []
+        self._calls: dict[tuple[Life, int], Asked] = {}
+        self._most_upstreams = most_upstreams
+        self._order = itertools.count(1)
+        self._events: list = []
+        self._starting: Life | None = None
+        self._patch(monkeypatch)
+        self.after(STEP_S, self._advance)
+
+    def _patch(self, monkeypatch) -> None:
+        clock = SimpleNamespace(
+            CLOCK_BOOTTIME=0,
+            clock_gettime=lambda _clock: self.now,
+            time=lambda: UNIX_S + self.now,
+        )
+        monkeypatch.setattr(_clock, "time", clock)
+        made = {
+            "Deadlines": lambda *_: VirtualDeadlines(self, self._starting),
+            "Mesh": lambda _link, _poller, deliver: VirtualMesh(
+                self, self._starting, deliver
+            ),
+            "WebServer": lambda *_: VirtualWeb(self, self._starting),
+        }
+        for name, make in made.items():
+            monkeypatch.setattr(_process, name, make)
+
+    # Hosts and upstreams.
+
+    def add_upstreams(self, zone: str, count: int) -> None:
+        """Add upstreams of a zone to the list."""
+        for _ in range(count):
+            one = UpstreamId(zone, f"u{len(self.upstreams)}")
+            entry = UpstreamEntry(one, "s", f"{zone}:{one.name}", ROOM, (), False)
+            self.upstreams[one] = FrontUpstream(entry, 1.0, self.tally, self.rng)
+            self.listed += (entry,)
+
+    def start(self, name: str, zone: str) -> None:
+        """Start a host, or start it again."""
+        self.zones[name] = zone
+        port = 10_000 + sorted(self.zones).index(name)
+        places = ("callers", "ready", "link", "store")
+        values = {place: f"127.0.0.1:{port}" for place in places}
+        values |= {"name": name, "zone": zone, "metrics": None}
+        settings = check_host_settings(
+            {**values, "most_upstreams": self._most_upstreams}, "test"
+        )
+        life = self._starting = self.lives[name] = Life(name)
+        parts = Ports(Callers(self), Upstreams(self, life), Store(self, life))
+        process = FrontProcess(settings, None, lambda *_: parts, lambda: settings)
+        process.fire = lambda _event: self.after(0.0, process._on_flush, life)
+        life.process = process
+
+    def kill(self, name: str) -> None:
+        """Let a host die."""
+        self.lives[name].dead = True
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Let a host stand still."""
+        self.lives[name].frozen_until = self.now + seconds
+
+    def leaders(self) -> dict[str, str]:
+        """Return the zone of each host that leads."""
+        return {
+            name: self.zones[name]
+            for name, life in self.lives.items()
+            if not life.dead and life.process.group.leads
+        }
+
+    def announce(self, host: HostAddress) -> None:
+        """Keep where a host is."""
+        self.announced[host.name] = host
+
+    # Callers.
+
+    def submit(self, host: str, seconds: float, tasks: int = 1) -> Asked:
+        """Send a job to a host."""
+        number = next(self._order)
+        job = f"{number:016x}"
+        step = JobStep(tasks, TASK, seconds * MS_PER_S)
+        asked = Asked(JobRequest(job, "", (step,), ROUTE), self.now)
+        self.asked[f"/q/{job}"] = asked
+        life = self.lives[host]
+        self._calls[life, number] = asked
+        life.process._web.open_calls += 1
+        call = Call(number, "POST", f"/q/{job}", "", None, b"")
+        self.after(CALL_S, lambda: life.process.callers.called(call), life)
+        return asked
+
+    def replied(self, life: Life, number: int, reply: HttpReply) -> None:
+        """Keep a reply."""
+        asked = self._calls.pop((life, number))
+        asked.reply, asked.answered_at = reply, self.now
+
+    def work_of(self, task: str) -> Work:
+        """Return how long the tasks of a task's job take."""
+        request = self.asked[f"/q/{task.split('.', 1)[0]}"].request
+        step = request.steps[0]
+        seconds = {
+            f"{request.id}.0.0.{n}": step.estimate_ms / MS_PER_S
+            for n in range(step.count)
+        }
+        return Work(seconds, step.resources)
+
+    # Time and messages.
+
+    def after(
+        self, seconds: float, act: Callable[[], None], life: Life | None = None
+    ) -> None:
+        """Act after a time, unless the process is dead by then."""
+        entry = (self.now + max(0.0, seconds), next(self._order), act, life)
+        heapq.heappush(self._events, entry)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            at, _, act, life = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            if life is not None and life.dead:
+                continue
+            if life is not None and life.frozen_until > self.now:
+                self.after(life.frozen_until - self.now, act, life)
+                continue
+            act()
+        self.now = until
+
+    def run_until(self, condition: Callable[[], bool], seconds: float) -> None:
+        """Let time pass until a condition holds; fail if it never does."""
+        end = self.now + seconds
+        while not condition():
+            assert self.now < end
+            self.run(STEP_S)
+
+    def reachable(self, one: str, other: str) -> bool:
+        """Tell whether hosts or zones are not cut off from each other."""
+        return frozenset((one, other)) not in self.cut
+
+    def carry(self, sender: Life, name: str, data: bytes) -> None:
+        """Deliver a message to a host."""
+        zones = self.zones[sender.name], self.zones[name]
+        life = self.lives[name]
+        lost = (sender.name, name) in self.silent_links
+        lost = lost or not self.reachable(sender.name, name)
+        if lost or not self.reachable(*zones) or life.dead:
+            return
+        message = decode_message(data)
+        delay_s = LINK_S[zones[0] == zones[1]]
+        self.after(delay_s, lambda: life.process.mesh.deliver(message), life)
+
+    def call(self, life: Life, order, act, done) -> None:
+        """Carry a call to an upstream, and its reply back."""
+        upstream = self.upstreams[order.upstream]
+        zone = order.upstream.zone
+
+        def arrive() -> None:
+            if upstream.silent or not self.reachable(self.zones[life.name], zone):
+                self.after(order.limit_s, lambda: done(CallOutcome.UNKNOWN), life)
+                return
+            outcome = act(upstream)
+            if outcome is not None:
+                self.after(CALL_S, lambda: done(outcome), life)
+
+        self.after(CALL_S, arrive)
+
+    def _advance(self) -> None:
+        for upstream in self.upstreams.values():
+            upstream.advance(self.now)
+        waiting, self.waiting = self.waiting, []
+        for look in waiting:
+            self._answer_look(*look)
+        self.after(STEP_S, self._advance)
+
+    def _answer_look(self, order, life: Life, done, until: float) -> None:
+        upstream = self.upstreams[order.upstream]
+        if not upstream.unseen and self.now < until:
+            self.waiting.append((order, life, done, until))
+            return
+        report = upstream.report(self.now)
+        self.after(CALL_S, lambda: done(report), life)
