Check addresses of settings and of entries in the store in one place

Two checks stood, and the looser one took 010.0.0.1 and other digits than ASCII's for a host's own settings. Settings may still name port 0, entries may not, as before.

--- a/jackdawspur/platform/_entries.py
+++ b/jackdawspur/platform/_entries.py
@@ -4,23 +4,21 @@
 hold.
 """
 
-import ipaddress
 import math
 
 import msgspec
 
-from jackdawspur.adapters import split_address
 from jackdawspur.exceptions import JackdawspurError
 from jackdawspur.group import HostAddress
 from jackdawspur.leases import Resources, UpstreamEntry
 from jackdawspur.model import UpstreamId
 from jackdawspur.platform._bodies import CapacityBody, HostBody, ServerBody
+from jackdawspur.settings import check_address
 
 __all__ = ["UnreadableEntry", "read_host", "read_upstream"]
 
 READY = "ready"
 DRAINING = "draining"
-MOST_PORT = 65535
 # Far beyond what any machine has: a number above is no size but a fault.
 MOST_OF_A_KIND = 1 << 40
 # Milliseconds since 1970 until the year 2200.
@@ -82,9 +80,6 @@
 
 def _check_address(field: str, text: str) -> None:
     try:
-        host, port = split_address(text)
-        ipaddress.IPv4Address(host)
+        check_address(text, least_port=1)
     except ValueError as error:
         raise UnreadableEntry(f"{field}: {text!r} is no IP:port") from error
-    if not 0 < port <= MOST_PORT:
-        raise UnreadableEntry(f"{field}: the port is out of range")
--- a/jackdawspur/settings/__init__.py
+++ b/jackdawspur/settings/__init__.py
@@ -7,6 +7,7 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        "_address": ["check_address"],
         "_entry": ["EntrySettings", "OperatorSettings", "SiblingSettings"],
         "_errors": ["SettingsError"],
         "_host": ["HostSettings", "check_host_settings", "load_host_settings"],
--- a/jackdawspur/settings/_address.py
+++ b/jackdawspur/settings/_address.py
@@ -1,15 +1,24 @@
-"""Addresses as settings files give them."""
+"""Addresses as settings files and entries in the store give them."""
+
+import ipaddress
 
 __all__ = ["MAX_PORT", "check_address"]
 
 MAX_PORT = 65_535
 
 
-def check_address(text: str) -> str:
-    """Return an address in numbers with its port; raise `ValueError`."""
-    host, separator, port = text.rpartition(":")
-    parts = host.split(".")
-    numbers = len(parts) == 4 and all(p.isdigit() and int(p) <= 255 for p in parts)
-    if not separator or not numbers or not port.isdigit() or int(port) > MAX_PORT:
+def check_address(text: str, least_port: int = 0) -> str:
+    """Return an address in numbers with its port; raise `ValueError`.
+
+    Port 0 lets whoever listens there have any free one.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        number = None
+    else:
+        number = int(port) if port.isascii() and port.isdigit() else None
+    if number is None or not least_port <= number <= MAX_PORT:
         raise ValueError("expected an address such as 127.0.0.1:18001")
     return text
