--- a/jackdawspur/settings/tests/test_host.py
+++ b/jackdawspur/settings/tests/test_host.py
@@ -47,6 +47,8 @@
         ({"name": ""}, "name: "),
         ({"callers": "localhost:1"}, "callers: expected an address"),
         ({"ready": "127.0.0.1:70000"}, "ready: expected an address"),
+        ({"ready": "127.0.0.010:70"}, "ready: expected an address"),
+        ({"ready": "127.0.0.1:\u0667"}, "ready: expected an address"),
         ({"link": None}, "link: "),
         ({"store": 5}, "store: "),
         ({"grace_s": "6"}, "grace_s: "),
