Pass an old list of upstreams on to a host that has none

While the store is away all lists grow older than what is passed on, so a host that starts then has none until the store is back. Hosts of a zone started again one after the other then leave the zone without a host that could lead, and its callers are refused.

Before: the zone of the test is led by nobody; after: led, both jobs done. A list older by more than 2 s than the sender's is now passed on also when the sender's is old. Hosts' own lists differ by 1.5 s at the most, so that only hosts without a list get one more.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -296,7 +296,10 @@
                 passed = ConfigurationPassed(self.routes.version, self.views.document)
                 self.mesh.send(beat.host.name, passed)
             age = self.views.age_s(now)
-            if beat.upstreams_age_s > STALE_LIST_S > age:
+            fresh = beat.upstreams_age_s > STALE_LIST_S > age
+            # A host that started after the store went away has none, and could not
+            # lead when the others are gone.
+            if fresh or beat.upstreams_age_s - age > STALE_LIST_S:
                 passed = UpstreamsPassed(age, self.views.entries)
                 self.mesh.send(beat.host.name, passed)
 
--- a/jackdawspur/front/tests/test_between_groups.py
+++ b/jackdawspur/front/tests/test_between_groups.py
@@ -113,3 +113,23 @@
         assert world.tally.two_at_once == world.tally.over_capacity == 0
         statuses = Counter(one.reply.status for one in asked)
         assert statuses[200] > 0.8 * len(asked)
+
+
+def test_a_zone_whose_hosts_start_again_while_the_store_is_away_is_served(
+    two_groups: World,
+):
+    # Callers of a zone are refused until the store is back. Its hosts were started
+    # again one after the other meanwhile. None of them got a list of upstreams, since
+    # the others' lists were older than what is passed on, and so none could lead.
+    world = two_groups
+    world.storeless.update(world.lives)
+    world.run(3.0)
+    for name in [name for name, zone in world.zones.items() if zone == "z2"]:
+        world.kill(name)
+        world.run(1.0)
+        world.start(name, "z2")
+        world.run(3.0)
+    asked = [world.submit(name, 0.1) for name in ("b1", "b2")]
+    world.run(1.0)
+    assert "z2" in world.leaders().values()
+    assert [one.reply.status for one in asked] == [200, 200]
