Use the upstreams of a group's new zones at once; keep reloading apart

What callers saw: none yet; found when reading the mend. A leading host's group may change its zones between two reads of the list, when its first list is old enough to count. It told others so and went on with the upstreams of before. The test failed before: it did not reach the other zone's upstreams.

Reading settings again is a module of its own, and comes after the next tick is set: an unforeseen error in it ended all ticks.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, replace
+from dataclasses import dataclass
 
 from circuits import Component, Event as LoopEvent, handler
 from circuits.core.pollers import EPoll
@@ -16,6 +16,7 @@
 from jackdawspur.front._mesh import Mesh
 from jackdawspur.front._pages import OperatorPages
 from jackdawspur.front._ports import CallerPort, StorePort, UpstreamPort
+from jackdawspur.front._reload import reloaded
 from jackdawspur.front._routes import NO_ROUTES, RouteTable
 from jackdawspur.front._service import CallerService, ReadyService
 from jackdawspur.front._views import StoreView
@@ -32,7 +33,7 @@
     JobPassedOn,
     UpstreamsPassed,
 )
-from jackdawspur.settings import HostSettings, SettingsError
+from jackdawspur.settings import HostSettings
 
 __all__ = ["FrontProcess", "Ports"]
 
@@ -56,8 +57,6 @@
 EXIT_GRACE_S = 0.2
 # The last of the time until SIGKILL is left for closing.
 DRAIN_MARGIN_S = 0.6
-# Settings that need no restart.
-RELOADED = ("grace_s", "log_level")
 
 log = logging.getLogger("jackdawspur.host")
 
@@ -92,13 +91,7 @@
         self._read_settings = read_settings
         self._reload_asked = False
         now = now_s()
-        self.address = HostAddress(
-            settings.name,
-            settings.zone,
-            settings.link,
-            unix_ms(),
-            settings.processor,
-        )
+        self.address = _address(settings)
         self.routes: RouteTable = NO_ROUTES
         self.gauges = Gauges()
         self._deadlines = Deadlines(now_s).register(self)
@@ -115,6 +108,7 @@
         self._heartbeats = Heartbeats(self, self.mesh)
         self._beat_due = self._pass_due = self._tick_due = now
         self._followed: str | None = None
+        self._by_zone = False
         self.late_s = 0.0
         self._drain_from: float | None = None
         self._exiting = False
@@ -165,12 +159,20 @@
 
     def upstreams_changed(self) -> None:
         """Use a new list of upstreams, of all zones or of the own one."""
-        now, before = now_s(), self.group.by_zone
+        now = now_s()
         self.group.set_size(len(self.views.entries), now)
+        if self.group.by_zone == self._by_zone:
+            self.lead.upstreams_changed(now)
+        else:
+            self._zones_changed(now)
+
+    def _zones_changed(self, now: float) -> None:
+        """Use the upstreams of the zones that the group has now."""
+        self._by_zone = self.group.by_zone
         self.lead.upstreams_changed(now)
-        if self.group.leads and self.group.by_zone != before:
+        if self.group.leads:
             # Hosts that now belong to another group choose its leading host.
-            log.info("group changed", extra={"by_zone": self.group.by_zone})
+            log.info("group changed", extra={"by_zone": self._by_zone})
             self._beat(now, to_all=True)
 
     def hosts_learned(self) -> None:
@@ -238,8 +240,6 @@
         self._ports.store.announce(self.address)
 
     def _tick(self) -> None:
-        if self._reload_asked:
-            self._reload()
         now = now_s()
         late = min(1.0, max(0.0, now - self._tick_due))
         self.late_s += LATE_SMOOTHING * (late - self.late_s)
@@ -248,6 +248,9 @@
         # First, so that an error further down costs one tick and not all to come: a
         # host without ticks tells nobody that it lives, and no signal would stop it.
         self._deadlines.call_after(tick_s, self._tick)
+        if self._reload_asked:
+            self._reload_asked = False
+            self._settings = reloaded(self._settings, self._read_settings)
         self.group.slow = self.late_s > SLOW_LATE_S
         self.mesh.set_peers(self._heartbeats.peers(now))
         self._follow_leader(now)
@@ -274,6 +277,8 @@
 
     def _follow_leader(self, now: float) -> None:
         changed = self.group.decide(self.able, unix_ms(), now)
+        if self.group.by_zone != self._by_zone:
+            self._zones_changed(now)
         if changed:
             self.lead.leadership_changed(now)
         leader = self.group.leader(now)
@@ -349,28 +354,6 @@
         """Read the settings again at the next tick; safe in a signal handler."""
         self._reload_asked = True
 
-    def _reload(self) -> None:
-        """Use what can change while the process runs; a bad file changes nothing."""
-        self._reload_asked = False
-        try:
-            settings = self._read_settings()
-        except SettingsError as error:
-            log.error("settings refused", extra={"reason": str(error)})
-            return
-        old = asdict(self._settings)
-        changed = [
-            name for name, value in asdict(settings).items() if value != old[name]
-        ]
-        waiting = [name for name in changed if name not in RELOADED]
-        self._settings = replace(
-            self._settings, grace_s=settings.grace_s, log_level=settings.log_level
-        )
-        logging.getLogger().setLevel(settings.log_level)
-        log.info(
-            "settings read again",
-            extra={"changed": changed, "in_force_after_restart": waiting},
-        )
-
     def _exit_when_drained(self, now: float) -> None:
         """Stop once no caller waits and the balancer sends nobody any more."""
         if self._drain_from is None or self._exiting:
@@ -389,3 +372,10 @@
             return
         log.info("host stopped", extra={"waiting_callers": self.callers.waiting})
         self.root.stop()
+
+
+def _address(settings: HostSettings) -> HostAddress:
+    """Return what other hosts learn of this one, and of this run of it."""
+    return HostAddress(
+        settings.name, settings.zone, settings.link, unix_ms(), settings.processor
+    )
