--- a/jackdawspur/front/tests/test_between_groups.py
+++ b/jackdawspur/front/tests/test_between_groups.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jackdawspur.front.tests.virtual import Asked, World
+from jackdawspur.runs import Offer
 
 ZONES = ("z1", "z2")
 HOSTS = (("a1", "z1"), ("b1", "z2"), ("a2", "z1"), ("b2", "z2"))
@@ -113,3 +114,43 @@
         assert world.tally.two_at_once == world.tally.over_capacity == 0
         statuses = Counter(one.reply.status for one in asked)
         assert statuses[200] > 0.8 * len(asked)
+
+
+def test_a_leading_host_uses_the_upstreams_of_the_zones_that_it_names(
+    two_groups: World,
+):
+    # Upstreams stand idle though callers wait: the zones of a group changed between two
+    # reads of the list, and its leading host held those that it had before.
+    world = two_groups
+    for name in ("a1", "a2"):
+        world.shown[name] = 1
+        world.kill(name)
+        world.start(name, "z1")
+    world.run(1.5)
+    process = world.lives[leader_of(world, "z1")].process
+    assert process.group.by_zone
+    world.run(2.0)
+    assert not process.group.by_zone
+    request = world.submit("a1", 0.1).request
+    of_other_zone = Offer(request, "b1", 1, world.now, world.now + 1.0, zone="z2")
+    assert process.lead.dispatcher.fleet.reached(of_other_zone)
+
+
+def test_a_zone_whose_hosts_start_again_while_the_store_is_away_is_served(
+    two_groups: World,
+):
+    # Callers of a zone are refused until the store is back. Its hosts were started
+    # again one after the other meanwhile. None of them got a list of upstreams, since
+    # the others' lists were older than what is passed on, and so none could lead.
+    world = two_groups
+    world.storeless.update(world.lives)
+    world.run(3.0)
+    for name in [name for name, zone in world.zones.items() if zone == "z2"]:
+        world.kill(name)
+        world.run(1.0)
+        world.start(name, "z2")
+        world.run(3.0)
+    asked = [world.submit(name, 0.1) for name in ("b1", "b2")]
+    world.run(1.0)
+    assert "z2" in world.leaders().values()
+    assert [one.reply.status for one in asked] == [200, 200]
