Let a host announce another address than the one its link listens on

Hosts told each other, through the store and with heartbeats, the address at which they listen. Nothing could stand between two of them, so that the fault soak could draw no cut between hosts. The settings take `announced`, checked like the other addresses; without it all is as before.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -95,7 +95,7 @@
         self.address = HostAddress(
             settings.name,
             settings.zone,
-            settings.link,
+            settings.announced or settings.link,
             unix_ms(),
             settings.processor,
         )
--- a/jackdawspur/settings/_host.py
+++ b/jackdawspur/settings/_host.py
@@ -23,6 +23,7 @@
 class HostSettings:
     """Say who a host is, where it listens and where the platform's store is.
 
+    `announced` is where other hosts reach the link, if not where it listens.
     `grace_s` is how long after SIGTERM the platform kills, in seconds. `processor` is
     the host's share of one, in cores: hosts with more of it lead first. Where there are
     more than `most_upstreams`, each zone has a leading host of its own.
@@ -35,13 +36,14 @@
     link: str
     metrics: str | None
     store: str
+    announced: str | None = None
     processor: Annotated[float, msgspec.Meta(gt=0, le=1024)] = 1.0
     most_upstreams: Annotated[int, msgspec.Meta(ge=1)] = 64
     grace_s: Annotated[float, msgspec.Meta(gt=0, le=600)] = 6.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
-ADDRESSES = ("callers", "ready", "link", "metrics", "store")
+ADDRESSES = ("callers", "ready", "link", "announced", "metrics", "store")
 
 
 def load_host_settings(path: str) -> HostSettings:
--- a/jackdawspur/settings/tests/test_host.py
+++ b/jackdawspur/settings/tests/test_host.py
@@ -36,6 +36,12 @@
     assert (settings.grace_s, settings.most_upstreams) == (6.0, 64)
 
 
+def test_a_host_may_be_reached_elsewhere_than_it_listens(written):
+    assert load_host_settings(written()).announced is None
+    settings = load_host_settings(written(announced="127.0.0.2:3"))
+    assert (settings.link, settings.announced) == ("127.0.0.1:3", "127.0.0.2:3")
+
+
 def test_a_host_may_have_no_metrics(written):
     assert load_host_settings(written(metrics=None)).metrics is None
 
@@ -48,6 +54,8 @@
         ({"callers": "localhost:1"}, "callers: expected an address"),
         ({"ready": "127.0.0.1:70000"}, "ready: expected an address"),
         ({"link": None}, "link: "),
+        ({"announced": "localhost:3"}, "announced: expected an address"),
+        ({"announced": 3}, "announced: "),
         ({"store": 5}, "store: "),
         ({"grace_s": "6"}, "grace_s: "),
         ({"grace_s": 0}, "grace_s: "),
