Bring two further kinds of two runs about in virtual time, red

Neither needs a host that starts.

First kind: zones become one group because upstreams lapse from the list, and run on. Of the new group's leading host `Fleet.set_zone` has emptied the list, so that what left it in that moment doesn't count as vanished; what left in the other zone it never had, while that zone's leading host, whose list is up to 1.5 s older, still starts tasks there.

Second kind: a job stays with another group after a split, its host is cut off from that, and hands it over to its own zone after 0.4 s, when the other one drops it.

--- a/jackdawspur/front/tests/test_between_groups.py
+++ b/jackdawspur/front/tests/test_between_groups.py
@@ -2,10 +2,12 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
-from jackdawspur.front.tests.virtual import Asked, World
+from jackdawspur.front.tests import virtual
+from jackdawspur.front.tests.virtual import Asked, Life, World
 
 ZONES = ("z1", "z2")
 HOSTS = (("a1", "z1"), ("b1", "z2"), ("a2", "z1"), ("b2", "z2"))
@@ -113,3 +115,76 @@
         assert world.tally.two_at_once == world.tally.over_capacity == 0
         statuses = Counter(one.reply.status for one in asked)
         assert statuses[200] > 0.8 * len(asked)
+
+
+class LateWorld(World):
+    """Deliver what is sent over a cut link when the cut ends, as TCP does."""
+
+    def __init__(self, monkeypatch, most_upstreams: int) -> None:
+        self.late_until: dict[frozenset[str], float] = {}
+        super().__init__(monkeypatch, most_upstreams)
+
+    def carry(self, sender: Life, name: str, data: bytes) -> None:
+        until = self.late_until.get(frozenset((sender.name, name)), self.now)
+        if until > self.now:
+            self.after(until - self.now, lambda: self.carry(sender, name, data))
+        else:
+            super().carry(sender, name, data)
+
+
+def test_groups_join_while_upstreams_that_left_still_run_tasks(monkeypatch):
+    # One order is carried out twice at one time. So many entries lapse that two zones
+    # become one group, and the upstreams without an entry run on. The leading host of
+    # all zones starts what is handed over to it at once, since those that it knows
+    # answer. It forgot what its own zone had, or never held what the other's leading
+    # host, whose list is older, still starts tasks on.
+    of_own_zone, of_other_zone = (
+        ((3, 3), 4, (0, 1, 3), 0.0),
+        ((2, 4), 5, (0, 1, 2), 0.75),
+    )
+    twice = Counter()
+    for counts, most, left, late_s in (of_own_zone, of_other_zone):
+        for step in range(4):
+            world = World(monkeypatch, most_upstreams=most)
+            for zone, count in zip(ZONES, counts, strict=True):
+                world.add_upstreams(zone, count)
+            start_all(world, apart_s=0.07 * step)
+            assert len(world.leaders()) == len(ZONES)
+            ask_all_hosts(world, 2.0)
+            world.storeless = {name for name, zone in HOSTS if zone == "z2" and late_s}
+            world.listed = tuple(world.listed[number] for number in left)
+            ask_all_hosts(world, late_s)
+            world.storeless.clear()
+            ask_all_hosts(world, 4.0)
+            world.run(2.0)
+            assert len(world.leaders()) == 1
+            twice[left] += world.tally.two_at_once
+    assert not +twice
+
+
+def test_an_offer_that_comes_late_is_not_taken_for_a_new_job(monkeypatch):
+    # One order is carried out twice at one time. A group splits, and a job stays with
+    # the other zone's leading host. Its host is cut off from that one, which drops the
+    # job, and hands it over to its own zone. At the end of the cut offers sent during
+    # it arrive, and the other zone's leading host takes them for a new job.
+    monkeypatch.setattr(virtual, "ROUTE", replace(virtual.ROUTE, timeout_ms=5000.0))
+    twice = Counter()
+    for late_s in (1.3, 1.4, 1.5):
+        world = LateWorld(monkeypatch, most_upstreams=4)
+        for zone in ZONES:
+            world.add_upstreams(zone, 2)
+        start_all(world)
+        ((leader, zone),) = world.leaders().items()
+        others = [name for name, where in HOSTS if where != zone]
+        for name in others:
+            world.submit(name, 1.5)
+        world.run(0.1)
+        for one in ZONES:
+            world.add_upstreams(one, 1)
+        world.run(0.6)
+        assert len(world.leaders()) == len(ZONES)
+        for name in others:
+            world.late_until[frozenset((leader, name))] = world.now + late_s
+        world.run(5.0)
+        twice[late_s] += world.tally.two_at_once
+    assert not +twice
