Let the platform's stand-in take workers off the list, and name tasks that ran twice

The fault soak could not make the number of workers cross the limit above which each zone has a group of its own, nor show a short list. `unlisted` of the stand-in's faults drops entries, and writes them again when it ends. Both are tested with the soak.

--- a/jackdawspur/soak/_checks.py
+++ b/jackdawspur/soak/_checks.py
@@ -51,7 +51,7 @@
     """Compare what callers got with what workers ran."""
     findings = Findings()
     if report.two_at_once:
-        findings.wrong.append(f"two_at_once: {report.two_at_once}")
+        findings.wrong.append(f"two_at_once: {report.two_at_once}, {report.twice}")
     if report.over_capacity:
         findings.wrong.append(f"over_capacity: {report.over_capacity}")
     started, done = set(report.started), set(report.done)
--- a/jackdawspur/standins/_fenced_worker.py
+++ b/jackdawspur/standins/_fenced_worker.py
@@ -34,7 +34,8 @@
 class WorkerTally:
     """Count, over all workers, what must never happen, and runs whose lease ended.
 
-    `running` has every task that was ever started, `done` those that ended so.
+    `running` has every task that was ever started, `done` those that ended so, `twice`
+    those that had two runs at one time.
     """
 
     starts: int = 0
@@ -43,6 +44,7 @@
     lapsed: int = 0
     running: dict[str, int] = field(default_factory=dict)
     done: set[str] = field(default_factory=set)
+    twice: list[str] = field(default_factory=list)
 
 
 class FencedWorker:
@@ -97,7 +99,9 @@
         self._tasks[task, run] = FencedTask(task, run, cpu, now, ends, asked.fails)
         tally = self._tally
         tally.starts += 1
-        tally.two_at_once += tally.running.get(task, 0) > 0
+        if tally.running.get(task, 0) > 0:
+            tally.two_at_once += 1
+            tally.twice.append(f"{task} run {run} on {self.name}")
         tally.running[task] = tally.running.get(task, 0) + 1
         tally.over_capacity += sum(t.cpu for t in self._tasks.values()) > self.cpu
 
--- a/jackdawspur/standins/_platform_service.py
+++ b/jackdawspur/standins/_platform_service.py
@@ -64,10 +64,14 @@
 
 
 class _Faults(msgspec.Struct):
-    """Set what goes wrong: the store is away, workers (by number) are silent."""
+    """Set what goes wrong: the store is away, workers are silent or off the list.
+
+    Workers stand by number.
+    """
 
     store_down: bool = False
     silent: list[int] = []
+    unlisted: list[int] = []
     forget: bool = False
 
 
@@ -75,6 +79,7 @@
     """Tell what all workers counted, and the names of tasks that began and were done.
 
     `lapsed` counts runs that ended with their lease; the other two must stay zero.
+    `twice` names the tasks with two runs at one time.
     """
 
     starts: int = 0
@@ -83,6 +88,7 @@
     lapsed: int = 0
     started: list[str] = []
     done: list[str] = []
+    twice: list[str] = []
 
 
 @dataclass(eq=False)
@@ -173,6 +179,7 @@
         self._waiting: list[tuple[_Waiting, str, int]] = []
         document = msgspec.json.encode(settings.configuration)
         self._store.append(OPERATOR, "config", document)
+        self._entries: list[bytes] = []
         self.workers = [self._worker(n, settings) for n in range(len(settings.workers))]
         self._tick()
 
@@ -185,7 +192,8 @@
             "capacity": {"cpu": settings.cpu, "mem_mb": 131_072, "gpus": 0},
             "labels": [],
         }
-        self._store.append(SERVERS, name, msgspec.json.encode(entry))
+        self._entries.append(msgspec.json.encode(entry))
+        self._store.append(SERVERS, name, self._entries[number])
         clock = lambda: self._deadlines.now  # noqa: E731
         return FencedWorker(name, settings.cpu, self._tally, clock)
 
@@ -203,6 +211,7 @@
                     tally.lapsed,
                     sorted(tally.running),
                     sorted(tally.done),
+                    tally.twice,
                 )
             )
         elif self._faults.store_down:
@@ -217,9 +226,14 @@
             not_found(exchange)
 
     def _set_faults(self, exchange: Exchange) -> None:
+        before = self._faults.unlisted
         self._faults = msgspec.json.decode(exchange.body, type=_Faults)
         for number, worker in enumerate(self.workers):
             worker.silent = number in self._faults.silent
+            unlisted = number in self._faults.unlisted
+            if unlisted != (number in before):
+                entry = b"" if unlisted else self._entries[number]
+                self._store.append(SERVERS, worker.name, entry)
         if self._faults.forget:
             for topic in (OPERATOR, SERVERS):
                 self._store.forget(topic)
