--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -378,6 +378,7 @@
 
 def _address(settings: HostSettings) -> HostAddress:
     """Return what other hosts learn of this one, and of this run of it."""
+    link = settings.announced or settings.link
     return HostAddress(
-        settings.name, settings.zone, settings.link, unix_ms(), settings.processor
+        settings.name, settings.zone, link, unix_ms(), settings.processor
     )
--- a/jackdawspur/front/tests/virtual_parts.py
+++ b/jackdawspur/front/tests/virtual_parts.py
@@ -119,8 +119,9 @@
 
     def read_call(self, call: Call, routes: RouteTable) -> CallerQuestion:
         asked = self._world.asked[call.path]
+        request = asked.request
         return CallerQuestion(
-            QuestionKind.SUBMIT, ROUTE, asked.request.id, asked.request, None
+            QuestionKind.SUBMIT, request.route, request.id, request, None
         )
 
     def read_configuration(self, document: bytes) -> RouteTable:
