Take no offer that was held up until its host gave the leading host up

A job's host was cut off from the leading host that had it, and handed it over after 0.4 s; the leading host dropped it. Offers sent during the cut arrived at its end. They named a term that still went on and were taken for a new job, which started at once.

An offer now names the last heartbeat of its receiver that its sender had got. Hosts give a leading host up 0.4 s after that, so an offer that names an older one than 0.5 s (1.5 s for the first to another group, whose hosts hear it once a second) is dropped and said in the log; a host that still follows offers again within 0.4 s. No clocks are compared. Ruled out: the sender's own time of sending, since clocks of hosts differ.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -40,6 +40,11 @@
 __all__ = ["LeadDriver"]
 
 MS_PER_S = 1000.0
+# A host gives a leading host up 0.4 s after its last heartbeat, which may have taken a
+# moment, as may the offer. Hosts of other groups hear it once a second until it has a
+# job of theirs.
+HEARD_S = 0.5
+FIRST_FAR_S = 1.5
 
 log = logging.getLogger("jackdawspur.decisions")
 
@@ -132,6 +137,9 @@
         present = message.fence == self._owner.group.fence
         if not self._dispatcher.leads or not present:
             return
+        if _is_late(message, now):
+            log.info("late offer dropped", extra={"job": message.job.id})
+            return
         arrived = now - message.age_ms / MS_PER_S
         deadline = now + message.left_ms / MS_PER_S
         self.take(
@@ -286,3 +294,18 @@
             note.decision.value,
             extra={"job": note.job, "upstream": note.upstream, "inputs": inputs},
         )
+
+
+def _is_late(message: JobOffered, now: float) -> bool:
+    """Tell whether an offer was held up on its way until its host gave this one up.
+
+    A cut or a connection that broke delivers what was sent meanwhile at its end. The
+    job's host, which hears no heartbeat for 0.4 s, has handed the job to another or
+    answered its caller by then. Taken as new, the job would run twice at one time. An
+    offer names the last heartbeat that its host had got, so clocks need not agree.
+    """
+    if message.heard_at is None:
+        return False
+    first_of_far = message.far and not message.again
+    most_s = FIRST_FAR_S if first_of_far else HEARD_S
+    return now - message.heard_at > most_s
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -282,9 +282,10 @@
         self.offer_waiting(now)
 
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
+        again = job.sent_to == term
+        job.sent_to = term
         job.offered_at = now
         job.attempt += 1
-        done = tuple(job.done)
         own = self._owner.address.name
         if term.leader == own:
             self._owner.lead.take(
@@ -295,7 +296,7 @@
                     job.arrived,
                     job.deadline,
                     job.handed,
-                    done,
+                    tuple(job.done),
                     attempt=job.attempt,
                     zone=self._owner.address.zone,
                     all_zones=job.before,
@@ -303,8 +304,11 @@
                 now,
             )
             return
-        message = JobOffered(
-            sender=own,
+        self._owner.send(term.leader, self._message(job, term, again, now))
+
+    def _message(self, job: OwnJob, term: Term, again: bool, now: float) -> JobOffered:
+        return JobOffered(
+            sender=self._owner.address.name,
             fence=term.fence,
             sent_at=now,
             job=job.request,
@@ -312,13 +316,14 @@
             age_ms=(now - job.arrived) * MS_PER_S,
             left_ms=(job.deadline - now) * MS_PER_S,
             handed=job.handed,
-            done=done,
+            done=tuple(job.done),
             far=job.far is not None,
             attempt=job.attempt,
             zone=self._owner.address.zone,
             all_zones=job.before,
+            heard_at=self._owner.group.said_at(term.leader),
+            again=again,
         )
-        self._owner.send(term.leader, message)
 
     def _cancel(self, job_id: str) -> bool:
         job = self._jobs.by_job(job_id)
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from jackdawspur.front._gauges import Gauges
@@ -121,3 +122,27 @@
     owner.views.entries = tuple(entries)
     driver.upstreams_changed(6.0)
     assert [held.entry.id.name for held in driver.dispatcher.fleet.held] == ["u1"]
+
+
+@pytest.mark.parametrize(
+    ("heard_s", "far", "again", "taken"),
+    [
+        (0.3, False, False, 1),
+        (0.6, False, False, 0),
+        (0.6, True, True, 0),
+        (1.2, True, False, 1),
+        (1.6, True, False, 0),
+        (None, False, False, 1),
+    ],
+)
+def test_an_offer_that_was_held_up_on_its_way_is_not_taken(
+    owner: Owner, driver: LeadDriver, heard_s, far, again, taken
+):
+    # A task runs twice at one time: an offer was held up by a cut until its host, which
+    # heard no heartbeat any more, had handed the job to another group.
+    heard_at = None if heard_s is None else 6.0 - heard_s
+    held_up = msgspec.structs.replace(
+        offer(owner.group.fence), heard_at=heard_at, far=far, again=again
+    )
+    driver.offered(held_up, 6.0)
+    assert len(driver.dispatcher.open_jobs) == taken
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -233,6 +233,11 @@
         """Return for how long a host was not heard."""
         return now - self._heard.get(name, now - SILENCE_S)
 
+    def said_at(self, name: str) -> float | None:
+        """Return when another host sent its last heartbeat, on its own clock."""
+        beat = self._beats.get(name)
+        return beat.sent_at if beat is not None else None
+
     def lists_read_at(self, now: float) -> float:
         """Return when the last of the other hosts read the list of upstreams."""
         read_at = (
