Drop jobs of other groups that their hosts offer no more; pass on what would be refused

A job waits 20 ms before it goes to another group, and a tick in that time refused it as beyond use. Such a job is now passed on at once where another group has room for it. The new test fails without it.

Hosts repeat such offers every 0.12 s, and without one for 0.5 s the job is dropped. Hosts of other groups also hear which of their tasks are done.

Queries of the open jobs are a module of their own.

--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -123,7 +123,7 @@
         """Let another host lead, and offer it all jobs that are not answered."""
         done = {
             job_id: tuple(done)
-            for jobs in self.dispatcher.done_since().values()
+            for jobs in self.dispatcher.open_jobs.done_by_host().values()
             for job_id, done in jobs.items()
         }
         self.dispatcher = self._new_leader()
--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -15,6 +15,7 @@
     Group,
     HostAddress,
     HostBeat,
+    JobProgress,
 )
 
 __all__ = ["Heartbeats"]
@@ -81,7 +82,7 @@
             self._mesh.send(peer.name, beat)
             self.redial_if_silent(peer.name, silent_s, now)
         if group.leads:
-            self._send_outside(common, now, to_all)
+            self._send_outside(common, done, now, to_all)
 
     def _is_due(self, name: str, leader: str | None, now: float) -> bool:
         """Tell whether a host of the group gets this heartbeat.
@@ -109,7 +110,13 @@
             self._redialled[name] = now
             self._mesh.redial(name)
 
-    def _send_outside(self, common: HostBeat, now: float, to_all: bool) -> None:
+    def _send_outside(
+        self,
+        common: HostBeat,
+        done: dict[str, tuple[JobProgress, ...]],
+        now: float,
+        to_all: bool,
+    ) -> None:
         """Tell other groups who leads here, and their leading hosts what room there is.
 
         A host of which this one has a job hears it at the full rate, so that it notices
@@ -125,7 +132,10 @@
             if due or self._sent % OUTSIDERS_EVERY == 0:
                 silent_s = group.silent_s(peer.name, now)
                 offered = room.get(peer.name, ())
-                beat = replace(common, silent_s=silent_s, room=offered)
+                progress = done.get(peer.name, ())
+                beat = replace(
+                    common, silent_s=silent_s, room=offered, progress=progress
+                )
                 self._mesh.send(peer.name, beat)
 
     def _common(self, now: float) -> HostBeat:
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -202,7 +202,7 @@
 
     def hosts(self) -> set[str]:
         """Return the hosts whose jobs are here."""
-        return self._dispatcher.hosts()
+        return self._dispatcher.open_jobs.hosts()
 
     def fenced_for(self, now: float) -> float:
         """Return for how long an upstream has obeyed a higher fence."""
@@ -215,7 +215,7 @@
             return {}
         news: dict[str, tuple[JobProgress, ...]] = {}
         told: dict[str, tuple[str, ...]] = {}
-        for host, jobs in self._dispatcher.done_since().items():
+        for host, jobs in self._dispatcher.open_jobs.done_by_host().items():
             told.update(jobs)
             fresh = [j for j, done in jobs.items() if self._told.get(j) != done]
             news[host] = tuple(JobProgress(job, jobs[job]) for job in fresh)
@@ -227,9 +227,11 @@
         if not self._dispatcher.leads:
             return
         group = self._owner.group
-        for host in self._dispatcher.hosts():
+        for host in self._dispatcher.open_jobs.hosts():
             if not group.alive(host, now):
                 self._dispatcher.drop_host(host, DropCause.SILENT, now)
+        outsiders = set(filter(group.is_outside, self._dispatcher.open_jobs.hosts()))
+        self._dispatcher.drop_unrepeated(outsiders, now)
         self._dispatcher.lists_read(group.lists_read_at(now))
         self._dispatcher.tick(now)
 
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -21,8 +21,8 @@
     last one.
     `far` is the term of another group that has the job since `far_since`: one that it
     was passed on to, or that this host belonged to when it offered the job.
-    `all_zones` tells that some term that had the job covered all zones, `before` that
-    one before the present one did.
+    `all_zones` tells that some term that had the job covered all zones, and
+    `earlier_all_zones` that one before the present one did.
     """
 
     call: int
@@ -38,7 +38,7 @@
     far: Term | None = None
     far_since: float = 0.0
     all_zones: bool = False
-    before: bool = False
+    earlier_all_zones: bool = False
 
     @property
     def passed_on(self) -> bool:
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -193,7 +193,7 @@
 
     def waiting_jobs(self, route: str) -> int:
         """Return the number of a route's jobs that wait, as far as known here."""
-        return self.lead.dispatcher.waiting_jobs(route)
+        return self.lead.dispatcher.open_jobs.not_begun(route)
 
     def set_routes(self, routes: RouteTable) -> None:
         """Serve these routes from now on; older versions are ignored."""
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -241,7 +241,7 @@
 
     def _hand_over(self, job: OwnJob, term: Term) -> None:
         job.handed += 1
-        job.before = job.all_zones
+        job.earlier_all_zones = job.all_zones
         log.info(
             "job handed over",
             extra={
@@ -299,7 +299,7 @@
                     tuple(job.done),
                     attempt=job.attempt,
                     zone=self._owner.address.zone,
-                    all_zones=job.before,
+                    all_zones=job.earlier_all_zones,
                 ),
                 now,
             )
@@ -320,7 +320,7 @@
             far=job.far is not None,
             attempt=job.attempt,
             zone=self._owner.address.zone,
-            all_zones=job.before,
+            all_zones=job.earlier_all_zones,
             heard_at=self._owner.group.said_at(term.leader),
             again=again,
         )
--- a/jackdawspur/front/_status.py
+++ b/jackdawspur/front/_status.py
@@ -175,7 +175,7 @@
 
 
 def _queues(lead: LeadDriver) -> tuple[QueueStatus, ...]:
-    jobs = lead.dispatcher.open_jobs
+    jobs = lead.dispatcher.open_jobs.values()
     opened = Counter(job.request.route.name for job in jobs)
     waiting = Counter(job.request.route.name for job in jobs if not job.started)
     return tuple(
--- a/jackdawspur/front/tests/test_zones_that_differ.py
+++ b/jackdawspur/front/tests/test_zones_that_differ.py
@@ -226,3 +226,27 @@
     asked = ask(world, 5.0, hosts=[other])
     world.run(2.0)
     assert statuses(asked)[200] > 0.8 * len(asked)
+
+
+def test_own_upstreams_that_lapse_as_groups_join_count_as_vanished(monkeypatch):
+    # One order is carried out twice at one time. Entries of z1 lapse in the store but
+    # their upstreams are up, the list is so short that the groups join, and the leading
+    # host of z1 drains. The next one starts the tasks of the runs that go on there at
+    # once: it forgot its list when its zones changed, so that nothing vanished from it.
+    world = two_zones(monkeypatch, 6, 6, 3)
+    world.kill(leader_of(world, "z1"))
+    world.run(3.0)
+    leader = leader_of(world, "z1")
+    world.start("a3", "z1")
+    world.run(4.0)
+    (other,) = set(alive(world, "z1")) - {leader}
+    for _ in range(12):
+        world.submit(other, 0.5)
+    world.run(0.1)
+    world.listed = world.listed[5:]
+    for name in (leader, *alive(world)):
+        world.lives[name].process.views.upstreams_read(world.listed)
+        world.run(0.01)
+    drain(world, leader)
+    world.run(2.5)
+    assert world.tally.two_at_once == 0
--- a/jackdawspur/fuzz/tests/test_runs.py
+++ b/jackdawspur/fuzz/tests/test_runs.py
@@ -208,10 +208,10 @@
     def lead_begins_anew(self):
         done = {
             job: tuple(names)
-            for jobs in self.dispatcher.done_since().values()
+            for jobs in self.dispatcher.open_jobs.done_by_host().values()
             for job, names in jobs.items()
         }
-        jobs = [job.offer for job in self.dispatcher.open_jobs]
+        jobs = [job.offer for job in self.dispatcher.open_jobs.values()]
         self.fence += FENCE_STEP
         self._lead()
         for offer in jobs:
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -180,6 +180,11 @@
             return True
         return not (self._extent.by_zone or beat.by_zone)
 
+    def is_outside(self, name: str) -> bool:
+        """Tell whether a host says that it belongs to another group."""
+        beat = self._beats.get(name)
+        return beat is not None and not self.includes(beat)
+
     def _takes_in(self, beat: HostBeat) -> bool:
         """Tell whether the group that a host leads is this host's too."""
         return beat.host.zone == self._own.zone or not beat.by_zone
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -1,6 +1,6 @@
 """Decide, on the leading host, which task starts where and when."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 from jackdawspur.leases import (
     CallOutcome,
@@ -27,9 +27,10 @@
 from jackdawspur.runs._elsewhere import Elsewhere, Place, may_go
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
-from jackdawspur.runs._job import Job, Task, TaskState, done_by_host
+from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._looks import Looks
 from jackdawspur.runs._notes import Notes
+from jackdawspur.runs._open_jobs import OpenJobs
 from jackdawspur.runs._order import Standing, standing
 from jackdawspur.runs._placer import Placer
 from jackdawspur.runs._progress import Verdict
@@ -65,7 +66,7 @@
         self._starts = Starts(self._fleet, self._replies)
         self._looks = Looks(self._fleet, self._replies)
         self._review_of = Review(self._fleet, self._estimates, self._notes)
-        self._jobs: dict[str, Job] = {}
+        self._jobs = OpenJobs()
         self._found_done = Remembered(FOUND_KEPT_S)
         # Kept over changes of the lead: what began is never refused as not run.
         self._begun = Remembered(BEGUN_KEPT_S)
@@ -87,18 +88,9 @@
         return self._estimates
 
     @property
-    def open_jobs(self) -> Collection[Job]:
+    def open_jobs(self) -> OpenJobs:
         """Return the jobs not yet ended."""
-        return self._jobs.values()
-
-    def hosts(self) -> set[str]:
-        """Return the hosts whose callers wait for a job."""
-        return {job.offer.host for job in self._jobs.values()}
-
-    def waiting_jobs(self, route: str) -> int:
-        """Return the number of a route's jobs of which nothing started."""
-        jobs = self._jobs.values()
-        return sum(j.request.route.name == route and not j.started for j in jobs)
+        return self._jobs
 
     def spare_room(self, now: float) -> dict[str, list[int]]:
         """Return what each upstream has left, by service, while no job waits."""
@@ -136,6 +128,9 @@
     ) -> None:
         """Take in the group's upstreams, all listed, and whether it is one zone."""
         kept = tuple(entries)
+        if by_zone != self._fleet.listing.by_zone:
+            # Hosts that left the group are about to say which jobs stay here.
+            self._jobs.all_repeated(now)
         self._fleet.listing.set_zone(self._zone if by_zone else None, now)
         self._fleet.set_entries(kept, kept if listed is None else tuple(listed), now)
         self._estimates.set_upstreams(entry.id for entry in kept)
@@ -153,10 +148,7 @@
         """
         known = self._jobs.get(offer.request.id)
         if known is not None:
-            if offer.handed != known.offer.handed:
-                # Another leading host had it meanwhile.
-                known.offered_at = now
-            known.offer = offer
+            known.offer_again(offer, now)
             return
         answer = self._answers.find(offer)
         if answer is not None:
@@ -185,11 +177,18 @@
 
     def drop_host(self, host: str, cause: DropCause, now: float) -> None:
         """Stop the jobs of a host that is gone or has handed them to another."""
-        for job in [j for j in self._jobs.values() if j.offer.host == host]:
-            self._notes.add(
-                Decision.JOB_DROPPED, job.id, "", host=host, cause=cause.value
-            )
-            self._end(job, now)
+        for job in self._jobs.of_host(host):
+            self._drop(job, cause, now)
+
+    def drop_unrepeated(self, outsiders: set[str], now: float) -> None:
+        """Stop jobs of hosts of other groups that offer them no more."""
+        for job in self._jobs.unrepeated(outsiders, now):
+            self._drop(job, DropCause.NOT_REPEATED, now)
+
+    def _drop(self, job: Job, cause: DropCause, now: float) -> None:
+        host = job.offer.host
+        self._notes.add(Decision.JOB_DROPPED, job.id, "", host=host, cause=cause.value)
+        self._end(job, now)
 
     def start_replied(self, order: StartRun, outcome: CallOutcome, now: float) -> None:
         """Take in what became of a start."""
@@ -205,10 +204,6 @@
         """Take in the reply to a look, or why there is none."""
         self._looks.replied(order, result, now)
 
-    def done_since(self) -> dict[str, dict[str, tuple[str, ...]]]:
-        """Return the tasks done of each open job, by host and job."""
-        return done_by_host(self._jobs.values())
-
     def flush(self, now: float) -> list[Effect]:
         """Give room to waiting tasks and return all that is to be done."""
         self._now = now
@@ -236,9 +231,9 @@
         for job in list(self._jobs.values()):
             self._give_up_if_late(job, now)
         self._refuse_beyond_use(now)
-        for job in [job for job in self._jobs.values() if job.reported]:
-            job.reported = False
-            self._review(job, now)
+        for job in self._jobs.take_reported():
+            if self._review_of.job(job, now) is Verdict.GIVE_UP:
+                self._give_up(job, Decision.JOB_HOPELESS, now)
         self._placer.due = True
         self._pass_on(now)
         self._found_done.forget_old(now)
@@ -252,15 +247,20 @@
             return
         waiting = [job for job in self._jobs.values() if may_go(job, now)]
         for job in self._placer.ordered(waiting, now):
-            place = self._elsewhere.take(job, now)
-            if place is None:
-                continue
-            offer = job.offer
-            self._notes.passed_on(job, place.leader, now)
-            self._effects.append(
-                PassJobOn(offer.host, offer.call, offer.attempt, job.id, place)
-            )
-            del self._jobs[job.id]
+            self._send_elsewhere(job, now)
+
+    def _send_elsewhere(self, job: Job, now: float) -> bool:
+        """Pass a job on to a group that has room for it; tell whether there is one."""
+        place = self._elsewhere.take(job, now)
+        if place is None:
+            return False
+        offer = job.offer
+        self._notes.passed_on(job, place.leader, now)
+        self._effects.append(
+            PassJobOn(offer.host, offer.call, offer.attempt, job.id, place)
+        )
+        del self._jobs[job.id]
+        return True
 
     # What the fleet tells of runs.
 
@@ -321,8 +321,7 @@
         """Fail the job of a task that no upstream takes."""
         job = self.job_of(task_name)
         if job is not None:
-            outcome = JobOutcome(JobEnd.FAILED, not_run=False, reason="task refused")
-            self._answer(job, outcome)
+            self._answer(job, JobOutcome(JobEnd.FAILED, False, reason="task refused"))
             self._end(job, now)
 
     def _run_again(self, job: Job, task: Task, ending: Ending, now: float) -> None:
@@ -379,20 +378,21 @@
         self._answer(job, outcome)
         self._end(job, now)
 
-    def _review(self, job: Job, now: float) -> None:
-        """Start slow runs again elsewhere, and give up a job that can't end in time."""
-        if self._review_of.job(job, now) is Verdict.GIVE_UP:
-            self._give_up(job, Decision.JOB_HOPELESS, now)
-
     def _refuse_beyond_use(self, now: float) -> None:
-        """Refuse what the work ahead of it makes too late, rather than in the end."""
+        """Refuse what the work ahead of it makes too late, or pass it on at once."""
         jobs, cpu_millis = self._jobs.values(), self._fleet.cpu_millis
         for beyond in self._admission.review(jobs, cpu_millis, now):
-            self._refuse(beyond.job, now, beyond.ahead_s)
+            goes = may_go(beyond.job, now, patience_s=0.0)
+            if not (goes and self._send_elsewhere(beyond.job, now)):
+                self._refuse(beyond.job, now, beyond.ahead_s)
 
     def _refuse(self, job: Job, now: float, ahead_s: float = 0.0) -> None:
         self._notes.refused(job, len(self._jobs), ahead_s, now)
         reason = "it could not end within the caller's time"
-        retry_s = retry_after_s(self._jobs.values(), self._fleet.cpu_millis)
-        self._answer(job, JobOutcome(JobEnd.REFUSED, True, retry_s, reason))
+        self._answer(
+            job, JobOutcome(JobEnd.REFUSED, True, self._retry_after_s(), reason)
+        )
         self._end(job, now)
+
+    def _retry_after_s(self) -> float:
+        return retry_after_s(self._jobs.values(), self._fleet.cpu_millis)
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -116,10 +116,11 @@
 
 
 class DropCause(Enum):
-    """Say for the log why all jobs of a host are dropped."""
+    """Say for the log why a host's jobs are dropped."""
 
     SILENT = "its host is silent"
     HANDED_ON = "its host follows a later lead"
+    NOT_REPEATED = "its host, of another group, offers it no more"
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -65,7 +65,7 @@
         return None
 
 
-def may_go(job: Job, now: float) -> bool:
+def may_go(job: Job, now: float, patience_s: float = PATIENCE_S) -> bool:
     """Tell whether a job may go to another group.
 
     What was started, or may have been by an earlier leading host, stays. So does what
@@ -74,7 +74,7 @@
     offer = job.offer
     bound = any(step.label or step.near for step in job.request.steps)
     came = offer.far or offer.handed or job.started
-    return not (bound or came) and now - job.offered_at >= PATIENCE_S
+    return not (bound or came) and now - job.offered_at >= patience_s
 
 
 def deal(rows: Iterable[int], leaders: Sequence[str]) -> dict[str, tuple[int, ...]]:
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -1,6 +1,6 @@
 """A job and its tasks as the leading host keeps them."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -13,7 +13,6 @@
     "Job",
     "Task",
     "TaskState",
-    "done_by_host",
     "task_name",
 ]
 
@@ -78,7 +77,7 @@
         self, offer: Offer, expected_ms: tuple[float, ...], now: float
     ) -> None:
         self.offer = offer
-        self.offered_at = now
+        self.offered_at = self.repeated_at = now
         self.request = offer.request
         self.first_expected_ms = expected_ms
         self.expected_ms = list(expected_ms)
@@ -116,6 +115,13 @@
         """Tell whether a task waits, be it for other steps."""
         return bool(self._waiting)
 
+    def offer_again(self, offer: Offer, now: float) -> None:
+        """Take in that its host offers the job again."""
+        if offer.handed != self.offer.handed:
+            # Another leading host had it meanwhile.
+            self.offered_at = now
+        self.offer, self.repeated_at = offer, now
+
     def waiting(self) -> list[Task]:
         """Return the tasks whose turn has come."""
         return [task for task in self._waiting if self._may_start(task)]
@@ -184,16 +190,6 @@
         return not any(self._open_in_step[number] for number in task.spec.after)
 
 
-def done_by_host(jobs: Iterable[Job]) -> dict[str, dict[str, tuple[str, ...]]]:
-    """Return the tasks done of each job that has some, by host and job."""
-    told: dict[str, dict[str, tuple[str, ...]]] = {}
-    for job in jobs:
-        done = tuple(task.name for task in job.tasks if task.is_done)
-        if done:
-            told.setdefault(job.offer.host, {})[job.id] = done
-    return told
-
-
 def run_time_spec(step: JobStep) -> TaskSpec:
     """Return what the learned run times know a step's tasks by."""
     return TaskSpec(run_ms=step.estimate_ms)
--- a/jackdawspur/runs/_listing.py
+++ b/jackdawspur/runs/_listing.py
@@ -35,6 +35,11 @@
         self._home: str | None = None
         self._joined_at = ALWAYS
 
+    @property
+    def by_zone(self) -> bool:
+        """Tell whether the group is one zone alone."""
+        return self._zone is not None
+
     def set_zone(self, zone: str | None, now: float) -> None:
         """Take in the zone that the group has, None for all."""
         if zone != self._zone:
--- /dev/null
+++ b/jackdawspur/runs/_open_jobs.py
@@ -0,0 +1,60 @@
+"""The jobs that a leading host has and that are not ended."""
+
+from jackdawspur.runs._job import Job
+
+__all__ = ["OpenJobs"]
+
+# Hosts repeat the offers of jobs that another group has every 0.12 s.
+UNREPEATED_S = 0.5
+
+
+class OpenJobs(dict[str, Job]):
+    """Keep jobs by id."""
+
+    def hosts(self) -> set[str]:
+        """Return the hosts whose callers wait for a job."""
+        return {job.offer.host for job in self.values()}
+
+    def of_host(self, host: str) -> list[Job]:
+        """Return the jobs of a host's callers."""
+        return [job for job in self.values() if job.offer.host == host]
+
+    def not_begun(self, route: str) -> int:
+        """Return the number of a route's jobs of which nothing started."""
+        jobs = self.values()
+        return sum(job.request.route.name == route and not job.started for job in jobs)
+
+    def take_reported(self) -> list[Job]:
+        """Return the jobs of which a run told its progress, once each time."""
+        reported = [job for job in self.values() if job.reported]
+        for job in reported:
+            job.reported = False
+        return reported
+
+    def all_repeated(self, now: float) -> None:
+        """Count all offers as repeated just now."""
+        for job in self.values():
+            job.repeated_at = now
+
+    def unrepeated(self, outsiders: set[str], now: float) -> list[Job]:
+        """Return the jobs of other groups' hosts whose offers are repeated no more.
+
+        That such a host is heard says nothing of a job: it may have handed the job to
+        its own leading host, or have no caller for it, and the message was lost. What
+        ran on here would run twice at one time.
+        """
+        return [
+            job
+            for job in self.values()
+            if (job.offer.far or job.offer.host in outsiders)
+            and now - job.repeated_at > UNREPEATED_S
+        ]
+
+    def done_by_host(self) -> dict[str, dict[str, tuple[str, ...]]]:
+        """Return the tasks done of each job that has some, by host and job."""
+        told: dict[str, dict[str, tuple[str, ...]]] = {}
+        for job in self.values():
+            done = tuple(task.name for task in job.tasks if task.is_done)
+            if done:
+                told.setdefault(job.offer.host, {})[job.id] = done
+        return told
--- a/jackdawspur/runs/tests/test_elsewhere.py
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -28,7 +28,7 @@
     (order,) = passed_on(leading)
     assert (order.job, order.host, order.call, order.place) == ("bb", "h2", 7, PLACE)
     assert order.attempt == 2
-    assert {job.id for job in leading.dispatcher.open_jobs} == {"aa", "cc"}
+    assert {job.id for job in leading.dispatcher.open_jobs.values()} == {"aa", "cc"}
 
 
 def test_a_job_stays_while_there_is_room_or_what_is_offered_is_old(leading: Leading):
@@ -65,3 +65,38 @@
     dealt = deal([5, 1, 4, 2, 3], ["a", "b"])
     assert dealt == {"a": (5, 3, 1), "b": (4, 2)}
     assert deal([5], []) == {}
+
+
+def test_a_job_that_would_be_refused_goes_where_there_is_room(leading: Leading):
+    # A caller is refused at once beside a zone that stands idle: what is ahead of its
+    # job was counted before the moment in which the job waits for room had passed.
+    fill(leading)
+    room = {"roster": (28_000, 28_000)}
+    leading.dispatcher.room_offered(PLACE, room, leading.now)
+    for number in range(10):
+        leading.offer(f"b{number}", tasks=4, call=number)
+    leading.dispatcher.tick(leading.now)
+    leading.collect()
+    (order,) = passed_on(leading)
+    refused = {answer.job for answer in leading.answers}
+    assert refused
+    assert order.job not in refused
+
+
+def test_a_job_of_another_group_is_dropped_when_its_host_repeats_it_no_more(
+    leading: Leading,
+):
+    # A task runs twice at one time: the host of another group has handed the job to its
+    # own leading host, or its caller left and asked again, and the message was lost.
+    # Other jobs of that host go on.
+    leading.offer("aa", call=7, far=True)
+    leading.offer("bb", call=8)
+    leading.offer("cc", call=9, far=True)
+    leading.settle()
+    for _ in range(6):
+        leading.now += 0.1
+        leading.offer("cc", call=9, far=True)
+        leading.dispatcher.drop_unrepeated(set(), leading.now)
+    assert set(leading.dispatcher.open_jobs) == {"bb", "cc"}
+    leading.dispatcher.drop_unrepeated({"h2"}, leading.now)
+    assert set(leading.dispatcher.open_jobs) == {"cc"}
