Refuse a job as not run that another leading host had started, red

What callers would see: refused as not run (429), and its tasks run.

Cause: the job's host followed another leading host for a moment, which started the job, and came back to the first one before that had dropped it. There it was still kept as a job of which nothing had started.

--- /dev/null
+++ b/jackdawspur/runs/tests/test_handed_over.py
@@ -0,0 +1,39 @@
+"""A job that was handed over may have run under an earlier leading host."""
+
+from jackdawspur.runs.tests.conftest import Leading
+
+AHEAD_S = 0.3
+
+
+def waiting_job() -> Leading:
+    """Return a leading host without room, on which a job waits."""
+    leading = Leading(upstreams=1)
+    leading.lead()
+    leading.offer("bb", tasks=2)
+    leading.settle()
+    leading.offer("aa")
+    leading.settle()
+    assert set(leading.running()) == {"bb.0.0.0", "bb.0.0.1"}
+    return leading
+
+
+def test_a_job_that_comes_back_is_not_refused_as_not_run():
+    # A client is told that its job did not run, and it did. Its host followed another
+    # leading host for a moment, which started the job, and came back before this one
+    # had dropped it. It was kept here as a job of which nothing had started.
+    leading = waiting_job()
+    leading.offer("aa", handed=2)
+    leading.advance(2.0)
+    (answer,) = [one for one in leading.answers if one.job == "aa"]
+    assert not answer.outcome.not_run
+
+
+def test_an_earlier_offer_that_comes_late_takes_nothing_back():
+    # The same, where an offer from before was overtaken by the one that came back.
+    leading = waiting_job()
+    leading.offer("aa", handed=2)
+    leading.offer("aa", handed=0)
+    leading.advance(2.0)
+    (answer,) = [one for one in leading.answers if one.job == "aa"]
+    assert not answer.outcome.not_run
+    assert answer.handed == 2
