Take a job that comes back for one that may have run

What callers would see: refused as not run (429), and its tasks run.

Cause: the job's host followed another leading host for a moment and came back before the first one had dropped the job. The offer's hand-overs were taken in, and that anything may have started was not.

Ruled out: answers of the other leading host; those were complete ones and none refused.

Mend: an offer with hand-overs makes the job here one that may have run, whose next run has a number that no earlier leading host gave. An offer with fewer hand-overs of the same call was overtaken and changes nothing. It holds since each hand-over is counted by the job's host, which is the only one that offers it.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -148,7 +148,7 @@
         """
         known = self._jobs.get(offer.request.id)
         if known is not None:
-            known.offer_again(offer, now)
+            known.offered_again(offer, now)
             return
         answer = self._answers.find(offer)
         if answer is not None:
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -115,17 +115,29 @@
         """Tell whether a task waits, be it for other steps."""
         return bool(self._waiting)
 
-    def offer_again(self, offer: Offer, now: float) -> None:
-        """Take in that its host offers the job again."""
-        if offer.handed != self.offer.handed:
-            # Another leading host had it meanwhile.
-            self.offered_at = now
-        self.offer, self.repeated_at = offer, now
-
     def waiting(self) -> list[Task]:
         """Return the tasks whose turn has come."""
         return [task for task in self._waiting if self._may_start(task)]
 
+    def offered_again(self, offer: Offer, now: float) -> None:
+        """Take in an offer of a job that is here already.
+
+        One with more hand-overs shows that another leading host had the job meanwhile
+        and may have started it: kept as one of which nothing started, it could be
+        refused as not run. One with fewer, from the same call, was overtaken.
+        """
+        self.repeated_at = now
+        same_call = (offer.host, offer.call) == (self.offer.host, self.offer.call)
+        if same_call and offer.handed < self.offer.handed:
+            return
+        if offer.handed != self.offer.handed:
+            self.offered_at = now
+        if offer.handed:
+            self.started = True
+            for task in self._waiting:
+                task.run = max(task.run, offer.handed * RUNS_A_HAND_OVER)
+        self.offer = offer
+
     def expect(self, step: int, work_ms: float) -> None:
         """Correct what a step's tasks are expected to take."""
         self.expected_ms[step] = work_ms
