Tell the progress of tasks and the pace of upstreams when a job is given up

The log line of a job that can't end in time named upstreams and milliseconds, but neither how far its tasks were nor how fast the upstreams count: whether another upstream would have served it could not be told.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -177,7 +177,7 @@
         job = self._jobs.get(job_id)
         if job is None or (job.offer.host, job.offer.call) != (host, call):
             return
-        self._notes.late(Decision.JOB_DROPPED, job, now)
+        self._review_of.note_late(Decision.JOB_DROPPED, job, now)
         self._end(job, now)
 
     def drop_host(self, host: str, cause: DropCause, now: float) -> None:
@@ -375,7 +375,7 @@
             self._give_up(job, Decision.JOB_HOPELESS, now)
 
     def _give_up(self, job: Job, decision: Decision, now: float) -> None:
-        self._notes.late(decision, job, now)
+        self._review_of.note_late(decision, job, now)
         if job.started:
             self._estimates.learn_given_up(job)
         reason = "it can't end within the caller's time"
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -146,15 +146,6 @@
         """Return the tasks that take room."""
         return [task for task in self.tasks if task.state is TaskState.PLACED]
 
-    def story(self, now: float) -> str:
-        """Tell for the log where each task is, and for how many milliseconds."""
-        parts = []
-        for task in self.tasks:
-            where = task.upstream.name if task.upstream else "-"
-            ms = task.took_ms or (now - task.placed_at) * 1000 * (where != "-")
-            parts.append(f"{task.state.value}:{where}:{round(ms)}")
-        return " ".join(parts)
-
     def left_ms(self) -> float:
         """Return the expected time from a start now to the end of the last step."""
         return self._longest_ms(
--- a/jackdawspur/runs/_notes.py
+++ b/jackdawspur/runs/_notes.py
@@ -22,8 +22,11 @@
         note = Note(decision, job, upstream, tuple(inputs.items()))
         self._effects.append(note)
 
-    def late(self, decision: Decision, job: Job, now: float) -> None:
-        """Explain the end of a job that nobody waits for or that comes too late."""
+    def late(self, decision: Decision, job: Job, tasks: str, now: float) -> None:
+        """Explain the end of a job that nobody waits for or that comes too late.
+
+        `tasks` tells where each of them is.
+        """
         self.add(
             decision,
             job.id,
@@ -32,7 +35,7 @@
             waited_ms=_ms(now - job.offer.arrived),
             left_ms=_ms(job.offer.deadline - now),
             expected_ms=round(max(job.expected_ms)),
-            tasks=job.story(now),
+            tasks=tasks,
         )
 
     def refused(self, job: Job, jobs: int, ahead_s: float, now: float) -> None:
--- a/jackdawspur/runs/_review.py
+++ b/jackdawspur/runs/_review.py
@@ -41,6 +41,21 @@
                 return verdict
         return Verdict.GO_ON
 
+    def note_late(self, decision: Decision, job: Job, now: float) -> None:
+        """Explain the end of a job that nobody waits for or that comes too late."""
+        tasks = " ".join(self._story(task, now) for task in job.tasks)
+        self._notes.late(decision, job, tasks, now)
+
+    def _story(self, task: Task, now: float) -> str:
+        """Tell where a task is, for how many milliseconds and how far, and the pace."""
+        if task.upstream is None:
+            return f"{task.state.value}:-:0"
+        ms = task.took_ms or (now - task.placed_at) * MS_PER_S
+        run = self._fleet.run_of(task)
+        told = f":{round(run.percent)}%" if run else ""
+        pace = self._estimates.pace(task.upstream)
+        return f"{task.state.value}:{task.upstream.name}:{round(ms)}{told}:x{pace:.2f}"
+
     def _correct(self, job: Job, step: int) -> None:
         """Expect of a step what its tasks show by their progress.
 
