--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -103,9 +103,11 @@
         self.dispatcher.lead(fence, self.now)
         self.settle()
 
-    def offer(self, job: str, tasks: int = 1, route: Route = ROUTE, **changes) -> None:
-        """Offer a job of equal tasks of 200 ms."""
-        step = JobStep(tasks, TASK, 200.0)
+    def offer(
+        self, job: str, tasks: int = 1, route: Route = ROUTE, each: int = 0, **changes
+    ) -> None:
+        """Offer a job of equal tasks of 200 ms, at most `each` on one upstream."""
+        step = JobStep(tasks, TASK, 200.0, most_per_upstream=each)
         request = JobRequest(job, "spec", (step,), route)
         values = {"host": "h2", "call": 1, "arrived": self.now}
         values["deadline"] = self.now + 1.5
