Let long tasks wait for a fast upstream rather than take slow room

Cause: a task took the best room free at that moment. With all fast upstreams full that was a slow one, also for a task that could be in time on a fast one only. After a fifth of a second its progress showed that, and the job was given up.

Mend: a task leaves room on a slow upstream as long as it would be in time on the fastest quarter of its service's upstreams, but not there: for the objective as expected, for the caller's time with half as much again, since estimates are off by that and such a job is lost altogether. Others that have time pass it. It holds since the time to wait ends by itself: then late room is taken, or the job is refused as not run. No task waits for what it may not run on (labels, size), nor where replies get lost all the time.

--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -7,7 +7,7 @@
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task
 from jackdawspur.runs._order import order_key
-from jackdawspur.runs._placing import choose
+from jackdawspur.runs._placing import FastRoom, choose, fast_room, had_better_wait
 from jackdawspur.runs._remembered import Remembered
 from jackdawspur.runs._starts import Starts
 
@@ -19,6 +19,8 @@
 SETTLED_S = 1.1
 # Upstreams that answer a new leading host at all do so within this time.
 ANSWERS_S = 0.3
+# Paces change over many tasks; all are gone through this seldom.
+FAST_KEPT_S = 0.1
 
 
 class Placer:
@@ -34,6 +36,8 @@
         self._starts = starts
         self._estimates = estimates
         self._begun = begun
+        self._fast: dict[str, FastRoom] = {}
+        self._fast_until = 0.0
         self.due = False
 
     def place_if_due(self, jobs: Iterable[Job], now: float) -> None:
@@ -108,8 +112,27 @@
                 if _fits_anywhere(task):
                     refused[service] = needed
                 return
+            if self._had_better_wait(job, task, held, now):
+                return
             self._start(job, task, held, now)
 
+    def _had_better_wait(
+        self, job: Job, task: Task, held: HeldUpstream, now: float
+    ) -> bool:
+        """Tell whether to wait for a fast upstream.
+
+        Where replies get lost all the time, times taken tell little of paces, and room
+        comes free late: waiting for it cost more jobs than slow upstreams do.
+        """
+        if self._fleet.replies.lossy:
+            return False
+        if now >= self._fast_until:
+            self._fast_until = now + FAST_KEPT_S
+            self._fast = fast_room(self._fleet.held, self._estimates)
+        pace = self._estimates.pace(held.entry.id)
+        fast = self._fast.get(job.request.route.service)
+        return fast is not None and had_better_wait(task, job, pace, fast, now)
+
     def _start(self, job: Job, task: Task, held: HeldUpstream, now: float) -> None:
         task.run += 1
         job.place(task, held.entry.id, now)
--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -1,14 +1,16 @@
 """Where a task starts."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from operator import itemgetter
 
-from jackdawspur.leases import HeldUpstream
+from jackdawspur.leases import HeldUpstream, Resources
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._job import Job, Task
-from jackdawspur.runs._order import objective
+from jackdawspur.runs._order import objective, useful_until
 
-__all__ = ["choose"]
+__all__ = ["FastRoom", "choose", "fast_room", "had_better_wait"]
 
 # A task takes about this much longer away from the rack that it had better be on.
 REMOTE_FACTOR = 2.0
@@ -17,6 +19,11 @@
 # for the objective a smaller factor does.
 DOUBT_OF_DEADLINE = 3.0
 DOUBT_OF_OBJECTIVE = 1.2
+# A job that misses its caller's time has run in vain, and estimates are off by half: it
+# takes slow room only if it would be in time though it took this much longer.
+DOUBT_OF_LIMIT = 1.5
+# One upstream in this many is fast: so many that room on one of them comes free soon.
+FAST_PART = 4
 # Paces within this factor count as the same, so that packing decides.
 SAME_PACE = 0.15
 MS_PER_S = 1000.0
@@ -46,6 +53,66 @@
     return best
 
 
+@dataclass(frozen=True, slots=True)
+class FastRoom:
+    """Say what the fastest quarter of a service's upstreams have at least each."""
+
+    pace: float
+    capacity: Resources
+
+
+def fast_room(
+    upstreams: Iterable[HeldUpstream], estimates: Estimates
+) -> dict[str, FastRoom]:
+    """Return the fast upstreams of each service."""
+    paces: dict[str, list[tuple[float, Resources]]] = {}
+    for held in upstreams:
+        if held.answered and not held.entry.draining:
+            one = (estimates.pace(held.entry.id), held.entry.capacity)
+            paces.setdefault(held.entry.service, []).append(one)
+    return {service: _fastest(known) for service, known in paces.items()}
+
+
+def _fastest(known: list[tuple[float, Resources]]) -> FastRoom:
+    known.sort(key=itemgetter(0))
+    fast = known[: len(known) // FAST_PART + 1]
+    capacities = [capacity for _, capacity in fast]
+    least = Resources(
+        min(one.cpu_millis for one in capacities),
+        min(one.memory_mb for one in capacities),
+        min(one.accelerators for one in capacities),
+    )
+    return FastRoom(fast[-1][0], least)
+
+
+def had_better_wait(task: Task, job: Job, pace: float, fast: float, now: float) -> bool:
+    """Tell whether to leave the best room there is, and wait for a fast upstream's.
+
+    `pace` is that of the upstream with the room.
+
+    All room of fast upstreams is taken at times, and a long task that starts on a slow
+    one then is given up when its progress shows that it will be too late. Room on a
+    fast one mostly comes free within milliseconds. Waiting ends when the task would no
+    longer be in time there either, so no task waits for ever.
+    """
+    if math.log(pace / fast.pace) < SAME_PACE or not _takes_any(task, fast):
+        return False
+    expected_s = job.expected_ms[task.step] / MS_PER_S
+    limits = ((objective(job), 1.0), (useful_until(job), DOUBT_OF_LIMIT))
+    return any(
+        expected_s * fast.pace <= limit - now < expected_s * pace * doubt
+        for limit, doubt in limits
+    )
+
+
+def _takes_any(task: Task, fast: FastRoom) -> bool:
+    """Tell whether a task may run on any of the fast upstreams, equally well."""
+    spec = task.spec
+    if spec.label or spec.near or spec.most_per_upstream:
+        return False
+    return spec.resources.fits_in(fast.capacity)
+
+
 def _suits(task: Task, held: HeldUpstream, estimates: Estimates, now: float) -> bool:
     spec = task.spec
     if not spec.resources.fits_in(held.free):
