Start nothing handed over by a list that is shorter than another host's

Hosts tell how many upstreams they have listed, and what was handed over waits for leases to end while the own list is shorter than another's.

--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -156,4 +156,5 @@
             follows=term.fence if term else 0,
             by_zone=group.by_zone,
             too_large=group.too_large,
+            upstreams=len(owner.views.entries),
         )
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -102,7 +102,7 @@
         )
         if group.leads:
             self.upstreams_changed(now)
-            self._dispatcher.lists_read(group.lists_read_at(now))
+            self._compare_lists(now)
             self._dispatcher.lead(group.fence, now)
         else:
             self._dispatcher.resign(now)
@@ -250,9 +250,13 @@
                 self._dispatcher.drop_host(host, DropCause.SILENT, now)
         outsiders = set(filter(group.is_outside, self._dispatcher.open_jobs.hosts()))
         self._dispatcher.drop_unrepeated(outsiders, now)
-        self._dispatcher.lists_read(group.lists_read_at(now))
+        self._compare_lists(now)
         self._dispatcher.tick(now)
 
+    def _compare_lists(self, now: float) -> None:
+        longest, all_read_at = self._owner.group.others_lists(now)
+        self._dispatcher.compare_lists(longest, all_read_at)
+
     def flush(self, now: float) -> None:
         """Carry out what the decisions ask for."""
         for effect in self._dispatcher.flush(now):
--- /dev/null
+++ b/jackdawspur/front/tests/drawn.py
@@ -0,0 +1,340 @@
+"""Faults drawn from a seed, and what must hold under them."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jackdawspur.front.tests.faulty import FaultyWorld
+from jackdawspur.front.tests.faulty_parts import Attempt, Caller
+
+__all__ = ["LAYOUTS", "Finding", "Play", "play"]
+
+# Names of layouts: zones with their hosts, upstreams of each zone, the most for one
+# group of all zones.
+LAYOUTS = {
+    "one group": (("z1", "z2", "z3"), 2, 3, 64),
+    "two groups": (("z1", "z2"), 2, 4, 2),
+    "at the limit": (("z1", "z2"), 2, 4, 8),
+}
+STARTED_S = 2.5
+FAULTS_S = 6.0
+HEALED_S = 3.0
+JOB_EVERY_S = 0.07
+SHORT_S, LONG_S = 0.05, 0.9
+PATIENCE_S = 1.5
+REFUSED = (429, 503)
+LEAST_FAULTS, MOST_FAULTS = 3, 9
+
+
+Strike = tuple[float, Callable[["Play", float], object]]
+
+
+@dataclass(frozen=True)
+class Finding:
+    """Name a rule that was broken, and where."""
+
+    rule: str
+    detail: str
+
+
+class Play:
+    """Play one seed."""
+
+    def __init__(self, monkeypatch, layout: str, seed: int) -> None:
+        self.rng = random.Random(f"{layout} {seed}")
+        self.zones, hosts, upstreams, most = LAYOUTS[layout]
+        self.world = FaultyWorld(monkeypatch, most, seed)
+        self.faults = []
+        for zone in self.zones:
+            self.world.add_upstreams(zone, upstreams)
+        for number in range(hosts):
+            for zone in self.zones:
+                self.world.run(self.rng.uniform(0.0, 0.05))
+                self.world.start(f"{zone}-h{number}", zone)
+        self.world.run(STARTED_S)
+        self.ends = self.world.now + FAULTS_S
+
+    def run(self, strikes: list[Strike] | None = None) -> list[Finding]:
+        """Let jobs come while faults strike, heal all, and return what was found."""
+        world = self.world
+        for begins, fault in self._draw() if strikes is None else strikes:
+            world.after(begins, lambda fault=fault: self._strike(fault))
+        while world.now < self.ends:
+            self._ask()
+            world.run(self.rng.expovariate(1.0 / JOB_EVERY_S))
+        self._heal()
+        world.run(HEALED_S)
+        last = [self._ask_host(name) for name in world.lives]
+        world.run(2 * PATIENCE_S)
+        return find(world, last)
+
+    def _draw(self) -> list[Strike]:
+        world, rng = self.world, self.rng
+        world.late_messages = rng.random() < 0.5
+        # Half of the time all faults fall together.
+        first, within_s = rng.choice(((0.0, 0.8 * FAULTS_S), (1.0, 1.5)))
+        strikes = []
+        for _ in range(rng.randint(LEAST_FAULTS, MOST_FAULTS)):
+            fault = rng.choice(FAULTS)
+            strikes.append((first + rng.uniform(0.0, within_s), fault))
+        return strikes
+
+    def _strike(self, fault) -> None:
+        seconds = min(self.rng.uniform(0.2, 3.0), self.ends - self.world.now)
+        told = fault(self, max(0.05, seconds))
+        self.faults.append((round(self.world.now, 3), fault.__name__, told))
+
+    def _ask(self) -> None:
+        rng, world = self.rng, self.world
+        seconds = rng.choice((SHORT_S, 0.2, 0.4, LONG_S)) * rng.uniform(0.9, 1.1)
+        caller = world.ask(rng.choice(self.zones), seconds, rng.randint(1, 4))
+        if rng.random() < 0.04:
+            world.after(rng.uniform(0.0, 1.0), lambda: world.leave(caller))
+
+    def _ask_host(self, name: str) -> Caller:
+        world = self.world
+        return world.ask(world.zones[name], SHORT_S, 1, world.lives[name])
+
+    def _heal(self) -> None:
+        world = self.world
+        world.late_share = world.lost_share = 0.0
+        for some in (world.storeless, world.shown, world.silent_links, world.cut):
+            some.clear()
+        world.one_way.clear()
+        world.isolated.clear()
+        for upstream in world.upstreams.values():
+            upstream.silent = False
+        for zone in self.zones:
+            world.add_upstreams(zone, 2)
+        for name, life in list(world.lives.items()):
+            if life.dead or life.stopping:
+                life.dead or world.kill(name)
+                world.start(name, world.zones[name])
+
+    # What strikes; each returns what it chose.
+
+    def _host(self) -> str:
+        """Return a host, the leading one half of the time."""
+        leaders = list(self.world.leaders())
+        if leaders and self.rng.random() < 0.5:
+            return self.rng.choice(leaders)
+        return self.rng.choice(list(self.world.lives))
+
+    def _pair(self) -> tuple[str, str]:
+        one = self._host()
+        others = [name for name in self.world.lives if name != one]
+        other = self.rng.choice(others)
+        return (one, other) if self.rng.random() < 0.5 else (other, one)
+
+    def _up(self) -> list:
+        return [
+            one
+            for one in self.world.upstreams.values()
+            if not one.boot_over and one.entry in self.world.listed
+        ]
+
+    def _start_again(self, name: str, seconds: float) -> None:
+        world = self.world
+
+        def start() -> None:
+            if world.lives[name].dead:
+                world.start(name, world.zones[name])
+
+        world.after(seconds, start)
+
+    def kill(self, seconds: float) -> str:
+        name = self._host()
+        self.world.kill(name)
+        self._start_again(name, seconds)
+        return f"{name} {seconds:.2f}"
+
+    def kill_all(self, seconds: float) -> str:
+        for name in self.world.lives:
+            self.world.kill(name)
+            self._start_again(name, self.rng.uniform(0.2, 0.8))
+        return ""
+
+    def stop(self, seconds: float) -> str:
+        name = self._host()
+        self.world.stop_gracefully(name)
+        for pause_s in (3.0, 7.0):
+            self._start_again(name, pause_s)
+        return name
+
+    def freeze(self, seconds: float) -> str:
+        name = self._host()
+        self.world.freeze(name, seconds)
+        return f"{name} {seconds:.2f}"
+
+    def kill_storeless(self, seconds: float) -> str:
+        """Start a host again that reads the store late or short."""
+        name, world = self._host(), self.world
+        world.kill(name)
+        if self.rng.random() < 0.5:
+            world.storeless.add(name)
+        else:
+            world.shown[name] = self.rng.randint(1, 4)
+        self._start_again(name, 0.3)
+
+        def back() -> None:
+            world.storeless.discard(name)
+            world.shown.pop(name, None)
+
+        world.after(seconds, back)
+        return f"{name} {seconds:.2f}"
+
+    def store_away(self, seconds: float) -> str:
+        away = {name for name in self.world.lives if self.rng.random() < 0.7}
+        self.world.storeless |= away
+        self.world.after(seconds, lambda: self.world.storeless.difference_update(away))
+        return f"{sorted(away)} {seconds:.2f}"
+
+    def cut_pair(self, seconds: float) -> str:
+        pair = frozenset(self._pair())
+        self.world.cut.add(pair)
+        self.world.after(seconds, lambda: self.world.cut.discard(pair))
+        return f"{sorted(pair)} {seconds:.2f}"
+
+    def cut_one_way(self, seconds: float) -> str:
+        pair = self._pair()
+        self.world.one_way.add(pair)
+        self.world.after(seconds, lambda: self.world.one_way.discard(pair))
+        return f"{pair} {seconds:.2f}"
+
+    def silence_links(self, seconds: float) -> str:
+        pairs = [self._pair() for _ in range(self.rng.randint(1, 4))]
+        self.world.silent_links.update(pairs)
+        return f"{pairs}"
+
+    def cut_zone(self, seconds: float) -> str:
+        zone = self.rng.choice(self.zones)
+        pairs = {frozenset((zone, one)) for one in self.zones if one != zone}
+        self.world.cut |= pairs
+        self.world.after(seconds, lambda: self.world.cut.difference_update(pairs))
+        return f"{zone} {seconds:.2f}"
+
+    def isolate(self, seconds: float) -> str:
+        name = self._host()
+        self.world.isolated.add(name)
+        self.world.after(seconds, lambda: self.world.isolated.discard(name))
+        return f"{name} {seconds:.2f}"
+
+    def silence_upstreams(self, seconds: float) -> str:
+        up = self._up()
+        some = self.rng.sample(up, min(len(up), self.rng.randint(1, 3)))
+        for one in some:
+            one.silent = True
+
+        def back() -> None:
+            for one in some:
+                one.silent = False
+
+        self.world.after(seconds, back)
+        return f"{[str(one.entry.id) for one in some]} {seconds:.2f}"
+
+    def crash_upstream(self, seconds: float) -> str:
+        one = self.rng.choice(self._up()).entry.id
+        self.world.crash(one, seconds)
+        return f"{one} {seconds:.2f}"
+
+    def add_upstreams(self, seconds: float) -> str:
+        zone, count = self.rng.choice(self.zones), self.rng.randint(1, 3)
+        self.world.add_upstreams(zone, count)
+        return f"{zone} {count}"
+
+    def drain_upstreams(self, seconds: float) -> str:
+        up = self._up()
+        some = self.rng.sample(up, min(len(up) - 2, self.rng.randint(1, 3)))
+        for one in some:
+            self.world.drain(one.entry.id, self.rng.uniform(0.5, 2.0))
+        return f"{[str(one.entry.id) for one in some]}"
+
+    def late_orders(self, seconds: float) -> str:
+        self.world.late_share = self.rng.choice((0.05, 0.2, 0.5))
+        self.world.lost_share = self.rng.choice((0.0, 0.1))
+
+        def back() -> None:
+            self.world.late_share = self.world.lost_share = 0.0
+
+        self.world.after(seconds, back)
+        return f"{self.world.late_share} {seconds:.2f}"
+
+    def reset_callers(self, seconds: float) -> str:
+        calls = self.world.open_calls
+        share = self.rng.choice((0.3, 1.0))
+        chosen = [one for one in calls if self.rng.random() < share]
+        for life, number in chosen:
+            self.world.reset(life, number)
+        return f"{len(chosen)}"
+
+
+FAULTS = (
+    Play.kill,
+    Play.kill,
+    Play.kill_all,
+    Play.stop,
+    Play.freeze,
+    Play.freeze,
+    Play.kill_storeless,
+    Play.store_away,
+    Play.cut_pair,
+    Play.cut_one_way,
+    Play.silence_links,
+    Play.cut_zone,
+    Play.cut_zone,
+    Play.isolate,
+    Play.silence_upstreams,
+    Play.crash_upstream,
+    Play.add_upstreams,
+    Play.drain_upstreams,
+    Play.late_orders,
+    Play.late_orders,
+    Play.reset_callers,
+)
+
+
+def play(monkeypatch, layout: str, seed: int) -> list[Finding]:
+    """Play a seed and return the rules that were broken."""
+    return Play(monkeypatch, layout, seed).run()
+
+
+def find(world: FaultyWorld, last: list[Caller]) -> list[Finding]:
+    """Return the rules that were broken."""
+    found = []
+    if world.tally.two_at_once:
+        found.append(Finding("TWICE", str(world.tally.two_at_once)))
+    if world.tally.over_capacity:
+        found.append(Finding("LIMIT", str(world.tally.over_capacity)))
+    for caller in world.callers:
+        found += [Finding(rule, caller.request.id) for rule in _broken(world, caller)]
+    for caller in last:
+        reply = caller.attempts[0].reply
+        if reply is None or reply.status != 200:
+            name = caller.attempts[0].life.name
+            found.append(Finding("SERVES", f"{name} {reply and reply.status}"))
+    return found
+
+
+def _broken(world: FaultyWorld, caller: Caller) -> list[str]:
+    replies = [one.reply for one in caller.attempts if one.reply is not None]
+    broken = []
+    refused = [one.status in REFUSED for one in replies]
+    if refused and all(refused) and len(replies) == len(caller.attempts):
+        if caller.tasks & world.tally.started:
+            broken.append("REFUSED")
+    done = [one for one in caller.attempts if one.reply and one.reply.status == 200]
+    if not all(one.whole for one in done):
+        broken.append("COMPLETED")
+    if any(not _in_time(one) for one in caller.attempts):
+        broken.append("ANSWER")
+    return broken
+
+
+def _in_time(asked: Attempt) -> bool:
+    """Tell whether a caller had its answer, as far as its host could give one."""
+    ends = asked.sent_at + PATIENCE_S
+    stood_still = any(
+        froze < ends and thawed > asked.sent_at
+        for froze, thawed in asked.life.stood_still
+    )
+    return stood_still or not asked.in_vain
--- /dev/null
+++ b/jackdawspur/front/tests/faulty_parts.py
@@ -0,0 +1,111 @@
+"""Upstreams that crash, and callers that ask again."""
+
+import logging
+import random
+from dataclasses import dataclass, field
+
+from jackdawspur.bench import FrontUpstream, Tally
+from jackdawspur.front.tests.virtual import Asked
+from jackdawspur.front.tests.virtual_parts import Life
+from jackdawspur.leases import CallOutcome, Ending, RunId
+from jackdawspur.runs import JobRequest
+
+__all__ = ["Attempt", "Caller", "FaultyUpstream", "Starts"]
+
+MOST_STOP_S = 0.05
+
+
+@dataclass(eq=False)
+class Attempt(Asked):
+    """Keep which host was asked, and whether the connection broke.
+
+    `in_vain` tells that its time was over without an answer, `whole` that all tasks
+    were done when it was answered.
+    """
+
+    caller: "Caller | None" = None
+    life: Life | None = None
+    broken: bool = False
+    in_vain: bool = False
+    whole: bool = False
+
+
+@dataclass(eq=False)
+class Caller:
+    """Keep a job and its attempts; `again` counts those still to come."""
+
+    zone: str
+    request: JobRequest
+    attempts: list[Attempt] = field(default_factory=list)
+    left: bool = False
+    again: int = 0
+
+    @property
+    def tasks(self) -> set[str]:
+        """Return the names of the job's tasks."""
+        count = self.request.steps[0].count
+        return {f"{self.request.id}.0.0.{number}" for number in range(count)}
+
+
+class Starts(Tally):
+    """Keep besides what was started and what ended well."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.started: set[str] = set()
+        self.done: set[str] = set()
+
+
+class FaultyUpstream(FrontUpstream):
+    """Crash, take a while to stop, and keep a slow clock.
+
+    `drift` is by how much its clock is slow. `boot_over` tells that it crashed, `gone`
+    that another boot answers in its place.
+    """
+
+    def __init__(self, entry, pace, tally: Starts, rng: random.Random) -> None:
+        super().__init__(entry, pace, tally, rng)
+        self.drift = rng.choice((0.0, 0.01, 0.02))
+        self.boot_over = self.gone = False
+        self._stops: dict[RunId, float] = {}
+
+    def clock_ms(self, now: float) -> int:
+        return super().clock_ms(now * (1.0 - self.drift))
+
+    def stop(self, run: RunId, fence: int, now: float) -> CallOutcome:
+        if fence < self._fence or run not in self._tasks:
+            return super().stop(run, fence, now)
+        self._fence = fence
+        self._stops.setdefault(run, now + self._rng.uniform(0.0, MOST_STOP_S))
+        return CallOutcome.OK
+
+    def advance(self, now: float) -> None:
+        for run, at in list(self._stops.items()):
+            if run in self._tasks and now < at:
+                continue
+            del self._stops[run]
+            if run in self._tasks:
+                self._end(self._tasks[run], Ending.STOPPED)
+        if self._tasks:
+            super().advance(now)
+
+    def crash(self) -> None:
+        """End everything with the boot."""
+        self.boot_over = True
+        for one in self._tasks.values():
+            self._tally.running[one.run.task] -= 1
+        self._tasks.clear()
+        self._ended.clear()
+
+    def _count(self, run: RunId, cpu: int) -> None:
+        if self._tally.running.get(run.task, 0):
+            logging.getLogger("upstream").info("TWICE %s %s", run, self.entry.id)
+        super()._count(run, cpu)
+        self._tally.started.add(run.task)
+        logging.getLogger("upstream").info("began %s %s", run, self.entry.id)
+
+    def _end(self, one, ending: Ending) -> None:
+        super()._end(one, ending)
+        if ending is Ending.DONE:
+            self._tally.done.add(one.run.task)
+        logging.getLogger("upstream").info("%s %s %s", ending, one.run, self.entry.id)
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -56,6 +56,8 @@
 class World:
     """Run hosts; tests break what they like."""
 
+    life_type = Life
+
     def __init__(self, monkeypatch, most_upstreams: int) -> None:
         self.now = 1000.0
         self.rng = random.Random(1)
@@ -117,7 +119,7 @@
         settings = check_host_settings(
             {**values, "most_upstreams": self._most_upstreams}, "test"
         )
-        life = self._starting = self.lives[name] = Life(name)
+        life = self._starting = self.lives[name] = self.life_type(name)
         parts = Ports(Callers(self), Upstreams(self, life), Store(self, life))
         process = FrontProcess(settings, None, lambda *_: parts, lambda: settings)
         process.fire = lambda _event: self.after(0.0, process._on_flush, life)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -245,13 +245,12 @@
             return float("inf")
         return beat.sent_at + now - self._beat_heard[name]
 
-    def lists_read_at(self, now: float) -> float:
-        """Return when the last of the other hosts read the list of upstreams."""
-        read_at = (
-            now - self.silent_s(beat.host.name, now) - beat.upstreams_age_s
-            for beat in self.present_beats(now)
-        )
-        return min(read_at, default=now) - READ_MARGIN_S
+    def others_lists(self, now: float) -> tuple[int, float]:
+        """Return the longest list of the other hosts, and when all had read one."""
+        beats = self.present_beats(now)
+        longest = max((beat.upstreams for beat in beats), default=0)
+        ages = (self.silent_s(b.host.name, now) + b.upstreams_age_s for b in beats)
+        return longest, now - max(ages, default=0.0) - READ_MARGIN_S
 
     def live_beats(self, now: float) -> list[HostBeat]:
         """Return the last heartbeats of the other hosts that are alive."""
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -51,7 +51,8 @@
     which it hands its jobs, 0 without one. `silent_s` is for how long it has not heard
     the receiver. `room` is what a leading host offers to that of another group.
     `by_zone` tells that its group is its own zone alone, `too_large` that the list of
-    a host that leads has too many upstreams for one group of all zones.
+    a host that leads has too many upstreams for one group of all zones. `upstreams` is
+    how many are listed there.
     """
 
     host: HostAddress
@@ -70,6 +71,7 @@
     room: tuple["RoomOffered", ...] = ()
     by_zone: bool = False
     too_large: bool = False
+    upstreams: int = 0
 
 
 class RoomOffered(msgspec.Struct, frozen=True):
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -135,9 +135,9 @@
         self._fleet.set_entries(kept, kept if listed is None else tuple(listed), now)
         self._estimates.set_upstreams(entry.id for entry in kept)
 
-    def lists_read(self, at: float) -> None:
-        """Take in when the other hosts had all read the list of upstreams."""
-        self._fleet.listing.lists_read_at = at
+    def compare_lists(self, longest: int, all_read_at: float) -> None:
+        """Take in the longest list of other hosts, and when they had all read one."""
+        self._fleet.listing.compare(longest, all_read_at)
 
     def offer(self, offer: Offer, now: float) -> None:
         """Take a job, or answer at once that it can't be done in time.
--- a/jackdawspur/runs/_listing.py
+++ b/jackdawspur/runs/_listing.py
@@ -19,13 +19,12 @@
 
 
 class Listing:
-    """Keep since when upstreams are listed, what vanished, and the zones of the group.
-
-    `lists_read_at` is when the other hosts had all read the list.
-    """
+    """Keep since when upstreams are listed, what vanished, and the group's zones."""
 
     def __init__(self) -> None:
-        self.lists_read_at = ALWAYS
+        # Of the other hosts: the longest list, and when they had all read one.
+        self._longest = 0
+        self._all_read_at = ALWAYS
         self._listed: tuple[UpstreamEntry, ...] = ()
         self._since: float | None = None
         self._first_listed: dict[UpstreamId, float] = {}
@@ -64,15 +63,22 @@
             self._since = now
         self._listed = listed
 
+    def compare(self, longest: int, all_read_at: float) -> None:
+        """Take in what the other hosts say of their lists."""
+        self._longest = longest
+        self._all_read_at = all_read_at
+
     def complete(self, now: float) -> bool:
         """Tell whether no upstream of the group is likely to be missing.
 
         One that vanished may obey another leading host: it may be cut off from the
         store and from this host. So may one that a host which has just started has not
-        found on its list yet.
+        found on its list yet, or that another host has on a longer list.
         """
         if self._since is None or now - self._since < SETTLED_S:
             return False
+        if len(self._listed) < self._longest:
+            return False
         return not any(self._zone in (None, one.zone) for one in self._vanished)
 
     def reached(self, offer: Offer) -> bool:
@@ -90,4 +96,4 @@
         joined = upstream.zone not in (self._home, self._zone)
         if joined and now - self._joined_at < TOLD_S:
             return False
-        return self._first_listed.get(upstream, ALWAYS) <= self.lists_read_at
+        return self._first_listed.get(upstream, ALWAYS) <= self._all_read_at
