Pass over upstreams with nothing to do without a call

Cause (cProfile of an idle leading host, stand-in deployment, 22 upstreams): each pass looked for overdue looks and for looks to send in all upstreams by calls, and each tick asked all for room though no job waited. Both grow with the number of upstreams, at every event.

Now each upstream knows when its first open look will be overdue, one whose look is open is left out of sending at once, and room is asked for only when a job waits.

--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -1,5 +1,6 @@
 """One upstream under the lease of the leading host."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -67,6 +68,8 @@
         # By number, when each is overdue; then those whose calls go on nevertheless.
         self.open_looks: dict[int, float] = {}
         self.overdue_looks: set[int] = set()
+        # No look is overdue before this.
+        self.overdue_at = math.inf
         self.missed = 0
         self.missed_look = 0
         self.answered_look = 0
@@ -113,8 +116,8 @@
 
     def rests(self, now: float) -> bool:
         """Tell whether a look would show nothing that matters by now."""
-        calm = self.held and not self.runs and not self.missed
-        return calm and now < self.rest_until
+        early = now < self.rest_until
+        return early and self.held and not self.runs and not self.missed
 
     def add(self, run: Run) -> None:
         """Take room for a run."""
@@ -146,6 +149,7 @@
         """Number a look that is sent now."""
         self.looks += 1
         self.open_looks[self.looks] = overdue_at
+        self.overdue_at = min(self.overdue_at, overdue_at)
         return self.looks
 
     def take_overdue(self, now: float) -> list[int]:
@@ -154,6 +158,7 @@
         for number in late:
             del self.open_looks[number]
             self.overdue_looks.add(number)
+        self.overdue_at = min(self.open_looks.values(), default=math.inf)
         return late
 
     def close_look(self, number: int) -> None:
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -41,7 +41,8 @@
     def count_overdue(self, now: float) -> None:
         """Take note of the looks whose replies are overdue."""
         for held in self._fleet.held:
-            self._count_overdue(held, now)
+            if now >= held.overdue_at:
+                self._count_overdue(held, now)
 
     def send_due(self, now: float) -> None:
         """Send the looks whose time has come, beside those that are overdue.
@@ -49,14 +50,22 @@
         A lost reply must cost one reply: were the next look to wait for the end of the
         call, leases would end of upstreams that are sound.
         """
+        lossy = self._replies.lossy
         for held in self._fleet.held:
-            urgent = held.sure_look > held.looks
-            due = now >= held.look_at and not held.rests(now)
-            few = due and len(held.open_looks) < self._wanted(held)
+            if held.open_looks and not lossy and held.sure_look <= held.looks:
+                continue
+            if not self._due(held, now):
+                continue
             calls = len(held.open_looks) + len(held.overdue_looks)
-            if (urgent or few) and calls < MOST_LOOKS_OPEN:
+            if calls < MOST_LOOKS_OPEN:
                 self._look(held, now)
 
+    def _due(self, held: HeldUpstream, now: float) -> bool:
+        if held.sure_look > held.looks:
+            return True
+        due = now >= held.look_at and not held.rests(now)
+        return due and len(held.open_looks) < self._wanted(held)
+
     def _wanted(self, held: HeldUpstream) -> int:
         """Return how many looks are to wait for an end.
 
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -65,10 +65,10 @@
 
     def _place(self, jobs: Iterable[Job], now: float) -> None:
         """Give room in order; a job for which there is none lets others pass."""
-        upstreams = self._fleet.with_room(now)
+        waiting = [job for job in jobs if job.has_waiting]
+        upstreams = self._fleet.with_room(now) if waiting else {}
         if not upstreams:
             return
-        waiting = [job for job in jobs if job.has_waiting]
         refused: dict[str, Resources] = {}
         for job in self.ordered(waiting, now):
             service = job.request.route.service
--- a/jackdawspur/runs/tests/test_placer.py
+++ b/jackdawspur/runs/tests/test_placer.py
@@ -56,3 +56,22 @@
     leading.settle()
     assert placer.passes > before
     assert sum(len(u.running) for u in leading.upstreams.values()) == 4
+
+
+def test_upstreams_are_asked_for_room_only_for_a_job_that_waits(
+    leading: Leading, placer, monkeypatch: pytest.MonkeyPatch
+):
+    # A host that leads many upstreams is busy though no job comes: with each tick it
+    # asked all of them for room.
+    asked = []
+    with_room = leading.dispatcher.fleet.with_room
+    monkeypatch.setattr(
+        leading.dispatcher.fleet,
+        "with_room",
+        lambda now: asked.append(now) or with_room(now),
+    )
+    leading.advance(0.5)
+    assert not asked
+    leading.offer("aa")
+    leading.settle()
+    assert asked and leading.running()
--- a/jackdawspur/runs/tests/test_watch.py
+++ b/jackdawspur/runs/tests/test_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jackdawspur.leases import CallOutcome
+from jackdawspur.model import UpstreamId
 from jackdawspur.runs import LookAt
 from jackdawspur.runs.tests.conftest import FENCE, Leading
 
@@ -149,3 +150,35 @@
     upstream.fence = FENCE * 4
     resting.advance(1.4, STEP_S)
     assert resting.running() == {"aa.0.0.0": [order.upstream]}
+
+
+def looked_at(leading: Leading) -> set[UpstreamId]:
+    """Take the effects of a pass; return the upstreams that are looked at."""
+    return {e.upstream for e in leading.collect() if isinstance(e, LookAt)}
+
+
+def test_a_foreign_fence_on_one_upstream_has_all_looked_at(resting: Leading):
+    # Jobs are started on one upstream after the other that obeys another host by now:
+    # a look had shown the first, and the others were at rest.
+    resting.now += WATCHED_S
+    first = next(iter(resting.upstreams))
+    resting.upstreams[first].fence = FENCE * 4
+    resting.offer("aa")
+    seen = looked_at(resting)
+    (order,) = resting.starts
+    assert order.upstream == first
+    assert len(seen) < len(resting.upstreams)
+    resting.starts.clear()
+    resting.reply_looks()
+    assert seen | looked_at(resting) == set(resting.upstreams)
+
+
+def test_an_overdue_start_has_all_looked_at(resting: Leading):
+    # Each upstream of a zone that was cut off costs a start before it is known.
+    resting.now += WATCHED_S
+    resting.offer("aa")
+    seen = looked_at(resting)
+    assert len(seen) < len(resting.upstreams)
+    resting.reply_looks()
+    resting.now += OVERDUE_S
+    assert seen | looked_at(resting) == set(resting.upstreams)
