--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -1,5 +1,6 @@
 """One upstream under the lease of the leading host."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -67,6 +68,8 @@
         # By number, when each is overdue; then those whose calls go on nevertheless.
         self.open_looks: dict[int, float] = {}
         self.overdue_looks: set[int] = set()
+        # No look is overdue before this.
+        self.overdue_at = math.inf
         self.missed = 0
         self.missed_look = 0
         self.answered_look = 0
@@ -75,6 +78,7 @@
         self.answered = True
         self.refused_until = 0.0
         self.look_at = now
+        self.rest_until = now
         self.fenced_since: float | None = None
         self._taken = NO_RESOURCES
         self._opaque = 0
@@ -110,6 +114,11 @@
         """
         return self.missed > 0 or self.answered_look < self.sure_look
 
+    def rests(self, now: float) -> bool:
+        """Tell whether a look would show nothing that matters by now."""
+        early = now < self.rest_until
+        return early and self.held and not self.runs and not self.missed
+
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.id] = run
@@ -140,6 +149,7 @@
         """Number a look that is sent now."""
         self.looks += 1
         self.open_looks[self.looks] = overdue_at
+        self.overdue_at = min(self.overdue_at, overdue_at)
         return self.looks
 
     def take_overdue(self, now: float) -> list[int]:
@@ -148,6 +158,7 @@
         for number in late:
             del self.open_looks[number]
             self.overdue_looks.add(number)
+        self.overdue_at = min(self.open_looks.values(), default=math.inf)
         return late
 
     def close_look(self, number: int) -> None:
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -66,10 +66,10 @@
 
     def _place(self, jobs: Iterable[Job], now: float) -> None:
         """Give room in order; a job for which there is none lets others pass."""
-        upstreams = self._fleet.with_room(now)
+        waiting = [job for job in jobs if job.has_waiting]
+        upstreams = self._fleet.with_room(now) if waiting else {}
         if not upstreams:
             return
-        waiting = [job for job in jobs if job.has_waiting]
         refused: dict[str, Resources] = {}
         for job in self.ordered(waiting, now):
             service = job.request.route.service
@@ -84,6 +84,7 @@
         """
         if not job.offer.handed or now - job.offered_at > SETTLED_S:
             return True
+        self._fleet.watch_all(now)
         return self._fleet.listing.reached(job.offer) and self._fleet.all_held(now)
 
     def _place_job(
