Don't let a job be refused because it waits for a fast upstream

Cause: since long tasks wait for fast upstreams, a job expected to take nearly all of its caller's time waited until the next tick, which gives up what would not end in time though it took 1.15 times as long; before, such a job had begun by then and was judged by its progress. Estimates are off by half, so many of these jobs end in time.

Mend: a job that would be given up within 0.05 s doesn't wait. It holds since places are looked for with every tick, 0.025 s apart.

--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -8,7 +8,7 @@
 from jackdawspur.leases import HeldUpstream, Resources
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._job import Job, Task
-from jackdawspur.runs._order import objective, useful_until
+from jackdawspur.runs._order import Standing, objective, standing, useful_until
 
 __all__ = ["FastRoom", "choose", "fast_room", "had_better_wait"]
 
@@ -24,6 +24,9 @@
 DOUBT_OF_LIMIT = 1.5
 # One upstream in this many is fast: so many that room on one of them comes free soon.
 FAST_PART = 4
+# Room is looked for anew after this, at the latest. A job that would be given up by
+# then takes what there is: estimates are off by half, and it may well be shorter.
+NEXT_CHANCE_S = 0.05
 # Paces within this factor count as the same, so that packing decides.
 SAME_PACE = 0.15
 MS_PER_S = 1000.0
@@ -93,10 +96,12 @@
     All room of fast upstreams is taken at times, and a long task that starts on a slow
     one then is given up when its progress shows that it will be too late. Room on a
     fast one mostly comes free within milliseconds. Waiting ends when the task would no
-    longer be in time there either, so no task waits for ever.
+    longer be in time there either, and before its job would be refused for the wait.
     """
     if math.log(pace / fast.pace) < SAME_PACE or not _takes_any(task, fast):
         return False
+    if standing(job, now + NEXT_CHANCE_S) is Standing.HOPELESS:
+        return False
     expected_s = job.expected_ms[task.step] / MS_PER_S
     limits = ((objective(job), 1.0), (useful_until(job), DOUBT_OF_LIMIT))
     return any(
--- a/jackdawspur/runs/tests/test_slow_room.py
+++ b/jackdawspur/runs/tests/test_slow_room.py
@@ -74,3 +74,16 @@
     assert "aa.0.0.0" not in leading.running()
     leading.advance(0.25)
     assert leading.running()["aa.0.0.0"] == [SLOW]
+
+
+def test_a_job_is_not_refused_for_waiting(leading: Leading):
+    # A caller is told that its job could not end in time, while there was room: the job
+    # waited for a fast upstream, and as it was expected to take nearly all of its time
+    # it was refused for that wait. Jobs often turn out shorter than expected.
+    teach(leading, 1.4)
+    fill_fast(leading)
+    leading.offer("aa", deadline=leading.now + USUAL_S * 1.25)
+    leading.settle()
+    leading.advance(0.025, step_s=0.025)
+    assert leading.running()["aa.0.0.0"] == [SLOW]
+    assert not [one for one in leading.answers if one.job == "aa"]
