--- a/jackdawspur/bench/tests/test_front.py
+++ b/jackdawspur/bench/tests/test_front.py
@@ -39,15 +39,15 @@
 def test_jobs_that_are_too_long_for_slow_upstreams_run_on_fast_ones():
     # A skipper never gets the largest overlays while the map service is busy: a third
     # of the upstreams is slower, and their tasks took room there when that was what
-    # came free first. 0.74 of these jobs were served before they waited for the others.
+    # came free first. 0.63 of these jobs were served before they waited for the others.
     scenario = BY_NAME["third slower"]
     fates = [
         one
-        for seed in (11, 12, 13)
+        for seed in range(11, 21)
         for one in run_scenario(scenario, seed=seed).fates
         if one.kind == LONG_KIND and one.least_s <= LIMIT_S < one.least_s * SLOWER
     ]
-    assert len(fates) > 20
+    assert len(fates) > 80
     assert served_share(fates) > 0.82
 
 
