--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -106,6 +106,9 @@
             upstream.silent = False
         for zone in self.zones:
             world.add_upstreams(zone, 2)
+        for caller in world.callers:
+            # Who asks again then would take the room of the last jobs.
+            caller.left = True
         for name, life in list(world.lives.items()):
             if life.dead or life.stopping:
                 life.dead or world.kill(name)
