--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -160,9 +160,9 @@
         if beat is not None:
             self._extent.follow(beat.by_zone)
         else:
-            self._extent.decide(self._leads_apart(now))
+            self._extent.decide(self._groups_of_zones(now))
 
-    def _leads_apart(self, now: float) -> list[HostBeat]:
+    def _groups_of_zones(self, now: float) -> list[HostBeat]:
         """Return the heartbeats of hosts that lead other zones' own groups."""
         leading = self._leading(now)
         return [b for b in leading if b.by_zone and b.host.zone != self._own.zone]
--- a/jackdawspur/runs/_listing.py
+++ b/jackdawspur/runs/_listing.py
@@ -83,7 +83,9 @@
 
     def reached(self, offer: Offer) -> bool:
         """Tell whether all upstreams that earlier leading hosts could use are here."""
-        return self._zone is None or not (offer.all_zones or offer.zone != self._zone)
+        if self._zone is None:
+            return True
+        return offer.zone == self._zone and not offer.all_zones
 
     def known_to_all(self, upstream: UpstreamId, now: float) -> bool:
         """Tell whether any host that leads next will know of an upstream.
