Leave heartbeats that come after later ones; wait where a job goes to a lower fence

Cause: after a cut a host's old heartbeat arrived after a newer one. By it the zone's other host took itself for the leading one again and handed a job over to itself, from a higher fence to its own lower one. It had looked at all upstreams just before the other took some of them, so all counted as held, and it started at once what the other had started elsewhere.

A heartbeat that its host's run sent before the last one heard is left. A hand-over tells whether an earlier term had a higher fence, which looks under the lower one can't bar; then it waits until leases have ended. Ruled out: comparing runs of a host by their start, since the time of day may be set back and the host would never be heard.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -151,6 +151,7 @@
                 message.attempt,
                 message.zone,
                 message.all_zones,
+                message.outranked,
             ),
             now,
         )
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from jackdawspur.group import Term
+from jackdawspur.leases import Fence
 from jackdawspur.runs import JobEnd, JobOutcome, JobRequest
 
 __all__ = ["OwnJob", "OwnJobs"]
@@ -21,7 +22,8 @@
     `far` is the term of another group that has the job since `far_since`: one that it
     was passed on to, or that this host belonged to when it offered the job.
     `all_zones` tells that some term that had the job covered all zones, and
-    `earlier_all_zones` that one before the present one did.
+    `earlier_all_zones` that one before the present one did. `highest` is the highest
+    fence of them, and `outranked` tells that one before the present one had a higher.
     """
 
     call: int
@@ -37,6 +39,8 @@
     far_since: float = 0.0
     all_zones: bool = False
     earlier_all_zones: bool = False
+    highest: Fence = 0
+    outranked: bool = False
 
     @property
     def passed_on(self) -> bool:
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -220,6 +220,7 @@
                 self._hand_over(job, term)
             job.offered_to = term
             job.all_zones |= not term.by_zone
+            job.highest = max(job.highest, term.fence)
             self._offer(job, term, now)
 
     def _stay(self, job: OwnJob, now: float) -> None:
@@ -242,6 +243,7 @@
     def _hand_over(self, job: OwnJob, term: Term) -> None:
         job.handed += 1
         job.earlier_all_zones = job.all_zones
+        job.outranked = job.highest > term.fence
         log.info(
             "job handed over",
             extra={
@@ -298,6 +300,7 @@
                     attempt=job.attempt,
                     zone=self._owner.address.zone,
                     all_zones=job.earlier_all_zones,
+                    outranked=job.outranked,
                 ),
                 now,
             )
@@ -319,6 +322,7 @@
             attempt=job.attempt,
             zone=self._owner.address.zone,
             all_zones=job.earlier_all_zones,
+            outranked=job.outranked,
         )
 
     def _cancel(self, job_id: str) -> bool:
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -143,3 +143,11 @@
     (reply,) = owner.replies
     assert (reply.status, reply.retry_after_s) == (503, 1)
     assert len(owner.sent) == 1
+
+
+def test_a_job_handed_to_a_lower_fence_says_so(owner, service):
+    owner.group.note_message("first", clock() - 1.0)
+    follow(owner.group, "second", 5)
+    service.offer_waiting(clock())
+    (_, first), (to, second) = owner.sent
+    assert (to, first.outranked, second.outranked) == ("second", False, True)
--- a/jackdawspur/front/tests/test_drawn_faults.py
+++ b/jackdawspur/front/tests/test_drawn_faults.py
@@ -16,6 +16,7 @@
     ("at the limit", 3061),
     ("one group", 3213),
     ("one group", 3290),
+    ("two groups", 20121),
 )
 # Above all fences of hosts.
 HIGHEST = 1 << 61
--- a/jackdawspur/group/__init__.py
+++ b/jackdawspur/group/__init__.py
@@ -5,7 +5,6 @@
     FOLLOWER_SILENCE_S,
     SILENCE_S,
     Group,
-    Term,
 )
 from jackdawspur.group._messages import (
     ConfigurationPassed,
@@ -23,6 +22,7 @@
     decode_message,
     encode_message,
 )
+from jackdawspur.group._terms import Term
 
 __all__ = [
     "BEAT_S",
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -1,10 +1,9 @@
 """Which hosts are alive, and which of them leads."""
 
-from dataclasses import dataclass, field
-
 from jackdawspur.group._candidates import is_fit, rank
 from jackdawspur.group._extent import MOST_UPSTREAMS, Extent
 from jackdawspur.group._messages import HostAddress, HostBeat
+from jackdawspur.group._terms import Term, precedence
 from jackdawspur.leases import FENCE_STEP, Fence, fence_at
 
 __all__ = [
@@ -12,7 +11,6 @@
     "FOLLOWER_SILENCE_S",
     "SILENCE_S",
     "Group",
-    "Term",
 ]
 
 BEAT_S = 0.1
@@ -51,18 +49,6 @@
 CLAIM_STEPS = 5000
 
 
-@dataclass(frozen=True, slots=True)
-class Term:
-    """Name the time in which a host leads under one fence.
-
-    `by_zone` tells whether its group is one zone alone, which may change meanwhile.
-    """
-
-    leader: str
-    fence: Fence
-    by_zone: bool = field(default=False, compare=False)
-
-
 class Group:
     """Follow the live host with the highest fence; lead when there is none.
 
@@ -197,9 +183,16 @@
         return True
 
     def heard(self, beat: HostBeat, now: float) -> bool:
-        """Take in a heartbeat; tell whether it named hosts not known before."""
+        """Take in a heartbeat; tell whether it named hosts not known before.
+
+        One that arrives after a later one, over a connection that was slow to break,
+        is left: by an old one a host would follow a lead that has ended, or its own.
+        """
+        last = self._beats.get(beat.host.name)
+        if last is not None and beat.is_before(last):
+            return False
         learned = [self.learn(host) for host in (beat.host, *beat.knows)]
-        fresh = beat.host.name not in self._beats or not self.alive(beat.host.name, now)
+        fresh = last is None or not self.alive(beat.host.name, now)
         if fresh and self.includes(beat):
             self._yields = 0
             self._yield_until = now
@@ -280,7 +273,7 @@
         if not self.leads:
             return other
         own = Term(self._own.name, self.fence, self._extent.by_zone)
-        return max(own, other, key=_precedence) if other else own
+        return max(own, other, key=precedence) if other else own
 
     def _leading_beat(self, now: float) -> HostBeat | None:
         """Return the last heartbeat of the other host that leads this one, if any."""
@@ -289,7 +282,7 @@
             for beat in self._beats.values()
             if beat.leads and self._takes_in(beat) and self.alive(beat.host.name, now)
         ]
-        return max(leading, key=_precedence, default=None)
+        return max(leading, key=precedence, default=None)
 
     def decide(self, ready: bool, unix_ms: float, now: float) -> bool:
         """Take the lead or give it up; tell whether that changed."""
@@ -386,12 +379,3 @@
             return not fit
         own = rank(self._own, unix_ms)
         return all(own <= rank(other, unix_ms) for other in fit)
-
-
-def _precedence(term: Term | HostBeat) -> tuple[bool, Fence]:
-    """Return a key whose highest leads a host.
-
-    Of one zone's leading host and one of all zones, the former gives up as soon as its
-    own list is short enough. Until then both run jobs, and each keeps those it has.
-    """
-    return (term.by_zone, term.fence)
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -73,6 +73,14 @@
     too_large: bool = False
     upstreams: int = 0
 
+    def is_before(self, other: "HostBeat") -> bool:
+        """Tell whether the same run of a host sent this one before another.
+
+        Of two runs nothing is told: the time of day may have been set back.
+        """
+        same_run = self.host.started_ms == other.host.started_ms
+        return same_run and self.sent_at < other.sent_at
+
 
 class RoomOffered(msgspec.Struct, frozen=True):
     """Offer what some upstreams of a service have left, in thousandths of a core."""
@@ -97,7 +105,8 @@
     counts the offers of the job. `zone` is the sender's; `all_zones` tells that an
     earlier leading host could run the job on upstreams of others too. `leader_at` is
     what the receiver's clock showed when this was sent, or less: by it an offer that
-    arrives late is known.
+    arrives late is known. `outranked` tells that an earlier leading host had a higher
+    fence.
     """
 
     sender: str
@@ -113,6 +122,7 @@
     attempt: int = 0
     zone: str = ""
     all_zones: bool = False
+    outranked: bool = False
 
 
 class JobPassedOn(msgspec.Struct, frozen=True, tag="passed"):
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -181,10 +181,12 @@
     assert len(hosts.leaders()) == 1
 
 
-def far_beat(fence: int, leads: bool = True) -> HostBeat:
-    host = HostAddress("far", "z9", "127.0.0.1:9", 1)
+def far_beat(
+    fence: int, leads: bool = True, sent_at: float = 0.0, started_ms: int = 1
+) -> HostBeat:
+    host = HostAddress("far", "z9", "127.0.0.1:9", started_ms)
     return HostBeat(
-        host, 0.0, leads, fence, True, False, False, 1, 0.0, (), by_zone=True
+        host, sent_at, leads, fence, True, False, False, 1, 0.0, (), by_zone=True
     )
 
 
@@ -289,3 +291,24 @@
     three.cut = set()
     three.advance(0.1)
     assert len(three.leaders()) == 1
+
+
+def test_a_heartbeat_that_arrives_after_a_later_one_is_left():
+    # A task runs twice at one time: a connection that broke delivered its last
+    # heartbeat after the next connection's first one. By that old one a host took
+    # itself for the one that leads, and a job was handed from a higher fence to a lower.
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0)
+    group.heard(far_beat(60, sent_at=2.0), 2.0)
+    group.heard(far_beat(50, sent_at=1.0), 2.1)
+    (beat,) = group.last_beats
+    assert beat.fence == 60
+    assert group.silent_s("far", 2.2) == pytest.approx(0.2)
+
+
+def test_a_host_that_started_again_is_heard_though_its_clock_began_anew():
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0)
+    # Its time of day was set back meanwhile.
+    group.heard(far_beat(60, sent_at=900.0, started_ms=2), 2.0)
+    group.heard(far_beat(70, sent_at=1.0, started_ms=1), 3.0)
+    (beat,) = group.last_beats
+    assert beat.fence == 70
--- a/jackdawspur/runs/_listing.py
+++ b/jackdawspur/runs/_listing.py
@@ -81,8 +81,14 @@
             return False
         return not any(self._zone in (None, one.zone) for one in self._vanished)
 
-    def reached(self, offer: Offer) -> bool:
-        """Tell whether all upstreams that earlier leading hosts could use are here."""
+    def bars(self, offer: Offer) -> bool:
+        """Tell whether looks here bar what earlier leading hosts may have started.
+
+        They do where these could use no other upstreams than are here, under no higher
+        fence.
+        """
+        if offer.outranked:
+            return False
         if self._zone is None:
             return True
         return offer.zone == self._zone and not offer.all_zones
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -85,7 +85,7 @@
         if not job.offer.handed or now - job.offered_at > SETTLED_S:
             return True
         self._fleet.watch_all(now)
-        return self._fleet.listing.reached(job.offer) and self._fleet.all_held(now)
+        return self._fleet.listing.bars(job.offer) and self._fleet.all_held(now)
 
     def _place_job(
         self,
--- a/jackdawspur/runs/_types.py
+++ b/jackdawspur/runs/_types.py
@@ -62,7 +62,7 @@
     `done` names the tasks that ended well under them. `far` tells that the host belongs
     to another group. `attempt` counts the offers of the job. `zone` is the host's;
     `all_zones` tells that an earlier leading host could run the job on upstreams of
-    others too.
+    others too, `outranked` that one had a higher fence.
     """
 
     request: JobRequest
@@ -76,6 +76,7 @@
     attempt: int = 0
     zone: str = ""
     all_zones: bool = False
+    outranked: bool = False
 
 
 class JobEnd(Enum):
--- a/jackdawspur/runs/tests/test_handed_over.py
+++ b/jackdawspur/runs/tests/test_handed_over.py
@@ -37,3 +37,15 @@
     (answer,) = [one for one in leading.answers if one.job == "aa"]
     assert not answer.outcome.not_run
     assert answer.handed == 2
+
+
+def test_a_job_of_a_higher_fence_waits_though_all_upstreams_answered():
+    # A task runs twice at one time: its host heard a leading host of a higher fence no
+    # more, and handed the job to one of a lower. Looks of that one had been answered
+    # just before the other took the upstreams, and say nothing of what it started.
+    leading = Leading()
+    leading.lead()
+    leading.offer("aa", handed=1, outranked=True)
+    leading.offer("bb", handed=1)
+    leading.advance(AHEAD_S)
+    assert set(leading.running()) == {"bb.0.0.0"}
