--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -296,7 +296,7 @@
 def test_a_heartbeat_that_arrives_after_a_later_one_is_left():
     # A task runs twice at one time: a connection that broke delivered its last
     # heartbeat after the next connection's first one. By that old one a host took
-    # itself for the one that leads, and a job was handed from a higher fence to a lower.
+    # itself for the one that leads, and a job went from a higher fence to a lower.
     group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0)
     group.heard(far_beat(60, sent_at=2.0), 2.0)
     group.heard(far_beat(50, sent_at=1.0), 2.1)
