Judge the list's fault by what the leading host holds

The test read the store with the platform's words. Now a worker that leaves the list must be let go by the leading host, and be held again when it is back: through the whole product, so it is stricter, and the words stay in their folder.

--- a/jackdawspur/soak/tests/test_strikes.py
+++ b/jackdawspur/soak/tests/test_strikes.py
@@ -110,16 +110,15 @@
 def test_workers_leave_the_list_and_come_back(two_hosts: Deployment):
     # The number of workers never crosses the limit above which zones have groups of
     # their own, so that a seed can't show what happens then.
-    host = two_hosts.hosts[0]
+    leader = two_hosts.leader()
 
-    def listed() -> int:
-        page = host.call(
-            "GET", "/log-newest?topic=keyed.servers", port=host.to_store.port
-        )
-        return len(page.body["items"])
+    def held() -> int:
+        status = leader.call("GET", "/status", port=leader.metrics)
+        return len(status.body["upstreams"])
 
+    wait_until(lambda: held() == 2, "two workers held")
     strikes = Strikes(two_hosts)
     strikes.strike(Fault(0.0, FaultKind.LIST_SHORT, 1, 1.0), 0.0)
-    assert listed() == 1
+    wait_until(lambda: held() == 1, "worker that left the list")
     strikes.take_back(1.0)
-    assert listed() == 2
+    wait_until(lambda: held() == 2, "worker back on the list")
