Let a host without a list of upstreams keep none back

Cause: an upstream is used once all other hosts present have read a list since it was first listed. Hosts that have just started have none and say so, which counted as a list read never, so that in each such moment nothing started on any upstream that was not on the leading host's very first list: there 1 of 176, as upstreams report one by one when all starts.

A host without a list can't lead, so it need not know. The test fails without. Ruled out: the leading host's processor (0.51 of a core at most, 0.63 before).

--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -239,8 +239,12 @@
         return beat.sent_at + now - self._beat_heard[name]
 
     def others_lists(self, now: float) -> tuple[int, float]:
-        """Return the longest list of the other hosts, and when all had read one."""
-        beats = self.present_beats(now)
+        """Return the longest list of the other hosts, and when all had read one.
+
+        A host that has just started and has no list yet can't lead, so what it does not
+        know keeps nothing back: else no upstream could be used until it has one.
+        """
+        beats = [beat for beat in self.present_beats(now) if beat.ready]
         longest = max((beat.upstreams for beat in beats), default=0)
         ages = (self.silent_s(b.host.name, now) + b.upstreams_age_s for b in beats)
         return longest, now - max(ages, default=0.0) - READ_MARGIN_S
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -6,6 +6,7 @@
 from jackdawspur.group._group import (
     FIRST_VACANT_S,
     MEET_S,
+    READ_MARGIN_S,
     SILENCE_S,
     UNHEARD_S,
     VACANT_S,
@@ -312,3 +313,18 @@
     group.heard(far_beat(70, sent_at=1.0, started_ms=1), 3.0)
     (beat,) = group.last_beats
     assert beat.fence == 70
+
+
+def test_a_host_without_a_list_keeps_no_upstream_back():
+    # Jobs are late while hosts start one after the other: each had no list of upstreams
+    # for a moment, so that none counted as known to all, and nothing started on most.
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0)
+    host = HostAddress("other", "z1", "127.0.0.1:2", 1)
+    beat = HostBeat(host, 5.0, False, 0, True, False, False, 1, 1.0, (), upstreams=8)
+    group.heard(beat, 5.0)
+    longest, all_read_at = group.others_lists(5.0)
+    assert (longest, all_read_at) == (8, pytest.approx(4.0 - READ_MARGIN_S))
+    started = HostAddress("started", "z1", "127.0.0.1:3", 1)
+    without = HostBeat(started, 5.0, False, 0, False, False, False, 1, 1e9, ())
+    group.heard(without, 5.0)
+    assert group.others_lists(5.0) == (longest, all_read_at)
