--- a/jackdawspur/front/tests/test_drawn_faults.py
+++ b/jackdawspur/front/tests/test_drawn_faults.py
@@ -17,6 +17,7 @@
     ("one group", 3213),
     ("one group", 3290),
     ("two groups", 20121),
+    ("two groups", 30773),
 )
 # Above all fences of hosts.
 HIGHEST = 1 << 61
