Let a second freeze of a virtual host not end the first one early

A host frozen for 3.00 s was frozen again for 0.79 s, which ended the first freeze 0.67 s early for what came later, while what had been put off, its ticks and all messages before, stayed put off to the first end: it started a task without the tick that drops jobs of silent hosts. No process does that: one that goes on runs its ticks and reads what came. A freeze now lasts to the later end.

--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -131,7 +131,8 @@
 
     def freeze(self, name: str, seconds: float) -> None:
         """Let a host stand still."""
-        self.lives[name].frozen_until = self.now + seconds
+        life = self.lives[name]
+        life.frozen_until = max(life.frozen_until, self.now + seconds)
 
     def leaders(self) -> dict[str, str]:
         """Return the zone of each host that leads."""
