Know an upstream that starts again under its name by its boot

Two deployments' upstreams may start again under the name that they had; they then know no fence, number their ends anew and have another clock.

What callers would see: after a restart a task that is done runs again, up to as many times as runs had ended before, and its answer is late; leases reach further than this host believes (1 s in place of 0.6 s), so that a task of an upstream that falls silent may start elsewhere while it runs on. Cause: a holding keeps what the upstream told since it began: the last end taken note of, the clock, what was granted. Looks of a new boot acknowledged its first ends before they were read, and its lower clock was never taken over. Nothing read which boot reports. Change: reports name the boot. Another boot is treated like starts without a reply: the fence is raised, nothing starts, and the next look shows which runs exist.

--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -15,7 +15,10 @@
     "one group": (("z1", "z2", "z3"), 2, 3, 64),
     "two groups": (("z1", "z2"), 2, 4, 2),
     "at the limit": (("z1", "z2"), 2, 4, 8),
+    "stuttering hosts": (("z1", "z2", "z3"), 2, 3, 64),
 }
+# In this layout more kinds of faults are drawn; the seeds of the others keep theirs.
+STUTTERING = "stuttering hosts"
 STARTED_S = 2.5
 FAULTS_S = 6.0
 HEALED_S = 3.0
@@ -44,6 +47,7 @@
         self.rng = random.Random(f"{layout} {seed}")
         self.zones, hosts, upstreams, most = LAYOUTS[layout]
         self.world = FaultyWorld(monkeypatch, most, seed)
+        self.kinds = FAULTS + MORE_FAULTS if layout == STUTTERING else FAULTS
         self.faults = []
         for zone in self.zones:
             self.world.add_upstreams(zone, upstreams)
@@ -75,7 +79,7 @@
         first, within_s = rng.choice(((0.0, 0.8 * FAULTS_S), (1.0, 1.5)))
         strikes = []
         for _ in range(rng.randint(LEAST_FAULTS, MOST_FAULTS)):
-            fault = rng.choice(FAULTS)
+            fault = rng.choice(self.kinds)
             strikes.append((first + rng.uniform(0.0, within_s), fault))
         return strikes
 
@@ -270,6 +274,36 @@
             self.world.reset(life, number)
         return f"{len(chosen)}"
 
+    def restart_upstreams(self, seconds: float) -> str:
+        """Let upstreams crash and start again under their names."""
+        up = self._up()
+        some = self.rng.sample(up, min(len(up), self.rng.randint(1, 4)))
+        for one in some:
+            self.world.restart(one.entry.id, self.rng.choice((0.02, 0.2, seconds)))
+        return f"{[str(one.entry.id) for one in some]} {seconds:.2f}"
+
+    def reset_links(self, seconds: float) -> str:
+        """Let all links of a host go silent until they are made anew."""
+        name, world = self._host(), self.world
+        for other in world.lives:
+            if other != name:
+                world.silent_links |= {(name, other), (other, name)}
+        return name
+
+    def stutter(self, seconds: float) -> str:
+        """Let a host stand still again and again, as one whose processor is used up."""
+        name, world = self._host(), self.world
+        stands_s, goes_s = self.rng.uniform(0.05, 0.38), self.rng.uniform(0.02, 0.2)
+        until = world.now + seconds
+
+        def stand() -> None:
+            if world.now < until and not world.lives[name].dead:
+                world.freeze(name, stands_s)
+                world.after(stands_s + goes_s, stand)
+
+        stand()
+        return f"{name} {stands_s:.2f} {goes_s:.2f} {seconds:.2f}"
+
 
 FAULTS = (
     Play.kill,
@@ -294,6 +328,16 @@
     Play.late_orders,
     Play.reset_callers,
 )
+MORE_FAULTS = (
+    Play.reset_links,
+    Play.restart_upstreams,
+    Play.restart_upstreams,
+    Play.reset_callers,
+    Play.stutter,
+    Play.stutter,
+    Play.freeze,
+    Play.cut_zone,
+)
 
 
 def play(monkeypatch, layout: str, seed: int) -> list[Finding]:
--- a/jackdawspur/front/tests/faulty.py
+++ b/jackdawspur/front/tests/faulty.py
@@ -162,6 +162,18 @@
 
         self.after(down_s, boot)
 
+    def restart(self, one: UpstreamId, down_s: float) -> None:
+        """Let an upstream crash, and come back under the same name."""
+        upstream = self.upstreams[one]
+        upstream.crash()
+        crashes = upstream.crashes
+
+        def boot() -> None:
+            if upstream.crashes == crashes:
+                upstream.start_again(self.now)
+
+        self.after(down_s, boot)
+
     def drain(self, one: UpstreamId, drain_s: float) -> None:
         """Empty an upstream and take it away."""
         self.listed = tuple(
--- a/jackdawspur/front/tests/faulty_parts.py
+++ b/jackdawspur/front/tests/faulty_parts.py
@@ -2,17 +2,18 @@
 
 import logging
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from jackdawspur.bench import FrontUpstream, Tally
 from jackdawspur.front.tests.virtual import Asked
 from jackdawspur.front.tests.virtual_parts import Life
-from jackdawspur.leases import CallOutcome, Ending, RunId
+from jackdawspur.leases import CallOutcome, Ending, LookReport, RunId
 from jackdawspur.runs import JobRequest
 
 __all__ = ["Attempt", "Caller", "FaultyUpstream", "Starts"]
 
 MOST_STOP_S = 0.05
+MS_PER_S = 1000.0
 
 
 @dataclass(eq=False)
@@ -67,6 +68,8 @@
         super().__init__(entry, pace, tally, rng)
         self.drift = rng.choice((0.0, 0.01, 0.02))
         self.boot_over = self.gone = False
+        self.boot = 1
+        self.crashes = 0
         self._stops: dict[RunId, float] = {}
 
     def clock_ms(self, now: float) -> int:
@@ -92,11 +95,24 @@
     def crash(self) -> None:
         """End everything with the boot."""
         self.boot_over = True
+        self.crashes += 1
         for one in self._tasks.values():
             self._tally.running[one.run.task] -= 1
         self._tasks.clear()
         self._ended.clear()
 
+    def start_again(self, now: float) -> None:
+        """Be another boot under the same name, which knows nothing of before."""
+        self.boot_over = False
+        self.boot += 1
+        self._clock_at_0 = -int(now * MS_PER_S)
+        self._fence = self._lease_ms = self._ends = 0
+        self._last.clear()
+        self._stops.clear()
+
+    def report(self, now: float) -> LookReport:
+        return replace(super().report(now), boot=self.boot)
+
     def _count(self, run: RunId, cpu: int) -> None:
         if self._tally.running.get(run.task, 0):
             logging.getLogger("upstream").info("TWICE %s %s", run, self.entry.id)
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -13,6 +13,8 @@
 # How far ahead a lease reaches. A task of a lost host must be gone before its caller
 # asks again, 1.3 s after the break: 0.4 s until the silence is noticed, then this.
 LEASE_S = 0.6
+# Upstreams shorten leases that are longer.
+LONGEST_LEASE_S = 1.0
 # An upstream's clock may run this much slower than ours.
 CLOCK_DRIFT = 0.02
 MS_PER_S = 1000.0
@@ -60,6 +62,9 @@
         self._entry = entry
         self.fence = fence
         self.number = number
+        # None until a report names it, with the last look sent by then.
+        self.boot: int | None = None
+        self._boot_look = 0
         self.runs: dict[RunId, Run] = {}
         self.last_seen = 0
         self.heard_at = now
@@ -87,6 +92,7 @@
         self._clock_read_at = now
         self._granted_ms = 0
         self._granted_at = now
+        self._unknown_lease = False
 
     @property
     def entry(self) -> UpstreamEntry:
@@ -175,6 +181,37 @@
         self.fence += 1
         self.sure_look = self.looks + 1
 
+    def is_of_earlier_boot(self, look: int, boot: int) -> bool:
+        """Tell whether a report says nothing of the present boot.
+
+        A look sent since a boot is known can't reach an earlier one, whatever the time
+        of day was at its start.
+        """
+        return look <= self._boot_look and boot < (self.boot or 0)
+
+    def note_boot(self, boot: int) -> None:
+        """Take in which boot reports."""
+        self.boot = boot
+        self._boot_look = self.looks
+
+    def restart(self, boot: int) -> None:
+        """Forget what an earlier boot said; the next look shows which runs exist.
+
+        The present boot has seen no fence, numbers its ends anew and has a clock of its
+        own. Of the runs that take room it may have those whose starts arrived since:
+        under the raised fence the next look settles each.
+        """
+        self.note_boot(boot)
+        self.last_seen = 0
+        self._clock_ms = None
+        self._unknown_lease = True
+        self.raise_fence()
+        self.held = False
+        for run in self.runs.values():
+            run.sure_after = self.sure_look
+            if run.phase is Phase.STARTING:
+                run.phase = Phase.UNSURE
+
     def doubt(self) -> None:
         """Let nothing start before the next look is answered."""
         self.held = False
@@ -198,6 +235,10 @@
         self.answered_look = max(look, self.answered_look)
         self.fenced_since = None
         self.heard_at = now
+        if self._unknown_lease:
+            # A start meant for the earlier boot named a time on that one's clock.
+            self._unknown_lease = False
+            self._granted_ms = report.clock_ms + int(LONGEST_LEASE_S * MS_PER_S)
         if self._clock_ms is None or report.clock_ms >= self._clock_ms:
             self._clock_ms = report.clock_ms
             self._clock_read_at = now
--- a/jackdawspur/leases/_types.py
+++ b/jackdawspur/leases/_types.py
@@ -73,11 +73,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LookReport:
-    """Report all runs of an upstream; `clock_ms` is its own steady clock."""
+    """Report all runs of an upstream; `clock_ms` is its own steady clock.
+
+    `boot` names the start of the upstream that reports, 0 where none is told.
+    """
 
     clock_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    boot: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawspur/platform/_bodies.py
+++ b/jackdawspur/platform/_bodies.py
@@ -122,11 +122,15 @@
 
 
 class HoldReply(msgspec.Struct):
-    """Spell what an upstream runs and what ended there, as rows."""
+    """Spell what an upstream runs and what ended there, as rows.
+
+    `born` is when it started, in milliseconds since 1970.
+    """
 
     clock_ms: int
     running: list[list[str | int | float]] = []
     ended: list[list[str | int | float]] = []
+    born: int = 0
 
 
 class RefusalBody(msgspec.Struct):
--- a/jackdawspur/platform/_upstreams.py
+++ b/jackdawspur/platform/_upstreams.py
@@ -139,6 +139,7 @@
             body.clock_ms,
             tuple(_running(row) for row in body.running),
             tuple(_ended(row) for row in body.ended),
+            body.born,
         )
     except (msgspec.DecodeError, ValueError, IndexError, TypeError) as error:
         log.warning("upstream answered nonsense", extra={"reason": str(error)})
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -112,6 +112,7 @@
     UPSTREAM_HELD = "upstream held"
     UPSTREAM_SILENT = "upstream silent"
     UPSTREAM_GONE = "upstream gone"
+    UPSTREAM_RESTARTED = "upstream started again"
     UPSTREAM_FENCED = "upstream obeys another host"
 
 
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -332,6 +332,18 @@
             )
             self.lose(held, run, now)
 
+    def restarted(self, held: HeldUpstream, boot: int) -> None:
+        """Take in that an upstream started again under its name."""
+        self.notes.add(
+            Decision.UPSTREAM_RESTARTED,
+            "",
+            str(held.entry.id),
+            boot=boot,
+            before=held.boot or 0,
+            runs=len(held.runs),
+        )
+        held.restart(boot)
+
     def gone(self, held: HeldUpstream, now: float) -> None:
         """Give up a boot of an upstream that another boot has replaced."""
         self.notes.add(
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -125,12 +125,23 @@
         if isinstance(result, LookReport):
             self._replies.came()
             held.look_at = now
-            self._reported(held, order.number, result, now)
+            self._of_boot(held, order, result, now)
         elif result is CallOutcome.GONE:
             self._fleet.gone(held, now)
         else:
             self._look_failed(held, order, result, now)
 
+    def _of_boot(
+        self, held: HeldUpstream, order: LookAt, report: LookReport, now: float
+    ) -> None:
+        """Take in a report of the present boot, or that there is another."""
+        if held.boot is None:
+            held.note_boot(report.boot)
+        if report.boot == held.boot:
+            self._reported(held, order.number, report, now)
+        elif not held.is_of_earlier_boot(order.number, report.boot):
+            self._fleet.restarted(held, report.boot)
+
     def _look_failed(
         self, held: HeldUpstream, order: LookAt, outcome: CallOutcome, now: float
     ) -> None:
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -55,6 +55,15 @@
     ends: int = 0
     percent: dict[str, float] = field(default_factory=dict)
     began_ms: dict[str, int] = field(default_factory=dict)
+    boot: int = 0
+
+    def start_again(self) -> None:
+        """Start again under the same name, and know nothing of before."""
+        self.boot += 1
+        self.fence = self.ends = self.clock_ms = 0
+        self.running.clear()
+        self.ended.clear()
+        self.began_ms.clear()
 
     def end(self, task: str, ending: Ending = Ending.DONE) -> None:
         """End a run."""
@@ -69,7 +78,7 @@
             RunningRun(RunId(task, number), "", self._percent(task))
             for task, number in self.running.items()
         )
-        return LookReport(self.clock_ms, rows, tuple(self.ended))
+        return LookReport(self.clock_ms, rows, tuple(self.ended), self.boot)
 
     def _percent(self, task: str) -> float:
         passed = self.clock_ms - self.began_ms.setdefault(task, self.clock_ms)
--- a/jackdawspur/standins/_platform_service.py
+++ b/jackdawspur/standins/_platform_service.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+import time
 from dataclasses import dataclass
 
 import msgspec
@@ -105,6 +106,7 @@
         self.worker = worker
         self._deadlines = deadlines
         self._task_cpu = cpu
+        self._born_ms = int(time.time() * MS_PER_S)
         self._waiting: list[_Waiting] = []
         self._tick()
 
@@ -150,7 +152,7 @@
             if self.worker.unseen or now >= waiting.until:
                 self._waiting.remove(waiting)
                 running, ended = self.worker.rows()
-                body = {"running": running, "ended": ended}
+                body = {"running": running, "ended": ended, "born": self._born_ms}
                 waiting.exchange.reply({"clock_ms": self.worker.clock_ms, **body})
 
     def _reply(self, exchange: Exchange, reason: str) -> None:
