Start nothing in a zone that its operator evacuates

What callers and operators would see: tasks keep starting in a zone that is about to be taken down, for as long as its evacuation lasts, and end with its upstreams. Cause: the key by which the operator asks for it was not read. Change: the platform's folder reads the keys; on the leading host upstreams of such a zone count as draining: what runs ends, nothing starts, nothing is offered to other groups. Hosts pass the zones on with the list of upstreams to those that the store refuses. Upstreams that drain count no more as capacity in admission, so that where a group is one zone its jobs go to the other groups at once and do not wait in vain.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -1,6 +1,7 @@
 """The leading host's part: decisions, and the calls they ask for."""
 
 import logging
+from dataclasses import replace
 from typing import Protocol
 
 from jackdawspur.front._clock import now_s
@@ -21,7 +22,7 @@
     JobProgress,
     RoomOffered,
 )
-from jackdawspur.leases import Fence
+from jackdawspur.leases import Fence, UpstreamEntry
 from jackdawspur.model import HostId
 from jackdawspur.runs import (
     AnswerJob,
@@ -113,7 +114,7 @@
         group = self._owner.group
         services = self._owner.routes.services
         entries = [
-            entry
+            self._usable(entry)
             for entry in self._owner.views.entries
             if group.covers(entry.id.zone) and entry.service in services
         ]
@@ -124,6 +125,12 @@
             self._upstreams.keep_only({e.address for e in entries} | held)
         self._owner.flush_soon()
 
+    def _usable(self, entry: UpstreamEntry) -> UpstreamEntry:
+        """Let an upstream of an evacuated zone end what it runs and take no more."""
+        if entry.id.zone in self._owner.views.evacuated:
+            return replace(entry, draining=True)
+        return entry
+
     def offered(self, message: JobOffered, now: float) -> None:
         """Take a job of another host, if it is meant for the present term.
 
--- a/jackdawspur/front/_ports.py
+++ b/jackdawspur/front/_ports.py
@@ -67,6 +67,10 @@
     def upstreams_read(self, entries: tuple[UpstreamEntry, ...]) -> None:
         """Take in the whole list of upstreams."""
 
+    @abc.abstractmethod
+    def evacuated_read(self, zones: frozenset[str]) -> None:
+        """Take in the zones on whose upstreams nothing more may start."""
+
     @abc.abstractmethod
     def hosts_read(self, hosts: tuple[HostAddress, ...]) -> None:
         """Take in the hosts that announced themselves."""
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -307,7 +307,9 @@
             # A host that started after the store went away has none, and could not
             # lead when the others are gone.
             if fresh or beat.upstreams_age_s - age > STALE_LIST_S:
-                passed = UpstreamsPassed(age, self.views.entries)
+                passed = UpstreamsPassed(
+                    age, self.views.entries, tuple(self.views.evacuated)
+                )
                 self.mesh.send(beat.host.name, passed)
 
     def _on_message(self, message: GroupMessage) -> None:
--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -51,6 +51,7 @@
         self.list_read_at: float | None = None
         self.in_force_at: float | None = None
         self.entries: tuple[UpstreamEntry, ...] = ()
+        self.evacuated: frozenset[str] = frozenset()
 
     @property
     def list_every_s(self) -> float:
@@ -85,10 +86,23 @@
         self.store_said = ""
         self._set_entries(entries)
 
+    def evacuated_read(self, zones: frozenset[str]) -> None:
+        """Start nothing more in these zones, and say so in the log."""
+        if zones == self.evacuated:
+            return
+        log.info(
+            "evacuated zones changed",
+            extra={"zones": sorted(zones), "before": sorted(self.evacuated)},
+        )
+        self.evacuated = zones
+        self._owner.upstreams_changed()
+
     def upstreams_passed(self, passed: UpstreamsPassed, now: float) -> None:
         """Take in another host's list if it is newer."""
         if passed.age_s < self.age_s(now):
             self.list_read_at = now - passed.age_s
+            if not self.reachable:
+                self.evacuated_read(frozenset(passed.evacuated))
             self._set_entries(passed.entries)
 
     def hosts_read(self, hosts: tuple[HostAddress, ...]) -> None:
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -23,6 +23,7 @@
     """Know no upstream."""
 
     entries: tuple = ()
+    evacuated: frozenset = frozenset()
 
 
 class NoUpstreams:
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -69,6 +69,7 @@
         self.listed: tuple[UpstreamEntry, ...] = ()
         self.asked: dict[str, Asked] = {}
         self.storeless: set[str] = set()
+        self.evacuated: set[str] = set()
         # How many upstreams of the list a host reads, where these are not all.
         self.shown: dict[str, int] = {}
         self.silent_links: set[tuple[str, str]] = set()
--- a/jackdawspur/front/tests/virtual_parts.py
+++ b/jackdawspur/front/tests/virtual_parts.py
@@ -154,6 +154,7 @@
 
     def _read_configuration(self) -> None:
         self._listener.configuration_read(1, b"1")
+        self._listener.evacuated_read(frozenset(self._world.evacuated))
 
     def _read_hosts(self) -> None:
         self._listener.hosts_read(tuple(self._world.announced.values()))
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -163,10 +163,14 @@
 
 
 class UpstreamsPassed(msgspec.Struct, frozen=True, tag="upstreams"):
-    """Pass the list of upstreams on; `age_s` is how old it is."""
+    """Pass the list of upstreams on; `age_s` is how old it is.
+
+    Nothing more may start in the zones that are `evacuated`.
+    """
 
     age_s: float
     entries: tuple[UpstreamEntry, ...]
+    evacuated: tuple[str, ...] = ()
 
 
 GroupMessage = (
--- a/jackdawspur/platform/_store.py
+++ b/jackdawspur/platform/_store.py
@@ -28,6 +28,7 @@
 SERVERS_TOPIC = "keyed.servers"
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
 READ_AT_ONCE_S = 0.0
 # Hosts that start together find each other here. Later ones are learned from their
 # heartbeats, and this topic is only for hosts whose heartbeats get lost.
@@ -59,6 +60,7 @@
         self._listener: StoreListener | None = None
         self._entries: dict[str, UpstreamEntry] = {}
         self._lapsed: dict[str, float] = {}
+        self._evacuated: set[str] = set()
         # Why each unreadable entry is, so that the log says it once.
         self._unreadable: dict[str, str] = {}
         self._reachable = True
@@ -114,6 +116,7 @@
             self._listener.store_changed(reachable, reason)
 
     def _operator_wrote(self, changed: dict[str, bytes], whole: bool) -> None:
+        self._read_evacuated(changed, whole)
         document = changed.get(CONFIGURATION_KEY)
         if not document:
             return
@@ -124,6 +127,21 @@
             return
         self._listener.configuration_read(version, document)
 
+    def _read_evacuated(self, changed: dict[str, bytes], whole: bool) -> None:
+        """Keep the zones to which nothing may be sent; a dropped key ends one."""
+        evacuated = set() if whole else set(self._evacuated)
+        for key, value in changed.items():
+            zone = key.removeprefix(EVACUATE_PREFIX)
+            if zone == key:
+                continue
+            if value:
+                evacuated.add(zone)
+            else:
+                evacuated.discard(zone)
+        if evacuated != self._evacuated:
+            self._evacuated = evacuated
+            self._listener.evacuated_read(frozenset(evacuated))
+
     def _servers_wrote(self, changed: dict[str, bytes], whole: bool) -> None:
         """Keep the list; an entry that vanished counts as gone only after a while."""
         now = self._deadlines.now
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -85,8 +85,12 @@
 
     @property
     def cpu_millis(self) -> int:
-        """Return the processor capacity of all upstreams held."""
-        return sum(h.entry.capacity.cpu_millis for h in self._held.values() if h.held)
+        """Return the processor capacity of all upstreams held that take tasks."""
+        return sum(
+            held.entry.capacity.cpu_millis
+            for held in self._held.values()
+            if held.held and not held.entry.draining
+        )
 
     def all_held(self, now: float) -> bool:
         """Tell whether every upstream obeys this host and answered it just now.
