Give up a task under which upstreams crash; carry failures over hand-overs

What callers saw: a task that crashes each upstream that starts it took down one after the other for as long as its caller asked, with all tasks beside it. And a task's failed attempts were counted anew by each leading host, so that restarts in turn reset the limit. Cause: a lost run put its task back without counting, and offers carried what was done and nothing else. Change: what ran on a boot that is lost is kept. Another boot in its place proves a crash, the same one answering again proves none. Two crashes under one task, or three under a job's tasks, give the job up, and its caller is told which task. Until a loss is explained, a task with two is not started a third time; suspects run apart, and one of a job at a time. A rack or zone that is lost blames nobody unless one job had tasks on each upstream. Both counts go to the job's host with heartbeats and from there to the next leading host. Ruled out: counting each silent upstream (two cuts would fail healthy jobs); blaming a job for any two crashes (a wide one loses two upstreams by chance).

--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -19,6 +19,7 @@
     JobStep,
     LookAt,
     Offer,
+    Progress,
     Route,
     StartRun,
     StopRun,
@@ -124,11 +125,9 @@
 
     def change_leader(self) -> None:
         """Let another host lead, and offer it all jobs that are not answered."""
-        done = {
-            job_id: tuple(done)
-            for jobs in self.dispatcher.open_jobs.done_by_host().values()
-            for job_id, done in jobs.items()
-        }
+        crashes = self.dispatcher.fleet.crashes
+        told = self.dispatcher.open_jobs.progress_by_host(crashes)
+        progress = {job: one for jobs in told.values() for job, one in jobs.items()}
         self.dispatcher = self._new_leader()
         for asked in self._asked.values():
             offer = asked.offer
@@ -139,7 +138,7 @@
                 offer.arrived,
                 offer.deadline,
                 1,
-                done.get(offer.request.id, ()),
+                progress.get(offer.request.id, Progress()),
             )
             self.dispatcher.offer(again, self.now)
 
--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -70,7 +70,7 @@
         """Send what is due to each host, `to_all` when the leading host has changed."""
         self._sent += 1
         owner, group = self._owner, self._owner.group
-        done = owner.lead.done_by_host()
+        done = owner.lead.progress_by_host()
         leader = group.leader(now)
         common = self._common(now)
         for peer in group.known:
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -34,6 +34,7 @@
     Offer,
     PassJobOn,
     Place,
+    Progress,
     StartRun,
     StopRun,
     deal,
@@ -75,7 +76,7 @@
         address = owner.address
         own = HostId(address.zone, address.name, address.started_ms)
         self._dispatcher = Dispatcher(own, now)
-        self._told: dict[str, tuple[str, ...]] = {}
+        self._told: dict[str, Progress] = {}
         self._actions = {
             StartRun: self._start,
             StopRun: self._stop,
@@ -153,7 +154,7 @@
                 arrived,
                 deadline,
                 message.handed,
-                message.done,
+                message.progress,
                 message.far,
                 message.attempt,
                 message.zone,
@@ -235,15 +236,17 @@
         since = self._dispatcher.fleet.fenced_since
         return now - since if since is not None else 0.0
 
-    def done_by_host(self) -> dict[str, tuple[JobProgress, ...]]:
-        """Return what is new of tasks done, by the host whose caller waits."""
+    def progress_by_host(self) -> dict[str, tuple[JobProgress, ...]]:
+        """Return what is new of jobs' tasks, by the host whose caller waits."""
         if not self._dispatcher.leads:
             return {}
         news: dict[str, tuple[JobProgress, ...]] = {}
-        told: dict[str, tuple[str, ...]] = {}
-        for host, jobs in self._dispatcher.open_jobs.done_by_host().items():
+        told: dict[str, Progress] = {}
+        crashes = self._dispatcher.fleet.crashes
+        jobs_of = self._dispatcher.open_jobs.progress_by_host(crashes)
+        for host, jobs in jobs_of.items():
             told.update(jobs)
-            fresh = [j for j, done in jobs.items() if self._told.get(j) != done]
+            fresh = [job for job, one in jobs.items() if self._told.get(job) != one]
             news[host] = tuple(JobProgress(job, jobs[job]) for job in fresh)
         self._told = told
         return news
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -4,7 +4,13 @@
 
 from jackdawspur.group import Term
 from jackdawspur.leases import Fence
-from jackdawspur.runs import JobEnd, JobOutcome, JobRequest
+from jackdawspur.runs import (
+    JobEnd,
+    JobOutcome,
+    JobRequest,
+    Progress,
+    TaskTrouble,
+)
 
 __all__ = ["OwnJob", "OwnJobs"]
 
@@ -34,6 +40,7 @@
     offered_to: Term | None = None
     offered_at: float = 0.0
     done: set[str] = field(default_factory=set)
+    troubles: dict[str, TaskTrouble] = field(default_factory=dict)
     attempt: int = 0
     far: Term | None = None
     far_since: float = 0.0
@@ -42,6 +49,11 @@
     highest: Fence = 0
     outranked: bool = False
 
+    @property
+    def progress(self) -> Progress:
+        """Return what the leading host must know of the job's tasks."""
+        return Progress(tuple(self.done), tuple(self.troubles.values()))
+
     @property
     def passed_on(self) -> bool:
         """Tell whether the own group passed the job on to another."""
@@ -117,11 +129,12 @@
         """Return the jobs that other groups have."""
         return [job for job in self._by_call.values() if job.far is not None]
 
-    def note_done(self, job_id: str, done: tuple[str, ...]) -> None:
-        """Keep which tasks are done, for the next leading host."""
+    def note_progress(self, job_id: str, progress: Progress) -> None:
+        """Keep what the next leading host must know of a job's tasks."""
         job = self.by_job(job_id)
         if job is not None:
-            job.done.update(done)
+            job.done.update(progress.done)
+            job.troubles.update({one.task: one for one in progress.troubles})
 
     def given_up(
         self, leaderless: bool, patience_s: float, now: float
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -334,7 +334,7 @@
         if self.group.heard(beat, now):
             self.hosts_learned()
         for progress in beat.progress:
-            self.callers.note_done(progress)
+            self.callers.note_progress(progress)
         if not self.group.includes(beat):
             if beat.leads:
                 self.lead.room_heard(beat, now)
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -173,9 +173,9 @@
         """Return the leading hosts of other groups that have jobs of this host."""
         return {job.far.leader for job in self._jobs.far_jobs()}
 
-    def note_done(self, progress: JobProgress) -> None:
-        """Keep which tasks are done."""
-        self._jobs.note_done(progress.job, progress.done)
+    def note_progress(self, told: JobProgress) -> None:
+        """Keep what the next leading host must know of a job's tasks."""
+        self._jobs.note_progress(told.job, told.progress)
 
     def tick(self, now: float) -> None:
         """Answer callers whose time is over."""
@@ -296,7 +296,7 @@
                     job.arrived,
                     job.deadline,
                     job.handed,
-                    tuple(job.done),
+                    job.progress,
                     attempt=job.attempt,
                     zone=self._owner.address.zone,
                     all_zones=job.earlier_all_zones,
@@ -317,7 +317,7 @@
             age_ms=(now - job.arrived) * MS_PER_S,
             left_ms=(job.deadline - now) * MS_PER_S,
             handed=job.handed,
-            done=tuple(job.done),
+            progress=job.progress,
             far=job.far is not None,
             attempt=job.attempt,
             zone=self._owner.address.zone,
--- a/jackdawspur/front/tests/test_heartbeats.py
+++ b/jackdawspur/front/tests/test_heartbeats.py
@@ -39,7 +39,7 @@
 class Lead:
     """Lead nobody's jobs."""
 
-    def done_by_host(self) -> dict:
+    def progress_by_host(self) -> dict:
         return {}
 
     def hosts(self) -> set[str]:
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -10,7 +10,7 @@
 from jackdawspur.group import Group, HostAddress, JobOffered
 from jackdawspur.leases import Resources, UpstreamEntry
 from jackdawspur.model import UpstreamId
-from jackdawspur.runs import JobRequest, JobStep, Route
+from jackdawspur.runs import JobRequest, JobStep, Progress, Route
 
 ROUTE = Route("r", "h", "/q/", "s", 1500.0, 60.0, 1.6, 0, 3)
 REQUEST = JobRequest("aa", "", (JobStep(1, Resources(1), 10.0),), ROUTE)
@@ -62,7 +62,7 @@
 
 
 def offer(fence: int, handed: int = 0, sent_at: float = SENT_AT) -> JobOffered:
-    return JobOffered("h2", fence, sent_at, REQUEST, 1, 0.0, 1000.0, handed, ())
+    return JobOffered("h2", fence, sent_at, REQUEST, 1, 0.0, 1000.0, handed, Progress())
 
 
 def test_an_offer_for_the_present_term_is_taken(owner: Owner, driver: LeadDriver):
--- a/jackdawspur/fuzz/tests/test_runs.py
+++ b/jackdawspur/fuzz/tests/test_runs.py
@@ -22,6 +22,7 @@
     JobStep,
     LookAt,
     Offer,
+    Progress,
     Route,
     StartRun,
     StopRun,
@@ -206,16 +207,16 @@
 
     @rule()
     def lead_begins_anew(self):
-        done = {
-            job: tuple(names)
-            for jobs in self.dispatcher.open_jobs.done_by_host().values()
-            for job, names in jobs.items()
-        }
+        crashes = self.dispatcher.fleet.crashes
+        told = self.dispatcher.open_jobs.progress_by_host(crashes)
+        progress = {job: one for jobs in told.values() for job, one in jobs.items()}
         jobs = [job.offer for job in self.dispatcher.open_jobs.values()]
         self.fence += FENCE_STEP
         self._lead()
         for offer in jobs:
-            known = offer.done + done.get(offer.request.id, ())
+            new = progress.get(offer.request.id, Progress())
+            done = offer.progress.done + new.done
+            known = Progress(done, offer.progress.troubles + new.troubles)
             again = Offer(
                 offer.request,
                 offer.host,
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -6,7 +6,7 @@
 
 from jackdawspur.exceptions import JackdawspurError
 from jackdawspur.leases import UpstreamEntry
-from jackdawspur.runs import JobOutcome, JobRequest
+from jackdawspur.runs import JobOutcome, JobRequest, Progress
 
 __all__ = [
     "ConfigurationPassed",
@@ -90,23 +90,23 @@
 
 
 class JobProgress(msgspec.Struct, frozen=True):
-    """Tell a job's host which of its tasks are done."""
+    """Tell a job's host what the next leading host must know of its tasks."""
 
     job: str
-    done: tuple[str, ...]
+    progress: Progress
 
 
 class JobOffered(msgspec.Struct, frozen=True, tag="offer"):
     """Hand a job to the leading host; times in milliseconds, left or passed.
 
-    `handed` counts earlier hand-overs, `done` names the tasks known to be done. `fence`
-    names the term to whose leading host it goes: in a later one the job counts as new
-    unless it is handed over. `far` tells that it comes from another group. `attempt`
-    counts the offers of the job. `zone` is the sender's; `all_zones` tells that an
-    earlier leading host could run the job on upstreams of others too. `leader_at` is
-    what the receiver's clock showed when this was sent, or less: by it an offer that
-    arrives late is known. `outranked` tells that an earlier leading host had a higher
-    fence.
+    `handed` counts earlier hand-overs, `progress` is what is known of its tasks.
+    `fence` names the term to whose leading host it goes: in a later one the job
+    counts as new unless it is handed over. `far` tells that it comes from another
+    group. `attempt` counts the offers of the job. `zone` is the sender's;
+    `all_zones` tells that an earlier leading host could run the job on upstreams of
+    others too. `leader_at` is what the receiver's clock showed when this was sent,
+    or less: by it an offer that arrives late is known. `outranked` tells that an
+    earlier leading host had a higher fence.
     """
 
     sender: str
@@ -117,7 +117,7 @@
     age_ms: float
     left_ms: float
     handed: int
-    done: tuple[str, ...]
+    progress: Progress
     far: bool = False
     attempt: int = 0
     zone: str = ""
--- a/jackdawspur/leases/_held.py
+++ b/jackdawspur/leases/_held.py
@@ -112,6 +112,11 @@
         """
         return self._free
 
+    @property
+    def tasks(self) -> set[str]:
+        """Return the tasks that have runs here."""
+        return {run.task for run in self.runs}
+
     @property
     def doubtful(self) -> bool:
         """Tell whether a look is overdue, or one that is to settle something is open.
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -21,7 +21,9 @@
     JobRequest,
     JobStep,
     Offer,
+    Progress,
     Route,
+    TaskTrouble,
 )
 
 __all__ = [
@@ -41,10 +43,12 @@
     "PassJobOn",
     "Place",
     "Placer",
+    "Progress",
     "Route",
     "StartRun",
     "StopRun",
     "Task",
     "TaskState",
+    "TaskTrouble",
     "deal",
 ]
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -146,6 +146,7 @@
         had no answer. One that was answered is answered again: a connection between
         hosts that goes silent loses what was sent on it.
         """
+        self._fleet.crashes.told(offer.progress.troubles)
         known = self._jobs.get(offer.request.id)
         if known is not None:
             known.offered_again(offer, now)
@@ -154,8 +155,8 @@
         if answer is not None:
             self._effects.append(answer)
             return
-        steps = offer.request.steps
-        expected = self._estimates.expected_ms(offer.request.route, steps)
+        request = offer.request
+        expected = self._estimates.expected_ms(request.route, request.steps)
         job = Job(offer, expected, now)
         job.started = job.started or job.id in self._begun
         self._jobs[job.id] = job
@@ -229,7 +230,7 @@
         if not self.leads:
             return
         for job in list(self._jobs.values()):
-            self._give_up_if_late(job, now)
+            self._end_if_hopeless(job, now)
         self._refuse_beyond_use(now)
         for job in self._jobs.take_reported():
             if self._review_of.job(job, now) is Verdict.GIVE_UP:
@@ -239,6 +240,7 @@
         self._found_done.forget_old(now)
         self._answers.forget_old(now)
         self._begun.forget_old(now)
+        self._fleet.crashes.forget_old(now)
         self._fleet.tick(now)
 
     def _pass_on(self, now: float) -> None:
@@ -321,8 +323,7 @@
         """Fail the job of a task that no upstream takes."""
         job = self.job_of(task_name)
         if job is not None:
-            self._answer(job, JobOutcome(JobEnd.FAILED, False, reason="task refused"))
-            self._end(job, now)
+            self._fail(job, "task refused", now)
 
     def _run_again(self, job: Job, task: Task, ending: Ending, now: float) -> None:
         job.put_back(task)
@@ -330,10 +331,12 @@
             return
         task.failures += 1
         if task.failures >= job.request.route.max_attempts:
-            reason = f"{task.name} failed {task.failures} times"
-            self._notes.add(Decision.JOB_FAILED, job.id, "", reason=reason)
-            self._answer(job, JobOutcome(JobEnd.FAILED, not_run=False, reason=reason))
-            self._end(job, now)
+            self._fail(job, f"{task.name} failed {task.failures} times", now)
+
+    def _fail(self, job: Job, reason: str, now: float) -> None:
+        self._notes.add(Decision.JOB_FAILED, job.id, "", reason=reason)
+        self._answer(job, JobOutcome(JobEnd.FAILED, not job.started, reason=reason))
+        self._end(job, now)
 
     def _complete(self, job: Job) -> None:
         self._estimates.learn_paces(job)
@@ -352,10 +355,13 @@
         for task in job.placed():
             self._fleet.stop(task.name, now)
 
-    def _give_up_if_late(self, job: Job, now: float) -> None:
+    def _end_if_hopeless(self, job: Job, now: float) -> None:
         if now >= job.offer.deadline:
             self._give_up(job, Decision.JOB_OUT_OF_TIME, now)
             return
+        if crashing := self._fleet.crashes.reason_to_give_up(job.by_name):
+            self._fail(job, crashing, now)
+            return
         start = self._placer.earliest_start(job, now)
         if standing(job, start) is not Standing.HOPELESS:
             return
@@ -369,11 +375,7 @@
         if job.started:
             self._estimates.learn_given_up(job)
         reason = "it can't end within the caller's time"
-        retry_s = (
-            0.0
-            if job.started
-            else retry_after_s(self._jobs.values(), self._fleet.cpu_millis)
-        )
+        retry_s = 0.0 if job.started else self._retry_after_s()
         outcome = JobOutcome(JobEnd.OUT_OF_TIME, not job.started, retry_s, reason)
         self._answer(job, outcome)
         self._end(job, now)
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -15,6 +15,7 @@
     UpstreamEntry,
 )
 from jackdawspur.model import UpstreamId
+from jackdawspur.runs._crashes import Crashes
 from jackdawspur.runs._effects import Decision, Effect, LookAt, StartRun, StopRun
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._listing import Listing
@@ -71,6 +72,7 @@
         self.replies = replies
         self.listing = Listing()
         self.watch = Watch(replies)
+        self.crashes = Crashes()
         self._entries: dict[UpstreamId, UpstreamEntry] = {}
         self._held: dict[UpstreamId, HeldUpstream] = {}
         self._holdings = itertools.count()
@@ -326,6 +328,7 @@
         held.raise_fence()
         held.held = False
         silent_ms = round((now - held.heard_at) * 1000)
+        self.crashes.lost(held.entry.id, held.tasks, now)
         for run in list(held.runs.values()):
             self.notes.add(
                 Decision.RUN_LOST,
@@ -336,7 +339,7 @@
             )
             self.lose(held, run, now)
 
-    def restarted(self, held: HeldUpstream, boot: int) -> None:
+    def restarted(self, held: HeldUpstream, boot: int, now: float) -> None:
         """Take in that an upstream started again under its name."""
         self.notes.add(
             Decision.UPSTREAM_RESTARTED,
@@ -347,17 +350,26 @@
             runs=len(held.runs),
         )
         held.restart(boot)
+        self._note_crash(held, now)
 
     def gone(self, held: HeldUpstream, now: float) -> None:
         """Give up a boot of an upstream that another boot has replaced."""
         self.notes.add(
             Decision.UPSTREAM_GONE, "", str(held.entry.id), runs=len(held.runs)
         )
+        self._note_crash(held, now)
         for run in list(held.runs.values()):
             self.lose(held, run, now)
         self._entries.pop(held.entry.id, None)
         self._forget(held)
 
+    def _note_crash(self, held: HeldUpstream, now: float) -> None:
+        """Keep what ran under a boot that ended; the list may name it once more."""
+        upstream = held.entry.id
+        known = held.boot is not None or self.crashes.may_have_crashed(upstream)
+        if known and not held.entry.draining:
+            self.crashes.crashed(upstream, held.tasks, now)
+
     def _forget(self, held: HeldUpstream) -> None:
         self._held.pop(held.entry.id, None)
         self._fences[held.entry.id] = held.fence
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -96,9 +96,10 @@
         self._open_in_step = [step.count for step in self.request.steps]
         self._waiting = list(self.tasks)
         self.chain_ms = self._longest_ms(expected_ms)
-        for name in offer.done:
+        for name in offer.progress.done:
             if name in self.by_name:
                 self.end_task(self.by_name[name])
+        self._count_failures(offer)
 
     @property
     def id(self) -> str:
@@ -137,6 +138,14 @@
             for task in self._waiting:
                 task.run = max(task.run, offer.handed * RUNS_A_HAND_OVER)
         self.offer = offer
+        self._count_failures(offer)
+
+    def _count_failures(self, offer: Offer) -> None:
+        """Take over how often tasks failed under earlier leading hosts."""
+        for trouble in offer.progress.troubles:
+            task = self.by_name.get(trouble.task)
+            if task is not None:
+                task.failures = max(task.failures, trouble.failures)
 
     def expect(self, step: int, work_ms: float) -> None:
         """Correct what a step's tasks are expected to take."""
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -140,7 +140,7 @@
         if report.boot == held.boot:
             self._reported(held, order.number, report, now)
         elif not held.is_of_earlier_boot(order.number, report.boot):
-            self._fleet.restarted(held, report.boot)
+            self._fleet.restarted(held, report.boot, now)
 
     def _look_failed(
         self, held: HeldUpstream, order: LookAt, outcome: CallOutcome, now: float
@@ -199,6 +199,7 @@
     ) -> None:
         if not held.held or not held.answered:
             self._fleet.gained = True
+            self._fleet.crashes.answered(held.entry.id)
             self._fleet.notes.add(
                 Decision.UPSTREAM_HELD, "", str(held.entry.id), runs=len(report.running)
             )
--- a/jackdawspur/runs/_open_jobs.py
+++ b/jackdawspur/runs/_open_jobs.py
@@ -1,6 +1,8 @@
 """The jobs that a leading host has and that are not ended."""
 
+from jackdawspur.runs._crashes import Crashes
 from jackdawspur.runs._job import Job
+from jackdawspur.runs._types import Progress, TaskTrouble
 
 __all__ = ["OpenJobs"]
 
@@ -50,11 +52,21 @@
             and now - job.repeated_at > UNREPEATED_S
         ]
 
-    def done_by_host(self) -> dict[str, dict[str, tuple[str, ...]]]:
-        """Return the tasks done of each job that has some, by host and job."""
-        told: dict[str, dict[str, tuple[str, ...]]] = {}
+    def progress_by_host(self, crashes: Crashes) -> dict[str, dict[str, Progress]]:
+        """Return what the next leading host must know of each job, by host and job."""
+        told: dict[str, dict[str, Progress]] = {}
         for job in self.values():
-            done = tuple(task.name for task in job.tasks if task.is_done)
-            if done:
-                told.setdefault(job.offer.host, {})[job.id] = done
+            progress = _progress(job, crashes)
+            if progress.done or progress.troubles:
+                told.setdefault(job.offer.host, {})[job.id] = progress
         return told
+
+
+def _progress(job: Job, crashes: Crashes) -> Progress:
+    done = tuple(task.name for task in job.tasks if task.is_done)
+    troubles = tuple(
+        TaskTrouble(task.name, task.failures, crashes.count(task.name))
+        for task in job.tasks
+        if task.failures or crashes.is_suspect(task.name)
+    )
+    return Progress(done, troubles)
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from jackdawspur.leases import HeldUpstream, Resources
+from jackdawspur.runs._crashes import Crashes
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task
@@ -99,15 +100,20 @@
         Room only shrinks within a pass, so what needs as much is not tried again.
         """
         service = job.request.route.service
+        crashes = self._fleet.crashes
         for task in job.waiting():
-            if self._fleet.takes_room(task.name):
+            suspect = crashes.is_suspect(task.name)
+            if self._fleet.takes_room(task.name) or (
+                suspect and _must_wait(task, job, crashes)
+            ):
                 continue
             needed = task.spec.resources
             if service in refused and refused[service].fits_in(needed):
                 return
-            held = choose(task, job, upstreams, self._estimates, now)
+            some = _without_suspects(upstreams, crashes) if suspect else upstreams
+            held = choose(task, job, some, self._estimates, now)
             if held is None:
-                if _fits_anywhere(task):
+                if _fits_anywhere(task) and not suspect:
                     refused[service] = needed
                 return
             if self._had_better_wait(job, task, held, now):
@@ -139,6 +145,27 @@
         self._starts.start(held, task, job.request.spec, now)
 
 
+def _must_wait(task: Task, job: Job, crashes: Crashes) -> bool:
+    """Tell whether a suspect may not start: one of a job at a time shows enough."""
+    if crashes.must_wait(task.name):
+        return True
+    return any(crashes.is_suspect(other.name) for other in job.placed())
+
+
+def _without_suspects(
+    upstreams: Sequence[HeldUpstream], crashes: Crashes
+) -> list[HeldUpstream]:
+    """Return the upstreams on which no task runs that one may have crashed under.
+
+    What crashes next then tells which of them it was.
+    """
+    return [
+        held
+        for held in upstreams
+        if not any(crashes.is_suspect(run.task) for run in held.runs)
+    ]
+
+
 def _fits_anywhere(task: Task) -> bool:
     """Tell whether only its size can keep a task off an upstream."""
     spec = task.spec
--- a/jackdawspur/runs/_types.py
+++ b/jackdawspur/runs/_types.py
@@ -5,7 +5,16 @@
 
 from jackdawspur.leases import Resources
 
-__all__ = ["JobEnd", "JobOutcome", "JobRequest", "JobStep", "Offer", "Route"]
+__all__ = [
+    "JobEnd",
+    "JobOutcome",
+    "JobRequest",
+    "JobStep",
+    "Offer",
+    "Progress",
+    "Route",
+    "TaskTrouble",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +63,29 @@
     route: Route
 
 
+@dataclass(frozen=True, slots=True)
+class TaskTrouble:
+    """Count how often a task failed, and the upstreams that crashed under it."""
+
+    task: str
+    failures: int
+    crashes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Tell what the next leading host must know of a job's tasks."""
+
+    done: tuple[str, ...] = ()
+    troubles: tuple[TaskTrouble, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Offer:
     """Carry a job and who waits for it; times in seconds of the leading host's clock.
 
     `call` names the waiting request on `host`. `handed` counts earlier hand-overs and
-    `done` names the tasks that ended well under them. `far` tells that the host belongs
+    `progress` is what became of its tasks under them. `far` tells that the host belongs
     to another group. `attempt` counts the offers of the job. `zone` is the host's;
     `all_zones` tells that an earlier leading host could run the job on upstreams of
     others too, `outranked` that one had a higher fence.
@@ -71,7 +97,7 @@
     arrived: float
     deadline: float
     handed: int = 0
-    done: tuple[str, ...] = ()
+    progress: Progress = Progress()
     far: bool = False
     attempt: int = 0
     zone: str = ""
--- a/jackdawspur/runs/tests/test_one_run.py
+++ b/jackdawspur/runs/tests/test_one_run.py
@@ -1,7 +1,7 @@
 """A task never has two runs at one time."""
 
 from jackdawspur.leases import CallOutcome, Ending
-from jackdawspur.runs import DropCause, JobEnd
+from jackdawspur.runs import DropCause, JobEnd, Progress
 from jackdawspur.runs.tests.conftest import FENCE, PATIENT, Leading
 
 
@@ -132,7 +132,7 @@
     upstream = next(iter(leading.upstreams.values()))
     upstream.running["aa.0.0.1"] = 1
     leading.lead()
-    leading.offer("aa", tasks=2, handed=1, done=("aa.0.0.0",))
+    leading.offer("aa", tasks=2, handed=1, progress=Progress(("aa.0.0.0",)))
     leading.settle()
     assert leading.running() == {"aa.0.0.1": [upstream.id]}
     upstream.end("aa.0.0.1")
