Pass the jobs of an evacuated zone on to the other groups in turn

Cause: a group passes a job on only for room that another one offered, every 0.2 s and a share each. That is meant for the little that finds no room at home, not for all work of a zone. Change: where nothing of the own group takes tasks, jobs for which no offer is left go to the leading hosts of the other groups in turn, and these decide. Evidence: the new test fails without it (no job is passed on).

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -253,7 +253,7 @@
 
     def _send_elsewhere(self, job: Job, now: float) -> bool:
         """Pass a job on to a group that has room for it; tell whether there is one."""
-        place = self._elsewhere.take(job, now)
+        place = self._elsewhere.take(job, now, anywhere=self._fleet.only_drains)
         if place is None:
             return False
         offer = job.offer
--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self._offered: dict[str, _Offered] = {}
+        self._sent = 0
 
     @property
     def heard_of(self) -> bool:
@@ -52,17 +53,23 @@
         free = {service: sorted(rows) for service, rows in room.items()}
         self._offered[place.leader] = _Offered(place, now, free)
 
-    def take(self, job: Job, now: float) -> Place | None:
-        """Return where all tasks of a job find room at once, and count it as used."""
+    def take(self, job: Job, now: float, anywhere: bool = False) -> Place | None:
+        """Return where all tasks of a job find room at once, and count it as used.
+
+        With `anywhere` a job for which there is none goes to each group in turn, which
+        may know better by then.
+        """
         service = job.request.route.service
-        for offered in self._offered.values():
-            if now - offered.at > OFFER_KEPT_S:
-                continue
+        fresh = [o for o in self._offered.values() if now - o.at <= OFFER_KEPT_S]
+        for offered in fresh:
             left = _fill(offered.free.get(service, ()), job.request.steps)
             if left is not None:
                 offered.free[service] = left
                 return offered.place
-        return None
+        if not (anywhere and fresh):
+            return None
+        self._sent += 1
+        return fresh[self._sent % len(fresh)].place
 
 
 def may_go(job: Job, now: float, patience_s: float = PATIENCE_S) -> bool:
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -2,16 +2,13 @@
 
 import itertools
 from collections.abc import Iterable
-from typing import Protocol
 
 from jackdawspur.leases import (
     CallOutcome,
-    EndedRun,
     Fence,
     HeldUpstream,
     Phase,
     Run,
-    RunId,
     UpstreamEntry,
 )
 from jackdawspur.model import UpstreamId
@@ -21,9 +18,10 @@
 from jackdawspur.runs._listing import Listing
 from jackdawspur.runs._notes import Notes
 from jackdawspur.runs._replies import Replies
+from jackdawspur.runs._run_owner import RunOwner
 from jackdawspur.runs._watch import Watch
 
-__all__ = ["Fleet", "RunOwner"]
+__all__ = ["Fleet"]
 
 # A new leading host waits this long for the jobs of the runs it finds: it tells the
 # others at once that it leads, and they offer their jobs again within a pass or two.
@@ -36,30 +34,6 @@
 DOUBT_EVERY_S = 0.05
 
 
-class RunOwner(Protocol):
-    """Hear of what becomes of runs."""
-
-    def job_of(self, task_name: str) -> Job | None:
-        """Return the open job of a task."""
-
-    def run_ended(
-        self, upstream: UpstreamId, ended: EndedRun, since: float, now: float
-    ) -> None:
-        """Take in the end of a run."""
-
-    def found_done(self, task_name: str, now: float) -> None:
-        """Take in that a run of an earlier leading host ended well."""
-
-    def run_reported(self, task_name: str) -> None:
-        """Take in that a run told its progress."""
-
-    def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
-        """Take in that a run can't exist any more."""
-
-    def start_invalid(self, task_name: str, now: float) -> None:
-        """Take in that no upstream takes the task."""
-
-
 class Fleet:
     """Hold upstreams, and keep where each task takes room."""
 
@@ -94,6 +68,12 @@
             if held.held and not held.entry.draining
         )
 
+    @property
+    def only_drains(self) -> bool:
+        """Tell whether no upstream of the group is to take anything more."""
+        entries = self._entries.values()
+        return bool(entries) and all(entry.draining for entry in entries)
+
     def all_held(self, now: float) -> bool:
         """Tell whether every upstream obeys this host and answered it just now.
 
--- a/jackdawspur/runs/tests/test_elsewhere.py
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -100,3 +100,18 @@
     assert set(leading.dispatcher.open_jobs) == {"bb", "cc"}
     leading.dispatcher.drop_unrepeated({"h2"}, leading.now)
     assert set(leading.dispatcher.open_jobs) == {"cc"}
+
+
+def test_jobs_go_to_other_groups_in_turn_where_nothing_may_start(leading: Leading):
+    # Guards against refusing a whole zone's callers once the room last offered is used.
+    other = Place("h5", FENCE)
+    for place in (PLACE, other):
+        leading.dispatcher.room_offered(place, {}, leading.now)
+    entries = [leading.entry(one, draining=True) for one in leading.upstreams]
+    leading.dispatcher.set_upstreams(entries, leading.now)
+    for number in range(4):
+        leading.offer(f"b{number}", call=number)
+    leading.advance(0.05)
+    assert [one.place for one in passed_on(leading)].count(other) == 2
+    assert len(passed_on(leading)) == 4
+    assert not leading.answers
