--- a/jackdawspur/runs/tests/test_crashes.py
+++ b/jackdawspur/runs/tests/test_crashes.py
@@ -98,8 +98,9 @@
     leading.dispatcher.look_replied(look, CallOutcome.GONE, leading.now)
 
 
-def test_a_job_whose_task_crashes_upstreams_fails_after_the_second():
-    # Guards against one task that takes down one upstream after the other.
+@pytest.fixture
+def crashed_twice() -> Leading:
+    """Return a host that leads, of whose upstreams two crashed under one task."""
     leading = Leading(upstreams=4)
     leading.lead()
     leading.offer("bad", route=PATIENT, deadline=leading.now + 20.0)
@@ -107,25 +108,26 @@
     for _ in range(2):
         crash(leading, BAD)
         leading.advance(0.05)
-    (answer,) = leading.answers
+    return leading
+
+
+def test_a_job_whose_task_crashes_upstreams_fails_after_the_second(
+    crashed_twice: Leading,
+):
+    # Guards against one task that takes down one upstream after the other.
+    (answer,) = crashed_twice.answers
     assert answer.outcome.end is JobEnd.FAILED
     assert not answer.outcome.not_run
     assert BAD in answer.outcome.reason
-    assert not leading.running()
+    assert not crashed_twice.running()
 
 
-def test_a_job_that_is_asked_for_again_fails_at_once():
-    leading = Leading(upstreams=4)
-    leading.lead()
-    leading.offer("bad", route=PATIENT, deadline=leading.now + 20.0)
-    leading.settle()
-    for _ in range(2):
-        crash(leading, BAD)
-        leading.advance(0.05)
-    leading.offer("bad", call=2, host="h3")
-    leading.advance(0.05)
-    assert [one.outcome.end for one in leading.answers] == [JobEnd.FAILED] * 2
-    assert not leading.running()
+def test_a_job_that_is_asked_for_again_fails_at_once(crashed_twice: Leading):
+    crashed_twice.offer("bad", call=2, host="h3")
+    crashed_twice.advance(0.05)
+    ends = [one.outcome.end for one in crashed_twice.answers]
+    assert ends == [JobEnd.FAILED] * 2
+    assert not crashed_twice.running()
 
 
 def test_two_suspects_are_not_placed_together():
