Let what one silent upstream had start again at once

Cause: tasks under which an upstream was lost ran one at a time for their job, to learn which of them crashes upstreams.

--- a/jackdawspur/runs/_crashes.py
+++ b/jackdawspur/runs/_crashes.py
@@ -121,6 +121,13 @@
             return True
         return len(self._blaming_job(_job_of(task))) >= MOST_CRASHES_OF_JOB
 
+    def runs_alone(self, task: str) -> bool:
+        """Tell whether of a task's job one suspect may run at a time.
+
+        The loss of one upstream says little: all that ran there starts again at once.
+        """
+        return len(self._blaming_job(_job_of(task))) >= MOST_CRASHES
+
     def forget_old(self, now: float) -> None:
         """Forget what is too old to matter."""
         while self._losses:
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -146,9 +146,11 @@
 
 
 def _must_wait(task: Task, job: Job, crashes: Crashes) -> bool:
-    """Tell whether a suspect may not start: one of a job at a time shows enough."""
+    """Tell whether a suspect may not start before more is known."""
     if crashes.must_wait(task.name):
         return True
+    if not crashes.runs_alone(task.name):
+        return False
     return any(crashes.is_suspect(other.name) for other in job.placed())
 
 
--- a/jackdawspur/runs/tests/test_crashes.py
+++ b/jackdawspur/runs/tests/test_crashes.py
@@ -183,3 +183,16 @@
     jobs = leading.dispatcher.open_jobs
     told = jobs.progress_by_host(leading.dispatcher.fleet.crashes)
     assert told["h2"]["aa"].troubles == (TaskTrouble("aa.0.0.0", 1, 0),)
+
+
+def test_tasks_lost_with_one_silent_upstream_start_again_at_once():
+    # Guards against a healthy job that is late since its tasks run one after the other.
+    leading = Leading(upstreams=3)
+    leading.lead()
+    leading.offer("aa", 2, PATIENT, deadline=leading.now + 20.0)
+    leading.settle()
+    (lost,) = {place for places in leading.running().values() for place in places}
+    leading.silent.add(lost)
+    leading.upstreams[lost].running.clear()
+    leading.advance(SILENT_S)
+    assert set(leading.running()) == {"aa.0.0.0", "aa.0.0.1"}
