Take no list of upstreams that was held up by a cut

The list of upstreams that hosts pass on tells its age in the same way, counted from when it is read: held up, an old list counts as new, with it a host leads by what has changed since, or says that it has read of an upstream that it does not know. Change: it carries what the receiver's clock showed, as offers do, and one check serves both. Evidence: the new test fails before.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -11,7 +11,6 @@
 from jackdawspur.front._service import CallerService
 from jackdawspur.front._views import StoreView
 from jackdawspur.group import (
-    SILENCE_S,
     Group,
     GroupMessage,
     HostAddress,
@@ -21,6 +20,7 @@
     JobPassedOn,
     JobProgress,
     RoomOffered,
+    is_late,
 )
 from jackdawspur.leases import Fence, UpstreamEntry
 from jackdawspur.model import HostId
@@ -172,8 +172,7 @@
         tells its caller, who asks again. Taken as new the job would run twice at one
         time. Sound hosts' offers are a few milliseconds old, and repeated anyway.
         """
-        late_s = now - message.leader_at
-        if late_s <= SILENCE_S:
+        if not is_late(message.leader_at, now):
             return False
         self._owner.gauges.count("late_offers")
         log.info(
@@ -181,7 +180,7 @@
             extra={
                 "job": message.job.id,
                 "host": message.sender,
-                "late_s": round(late_s, 3),
+                "late_s": round(now - message.leader_at, 3),
             },
         )
         return True
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -308,7 +308,10 @@
             # lead when the others are gone.
             if fresh or beat.upstreams_age_s - age > STALE_LIST_S:
                 passed = UpstreamsPassed(
-                    age, self.views.entries, tuple(self.views.evacuated)
+                    group.clock_of(beat.host.name, now),
+                    age,
+                    self.views.entries,
+                    tuple(self.views.evacuated),
                 )
                 self.mesh.send(beat.host.name, passed)
 
--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -6,7 +6,7 @@
 from jackdawspur.front._clock import now_s
 from jackdawspur.front._ports import StoreListener
 from jackdawspur.front._routes import RouteTable, UnreadableConfiguration
-from jackdawspur.group import Group, HostAddress, Term, UpstreamsPassed
+from jackdawspur.group import Group, HostAddress, Term, UpstreamsPassed, is_late
 from jackdawspur.leases import UpstreamEntry
 
 __all__ = ["StoreView"]
@@ -98,7 +98,12 @@
         self._owner.upstreams_changed()
 
     def upstreams_passed(self, passed: UpstreamsPassed, now: float) -> None:
-        """Take in another host's list if it is newer."""
+        """Take in another host's list if it is newer.
+
+        One that was held up by a cut is older than it says.
+        """
+        if is_late(passed.receiver_at, now):
+            return
         if passed.age_s < self.age_s(now):
             self.list_read_at = now - passed.age_s
             if not self.reachable:
--- a/jackdawspur/front/tests/test_drawn_faults.py
+++ b/jackdawspur/front/tests/test_drawn_faults.py
@@ -18,6 +18,8 @@
     ("one group", 3290),
     ("two groups", 20121),
     ("two groups", 30773),
+    ("one group", 1030),
+    ("one group", 2027),
 )
 # Above all fences of hosts.
 HIGHEST = 1 << 61
--- a/jackdawspur/front/tests/test_late_messages.py
+++ b/jackdawspur/front/tests/test_late_messages.py
@@ -1,11 +1,21 @@
 """What hosts say to each other may arrive seconds later, when a cut has healed."""
 
+from types import SimpleNamespace
+
 import pytest
 
+from jackdawspur.front._views import StoreView
 from jackdawspur.front.tests.faulty import FaultyWorld
+from jackdawspur.group import UpstreamsPassed
+from jackdawspur.leases import Resources, UpstreamEntry
+from jackdawspur.model import UpstreamId
 
 ZONES = ("z1", "z2")
 CUT = frozenset(ZONES)
+SENT_AT = 50.0
+ENTRY = UpstreamEntry(
+    UpstreamId("z1", "u1"), "s", "127.0.0.1:1", Resources(8), (), False
+)
 
 
 @pytest.fixture
@@ -39,3 +49,19 @@
         world.cut.discard(CUT)
         world.run(4.0)
     assert world.tally.two_at_once == 0
+
+
+@pytest.fixture
+def view() -> StoreView:
+    """Return what a host knows that has not read the store."""
+    return StoreView(SimpleNamespace(upstreams_changed=lambda: None))
+
+
+@pytest.mark.parametrize(("way_s", "taken"), [(0.01, True), (2.0, False)])
+def test_a_list_that_waited_for_the_end_of_a_cut_is_not_new(
+    view: StoreView, way_s: float, taken: bool
+):
+    # Guards against a host that leads by a list which is older than it says.
+    passed = UpstreamsPassed(SENT_AT, 0.1, (ENTRY,))
+    view.upstreams_passed(passed, SENT_AT + way_s)
+    assert bool(view.entries) is taken
--- a/jackdawspur/group/__init__.py
+++ b/jackdawspur/group/__init__.py
@@ -5,6 +5,7 @@
     FOLLOWER_SILENCE_S,
     SILENCE_S,
     Group,
+    is_late,
 )
 from jackdawspur.group._messages import (
     ConfigurationPassed,
@@ -44,4 +45,5 @@
     "UpstreamsPassed",
     "decode_message",
     "encode_message",
+    "is_late",
 ]
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -11,6 +11,7 @@
     "FOLLOWER_SILENCE_S",
     "SILENCE_S",
     "Group",
+    "is_late",
 ]
 
 BEAT_S = 0.1
@@ -49,6 +50,14 @@
 CLAIM_STEPS = 5000
 
 
+def is_late(receiver_at: float, now: float) -> bool:
+    """Tell whether a message was held up for so long that its sender counted as lost.
+
+    `receiver_at` is what the receiver's clock showed when the message was sent.
+    """
+    return now - receiver_at > SILENCE_S
+
+
 class Group:
     """Follow the live host with the highest fence; lead when there is none.
 
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -165,9 +165,11 @@
 class UpstreamsPassed(msgspec.Struct, frozen=True, tag="upstreams"):
     """Pass the list of upstreams on; `age_s` is how old it is.
 
+    `receiver_at` is what the receiver's clock showed when this was sent, or less.
     Nothing more may start in the zones that are `evacuated`.
     """
 
+    receiver_at: float
     age_s: float
     entries: tuple[UpstreamEntry, ...]
     evacuated: tuple[str, ...] = ()
