Forget upstreams that never answer again

Cause: which lost upstreams may yet turn out to have crashed was kept without end, one entry for each upstream that is lost and replaced. Found on reading the change again. Measured: the new test fails before.

--- a/jackdawspur/runs/_crashes.py
+++ b/jackdawspur/runs/_crashes.py
@@ -27,6 +27,7 @@
     """Keep one lost boot and what ran there; `crashed` once another boot is seen."""
 
     number: int
+    upstream: UpstreamId
     at: float
     tasks: frozenset[str]
     jobs: frozenset[str]
@@ -54,14 +55,14 @@
 
     def lost(self, upstream: UpstreamId, tasks: Iterable[str], now: float) -> None:
         """Take in that an upstream fell silent for longer than its leases."""
-        known = self._open.pop(upstream, None)
+        known = self._open.get(upstream)
         at, before = now, frozenset()
-        if known is not None and known.number in self._losses:
+        if known is not None:
             at, before = known.at, known.tasks
             self._forget(known)
         all_tasks = before | frozenset(tasks)
         jobs = frozenset(map(_job_of, all_tasks))
-        loss = _Loss(next(self._numbers), at, all_tasks, jobs)
+        loss = _Loss(next(self._numbers), upstream, at, all_tasks, jobs)
         self._open[upstream] = loss
         self._keep(loss)
 
@@ -71,8 +72,8 @@
 
     def answered(self, upstream: UpstreamId) -> None:
         """Take in that the same boot answers again: it did not crash."""
-        loss = self._open.pop(upstream, None)
-        if loss is not None and loss.number in self._losses:
+        loss = self._open.get(upstream)
+        if loss is not None:
             self._forget(loss)
 
     def crashed(self, upstream: UpstreamId, tasks: Iterable[str], now: float) -> None:
@@ -158,6 +159,8 @@
 
     def _forget(self, loss: _Loss) -> None:
         del self._losses[loss.number]
+        if self._open.get(loss.upstream) is loss:
+            del self._open[loss.upstream]
         for other in loss.near:
             if other is not loss:
                 other.near.remove(loss)
--- a/jackdawspur/runs/tests/test_crashes.py
+++ b/jackdawspur/runs/tests/test_crashes.py
@@ -90,6 +90,14 @@
     assert crashes.is_suspect(BAD)
 
 
+def test_upstreams_that_never_answer_again_are_forgotten(crashes: Crashes):
+    # Guards against state that grows with each upstream that is replaced.
+    crashes.lost(PLACES[0], {BAD}, 1.0)
+    assert crashes.may_have_crashed(PLACES[0])
+    crashes.forget_old(1.0 + KEPT_S)
+    assert not crashes.may_have_crashed(PLACES[0])
+
+
 def crash(leading: Leading, task: str) -> None:
     """Let another boot answer in the place of the upstream of a task."""
     (place,) = leading.running()[task]
