--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -27,8 +27,7 @@
 KNOWN_EVERY = 5
 OTHER_LEADS_EVERY = 2
 OUTSIDERS_EVERY = 10
-# Hosts that follow one leading host need each other only when that is lost. In a group
-# of 12, heartbeats were half of what an idle host did, by a profile of it.
+# Hosts that follow one leading host need each other only when that is lost.
 FOLLOWERS_EVERY = 10
 
 
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -39,9 +39,8 @@
 
 TICK_S = 0.025
 NEVER_S = float("inf")
-# A host that follows and has no callers has nothing to give up in time. With fewer
-# heartbeats too, an idle one of 12 went from 0.052 to 0.025 of a core; heartbeats keep
-# their times on either grid.
+# A host that follows and has no callers has nothing to give up in time. Heartbeats are
+# due at multiples of either tick.
 CALM_TICK_S = 0.05
 # A pass that comes this much late on average shows a processor that can't keep up.
 SLOW_LATE_S = 0.035
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -25,9 +25,9 @@
 # How long no host may lead before another takes over: all have then heard the same.
 VACANT_S = 0.1
 # A host that takes the lead tells all others at once, but after a cut their links must
-# connect first, for which half a second is enough. An upstream that still obeys an
-# unknown fence after this obeys a host that this one does not hear. Both sides' leading
-# hosts claimed what the other held when this was 0.2 s: three changes of lead in 0.4 s.
+# connect first. An upstream that still obeys an unknown fence after this obeys a host
+# that this one does not hear. With less, both sides' leading hosts claim in turn what
+# the other holds.
 FENCED_CLAIM_S = 0.6
 # How long a host that does not hear a lead which others follow leaves it to that one:
 # links over which a cut healed connect again within half a second.
--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -10,12 +10,11 @@
 __all__ = ["Admission", "Beyond", "retry_after_s"]
 
 MS_PER_S = 1000.0
-# Callers are told whole seconds; half a minute is longer than any burst seen.
+# Callers are told whole seconds.
 LEAST_RETRY_S = 1.0
 MOST_RETRY_S = 30.0
 # Waits that are worked out are off by about this much: a job is left out only beyond
-# it. Of 0.03, 0.06 and 0.12 s this left the most jobs on time in bursts of 1.6 times
-# the usual load, after a start with 120 jobs waiting, and beside failing upstreams.
+# it.
 DOUBT_S = 0.12
 # A run that stands still seems to need for ever. It is stopped before long, so it
 # counts for no more than this many times what was expected: else one such job would
--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -11,9 +11,8 @@
 
 # Room is offered anew every 0.2 s; an older offer has been used by others.
 OFFER_KEPT_S = 0.5
-# A job that finds no room waits this long for an end before it goes elsewhere: with
-# sixty places and tasks of a quarter of a second one ends every few milliseconds, and
-# a job that goes costs bytes between zones and a millisecond each way.
+# A job that finds no room waits this long for an end before it goes elsewhere, which
+# costs bytes between zones and time each way.
 PATIENCE_S = 0.02
 
 
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -19,8 +19,7 @@
 __all__ = ["Looks"]
 
 # Where replies get lost all the time, a look that is lost must be noticed sooner: it
-# hides ends, whose room stands empty. With a fifth of all orders lost 0.93 of the jobs
-# were on time in place of 0.82; 50 ms did no better.
+# hides ends, whose room stands empty.
 LOSSY_WAIT_MS = 80
 # After a look that failed the next one follows this much later, to a silent upstream
 # and to others: a connection that was reset stands again within a few milliseconds.
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -126,7 +126,7 @@
         """Tell whether to wait for a fast upstream.
 
         Where replies get lost all the time, times taken tell little of paces, and room
-        comes free late: waiting for it cost more jobs than slow upstreams do.
+        comes free late.
         """
         if self._fleet.replies.lossy:
             return False
--- a/jackdawspur/runs/_replies.py
+++ b/jackdawspur/runs/_replies.py
@@ -8,14 +8,13 @@
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4.0
 # A reply takes a round trip of a millisecond or two and a pass of the loop at each end,
-# which stands still for up to 20 milliseconds at times: with half of this, one reply in
-# thirty counted as overdue though it was on its way.
+# which may stand still for about this long.
 LEAST_S = 0.02
 # Where replies get lost all the time, a look in vain costs less than waiting.
 LEAST_LOSSY_S = 0.01
 MOST_S = 0.25
 # A call ends after this many times what makes its reply overdue: each keeps a
-# connection meanwhile, and with half of all replies lost none was left for new calls.
+# connection meanwhile, which new calls may need.
 OVERDUES_OF_A_CALL = 4.0
 # The share lost is that of some hundred replies, which come within a second; from this
 # share on, replies are lost on the way and not by single upstreams that break.
--- a/jackdawspur/runs/_watch.py
+++ b/jackdawspur/runs/_watch.py
@@ -9,9 +9,9 @@
 
 # A look waits this long for an end: leases of 0.6 s are prolonged twice a term.
 LOOK_WAIT_MS = 200
-# An upstream that misses this many looks in a row is silent: with a fifth of all orders
-# lost that is one row in 125 by chance, and each look more delays the end of the leases
-# of one that is really lost by some 0.025 s.
+# An upstream that misses this many looks in a row is silent. With fewer, one that is
+# sound counts as silent where many replies get lost; each look more delays the end of
+# the leases of one that is really lost.
 SILENT_AFTER = 3
 # Between two looks at an upstream on which nothing runs: a start there after it turned
 # silent is lost, and settled like any other. The upstream's clock drifts by 0.02 s
