Send no reload to a host whose interpreter still starts in the soak

Trace: the plan starts h0 again at 5.504 s after a kill and sends it SIGHUP at 5.518 s, 14 ms later. A bare interpreter took 24 ms to start on the machine as it was then, and that run of h0 wrote no line: the signal ended it before a line of ours could ignore it. The program ignores SIGHUP before its first import already. Change: the soak sends a reload only to a host started 0.1 s ago or more. The check of hosts that end by themselves stays as it is.

--- a/jackdawspur/soak/_strikes.py
+++ b/jackdawspur/soak/_strikes.py
@@ -1,5 +1,6 @@
 """Carrying faults out on a deployment, and taking them back."""
 
+import time
 from dataclasses import dataclass
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from subprocess import Popen
@@ -10,6 +11,8 @@
 
 __all__ = ["Strikes"]
 
+# By then an interpreter runs its program, which can ignore signals from there on.
+BEGUN_S = 0.1
 # At most so many workers are off the list for one fault.
 MOST_UNLISTED = 4
 
@@ -49,7 +52,8 @@
     def strike(self, fault: Fault, now_s: float) -> None:
         """Begin a fault; one whose target is struck already by the same does nothing.
 
-        A host that is down or stands still takes no signal.
+        A host that is down or stands still takes no signal, and none to reload while
+        its interpreter starts: no program could keep that from ending it.
         """
         if any(_same(undo.fault, fault) for undo in self._undo):
             return
@@ -60,6 +64,8 @@
             return
         if on_host and (host.process.poll() is not None or self._frozen(host)):
             return
+        if fault.kind is FaultKind.RELOAD_HOST and not _has_begun(host):
+            return
         self._undo.append(_Undo(now_s + fault.for_s, fault, host.process))
         if on_host:
             self._signal(fault, host)
@@ -183,5 +189,9 @@
         return hosts[fault.target % len(hosts)]
 
 
+def _has_begun(host: Host) -> bool:
+    return time.monotonic() - host.started_at >= BEGUN_S
+
+
 def _same(one: Fault, other: Fault) -> bool:
     return (one.kind, one.target) == (other.kind, other.target)
--- a/jackdawspur/soak/tests/test_strikes.py
+++ b/jackdawspur/soak/tests/test_strikes.py
@@ -1,7 +1,9 @@
 """Faults reach what they are meant for, together and one after the other."""
 
+import time
 from collections.abc import Iterator
 from pathlib import Path
+from signal import SIGHUP
 from types import SimpleNamespace
 
 import pytest
@@ -122,3 +124,14 @@
     wait_until(lambda: held() == 1, "worker that left the list")
     strikes.take_back(1.0)
     wait_until(lambda: held() == 2, "worker back on the list")
+
+
+@pytest.mark.parametrize(("up_s", "signals"), [(0.01, []), (1.0, [SIGHUP])])
+def test_a_host_is_told_to_reload_once_its_program_runs(
+    fake: FakeDeployment, up_s: float, signals: list[int]
+):
+    sent = []
+    fake.hosts[0].process.send_signal = sent.append
+    fake.hosts[0].started_at = time.monotonic() - up_s
+    Strikes(fake).strike(Fault(0.0, FaultKind.RELOAD_HOST, 0, 1.0), 0.0)
+    assert sent == signals
