--- /dev/null
+++ b/jackdawspur/runs/_passing_on.py
@@ -0,0 +1,38 @@
+"""Jobs that go to other groups, which have room for them."""
+
+from jackdawspur.runs._effects import Effect, PassJobOn
+from jackdawspur.runs._elsewhere import Elsewhere
+from jackdawspur.runs._fleet import Fleet
+from jackdawspur.runs._job import Job
+from jackdawspur.runs._open_jobs import OpenJobs
+
+__all__ = ["PassingOn"]
+
+
+class PassingOn:
+    """Send jobs to the leading hosts of other groups."""
+
+    def __init__(self, jobs: OpenJobs, fleet: Fleet, effects: list[Effect]) -> None:
+        self._jobs = jobs
+        self._fleet = fleet
+        self._effects = effects
+        self.elsewhere = Elsewhere()
+
+    @property
+    def possible(self) -> bool:
+        """Tell whether there are other groups."""
+        return self.elsewhere.heard_of
+
+    def send(self, job: Job, now: float, only_fast: bool = False) -> bool:
+        """Pass a job on to a group that has room for it; tell whether there is one."""
+        anywhere = self._fleet.only_drains
+        place = self.elsewhere.take(job, now, anywhere, only_fast)
+        if place is None:
+            return False
+        offer = job.offer
+        self._fleet.notes.passed_on(job, place.leader, now)
+        self._effects.append(
+            PassJobOn(offer.host, offer.call, offer.attempt, job.id, place)
+        )
+        del self._jobs[job.id]
+        return True
