Judge a job after it was placed, not before

Cause: a job that comes in the same pass of the loop as a tick was judged by its estimate, times 1.15, before it was placed; in any other pass it starts without being asked. The tick places first now, so the order of the two no longer decides. The test failed before (no task running, refused).

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -229,6 +229,8 @@
         """Give up what can't be answered in time, and upstreams that are silent."""
         if not self.leads:
             return
+        # A job that came since the last pass is judged by what it finds, not before.
+        self._placer.place_if_due(self._jobs.values(), now)
         for job in list(self._jobs.values()):
             self._end_if_hopeless(job, now)
         self._refuse_beyond_use(now)
