Refuse a waiting job only when even a short one would come too late

Callers of long jobs were told that these could not end in time 25 to 50 ms after they came, while room came free within that time. Cause: a job that found no room was refused at the next tick if its estimate, times 1.15, exceeded what its caller had left; estimates are off by 0.4 as declared and by about 0.28 as learned, so about half of those refused at that bound would have ended in time. They are refused now when 0.7 of the estimate is too long; their place in the order is as before.

--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from jackdawspur.runs._job import Job
-from jackdawspur.runs._order import CAUTION, objective, useful_until
+from jackdawspur.runs._order import latest_start, objective
 
 __all__ = ["Admission", "Beyond", "retry_after_s"]
 
@@ -82,9 +82,9 @@
     def _beyond_use(self, rest: list[Job], now: float) -> list[Beyond]:
         """Return the jobs that would end too late after all the others."""
         beyond: list[Beyond] = []
-        for job in sorted(rest, key=_latest_of_use):
+        for job in sorted(rest, key=latest_start):
             ahead_s = self._load / self._rate
-            if now + ahead_s > _latest_of_use(job):
+            if now + ahead_s > latest_start(job):
                 beyond.append(Beyond(job, ahead_s))
             else:
                 self._load += _size(job)
@@ -124,7 +124,3 @@
 
 def _latest_on_time(job: Job) -> float:
     return objective(job) - job.left_ms() / MS_PER_S
-
-
-def _latest_of_use(job: Job) -> float:
-    return useful_until(job) - CAUTION * job.left_ms() / MS_PER_S
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -31,7 +31,7 @@
 from jackdawspur.runs._looks import Looks
 from jackdawspur.runs._notes import Notes
 from jackdawspur.runs._open_jobs import OpenJobs
-from jackdawspur.runs._order import Standing, standing
+from jackdawspur.runs._order import Standing, latest_start, standing
 from jackdawspur.runs._placer import Placer
 from jackdawspur.runs._progress import Verdict
 from jackdawspur.runs._remembered import Remembered
@@ -365,11 +365,10 @@
             self._fail(job, crashing, now)
             return
         start = self._placer.earliest_start(job, now)
-        if standing(job, start) is not Standing.HOPELESS:
-            return
         if not job.started:
-            self._refuse(job, now)
-        elif not job.placed():
+            if start > latest_start(job):
+                self._refuse(job, now)
+        elif standing(job, start) is Standing.HOPELESS and not job.placed():
             self._give_up(job, Decision.JOB_HOPELESS, now)
 
     def _give_up(self, job: Job, decision: Decision, now: float) -> None:
--- a/jackdawspur/runs/_order.py
+++ b/jackdawspur/runs/_order.py
@@ -4,7 +4,14 @@
 
 from jackdawspur.runs._job import Job
 
-__all__ = ["Standing", "objective", "order_key", "standing", "useful_until"]
+__all__ = [
+    "Standing",
+    "latest_start",
+    "objective",
+    "order_key",
+    "standing",
+    "useful_until",
+]
 
 MS_PER_S = 1000.0
 # Answers take this long from here to their callers and requests as long to get here:
@@ -15,9 +22,13 @@
 # Tasks may well take this much longer than expected: one that has plenty of time to its
 # objective but little to its caller's limit must not wait until the last moment.
 DOUBT_OF_LEFT = 1.6
-# A job is begun only if it would end in time though it took this much longer than
-# expected; one begun in vain takes room from others, and its caller waits for nothing.
+# A job that would not end in time if it took this much longer than expected goes after
+# the others: one begun in vain takes room from them.
 CAUTION = 1.15
+# A job that found no room is refused once it would be too late even if it took only
+# this share of what is expected: estimates are off by a third, and the progress of its
+# runs tells soon and surely.
+HOPE = 0.7
 
 
 class Standing(IntEnum):
@@ -47,6 +58,11 @@
     return Standing.ON_TIME if now + left_s <= objective(job) else Standing.LATE
 
 
+def latest_start(job: Job) -> float:
+    """Return when a new job must have started to have a chance to be in time."""
+    return useful_until(job) - HOPE * job.left_ms() / MS_PER_S
+
+
 def order_key(job: Job, now: float) -> tuple[bool, bool, int, float]:
     """Return the key whose lowest is served first.
 
