Pass a job without time to wait on at once, to room that is fast enough

In the zone with most callers 0.31 of the long jobs waited over 10 ms until their last task began (0.16 in the zone with fewest), and what went to another zone had waited 26, 34 and 42 ms (quartiles; 12 ms are a point of the largest tenth): nine of 21 servable jobs that were given up had lost 50 ms or more, 14 had a task on a slow upstream though other zones had fast room. Causes, one chain: every job waited 20 ms and for the next tick before another group was asked, or began with some of its tasks and then had to stay; room was offered without its pace, in equal parts to all groups whether they wanted it or not, so that a job of four tasks rarely found all it needed in one part.

A job now waits only as long as it can spare (limit less 1.6 times what is expected), is passed on in the pass in which it finds no room for all its tasks, and asks for fast room where slow room would make it late. Groups say in their heartbeats that jobs found no room, and have all that is offered then. Rules are untouched: as before only what has never begun is passed on, once.

--- a/jackdawspur/bench/front.py
+++ b/jackdawspur/bench/front.py
@@ -49,7 +49,7 @@
     def __init__(self, own: HostId, now: float) -> None:
         super().__init__(own, now)
         self._placer = ArrivalPlacer(
-            self._fleet, self._starts, self._estimates, self._begun
+            self._fleet, self._starts, self._estimates, self._begun, self._passing_on
         )
 
     def _review(self, job: Job, now: float) -> None:
--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -156,4 +156,5 @@
             by_zone=group.by_zone,
             too_large=group.too_large,
             upstreams=len(owner.views.entries),
+            wants_room=owner.lead.wants_room(now),
         )
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -35,6 +35,7 @@
     PassJobOn,
     Place,
     Progress,
+    SpareRoom,
     StartRun,
     StopRun,
     deal,
@@ -208,23 +209,30 @@
 
     def room_heard(self, beat: HostBeat, now: float) -> None:
         """Take in the room that the leading host of another group offers."""
-        room = {one.service: one.free for one in beat.room}
+        room = {one.service: SpareRoom(one.free, one.slow) for one in beat.room}
         place = Place(beat.host.name, beat.fence)
         self._dispatcher.room_offered(place, room, now)
 
     def room_for(
         self, leaders: list[str], now: float
     ) -> dict[str, tuple[RoomOffered, ...]]:
-        """Return what room is offered to each leading host of another group."""
-        spare = self._dispatcher.spare_room(now)
-        dealt = {service: deal(rows, leaders) for service, rows in spare.items()}
-        room: dict[str, tuple[RoomOffered, ...]] = {}
-        for name in leaders:
-            offers = [
-                RoomOffered(service, rows[name]) for service, rows in dealt.items()
-            ]
-            room[name] = tuple(offers)
-        return room
+        """Return what room is offered to each leading host of another group.
+
+        Those whose jobs found none have all of it, if there are any.
+        """
+        beats = self._owner.group.other_leads(now)
+        wanting = {beat.host.name for beat in beats if beat.wants_room}
+        takers = [name for name in leaders if name in wanting] or leaders
+        room: dict[str, list[RoomOffered]] = {name: [] for name in leaders}
+        for service, spare in self._dispatcher.spare_room(now).items():
+            fast, slow = deal(spare.fast, takers), deal(spare.slow, takers)
+            for name in takers:
+                room[name].append(RoomOffered(service, fast[name], slow[name]))
+        return {name: tuple(offers) for name, offers in room.items()}
+
+    def wants_room(self, now: float) -> bool:
+        """Tell whether this host leads a group in which jobs found no room."""
+        return self._dispatcher.leads and self._dispatcher.wants_room(now)
 
     def hosts(self) -> set[str]:
         """Return the hosts whose jobs are here."""
--- a/jackdawspur/front/tests/test_heartbeats.py
+++ b/jackdawspur/front/tests/test_heartbeats.py
@@ -48,6 +48,9 @@
     def room_for(self, leads: list[str], now: float) -> dict:
         return {}
 
+    def wants_room(self, now: float) -> bool:
+        return False
+
 
 @dataclass
 class Callers:
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -49,7 +49,8 @@
 
     `fence` is its own when it leads, else 0; `follows` is that of the leading host to
     which it hands its jobs, 0 without one. `silent_s` is for how long it has not heard
-    the receiver. `room` is what a leading host offers to that of another group.
+    the receiver. `room` is what a leading host offers to that of another group, and
+    `wants_room` tells that jobs found none in its own.
     `by_zone` tells that its group is its own zone alone, `too_large` that the list of
     a host that leads has too many upstreams for one group of all zones. `upstreams` is
     how many are listed there.
@@ -69,6 +70,7 @@
     silent_s: float = 0.0
     follows: int = 0
     room: tuple["RoomOffered", ...] = ()
+    wants_room: bool = False
     by_zone: bool = False
     too_large: bool = False
     upstreams: int = 0
@@ -83,10 +85,14 @@
 
 
 class RoomOffered(msgspec.Struct, frozen=True):
-    """Offer what some upstreams of a service have left, in thousandths of a core."""
+    """Offer what some upstreams of a service have left, in thousandths of a core.
+
+    On those of `slow` tasks take longer than on the others.
+    """
 
     service: str
     free: tuple[int, ...]
+    slow: tuple[int, ...] = ()
 
 
 class JobProgress(msgspec.Struct, frozen=True):
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -12,7 +12,7 @@
     StartRun,
     StopRun,
 )
-from jackdawspur.runs._elsewhere import Place, deal
+from jackdawspur.runs._elsewhere import Place, SpareRoom, deal
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._placer import Placer
 from jackdawspur.runs._types import (
@@ -45,6 +45,7 @@
     "Placer",
     "Progress",
     "Route",
+    "SpareRoom",
     "StartRun",
     "StopRun",
     "Task",
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -1,6 +1,6 @@
 """Decide, on the leading host, which task starts where and when."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from jackdawspur.leases import (
     CallOutcome,
@@ -20,11 +20,10 @@
     DropCause,
     Effect,
     LookAt,
-    PassJobOn,
     StartRun,
     StopRun,
 )
-from jackdawspur.runs._elsewhere import Elsewhere, Place, may_go
+from jackdawspur.runs._elsewhere import Place, SpareRoom, may_go
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task, TaskState
@@ -32,6 +31,7 @@
 from jackdawspur.runs._notes import Notes
 from jackdawspur.runs._open_jobs import OpenJobs
 from jackdawspur.runs._order import Standing, latest_start, standing
+from jackdawspur.runs._passing_on import PassingOn
 from jackdawspur.runs._placer import Placer
 from jackdawspur.runs._progress import Verdict
 from jackdawspur.runs._remembered import Remembered
@@ -70,9 +70,11 @@
         self._found_done = Remembered(FOUND_KEPT_S)
         # Kept over changes of the lead: what began is never refused as not run.
         self._begun = Remembered(BEGUN_KEPT_S)
-        self._placer = Placer(self._fleet, self._starts, self._estimates, self._begun)
+        self._passing_on = PassingOn(self._jobs, self._fleet, self._effects)
+        self._placer = Placer(
+            self._fleet, self._starts, self._estimates, self._begun, self._passing_on
+        )
         self._admission = Admission()
-        self._elsewhere = Elsewhere()
         self._answers = Answers()
         self._now = now
         self.leads = False
@@ -92,17 +94,21 @@
         """Return the jobs not yet ended."""
         return self._jobs
 
-    def spare_room(self, now: float) -> dict[str, list[int]]:
-        """Return what each upstream has left, by service, while no job waits."""
+    def spare_room(self, now: float) -> dict[str, SpareRoom]:
+        """Return what is left of the upstreams, by service, while no job waits."""
         if any(job.has_waiting for job in self._jobs.values()):
             return {}
-        return self._fleet.free_cpu_millis(now)
+        return self._placer.spare_room(now)
+
+    def wants_room(self, now: float) -> bool:
+        """Tell whether a job found no room here just now."""
+        return self._placer.wants_room(now)
 
     def room_offered(
-        self, place: Place, room: dict[str, Sequence[int]], now: float
+        self, place: Place, room: dict[str, SpareRoom], now: float
     ) -> None:
         """Take in the room that another group offers."""
-        self._elsewhere.offered(place, room, now)
+        self._passing_on.elsewhere.offered(place, room, now)
 
     def lead(self, fence: Fence, now: float) -> None:
         """Begin to lead: nothing starts on an upstream before a look at it."""
@@ -238,34 +244,12 @@
             if self._review_of.job(job, now) is Verdict.GIVE_UP:
                 self._give_up(job, Decision.JOB_HOPELESS, now)
         self._placer.due = True
-        self._pass_on(now)
         self._found_done.forget_old(now)
         self._answers.forget_old(now)
         self._begun.forget_old(now)
         self._fleet.crashes.forget_old(now)
         self._fleet.tick(now)
 
-    def _pass_on(self, now: float) -> None:
-        """Send jobs that wait in vain to groups that have room for them."""
-        if not self._elsewhere.heard_of:
-            return
-        waiting = [job for job in self._jobs.values() if may_go(job, now)]
-        for job in self._placer.ordered(waiting, now):
-            self._send_elsewhere(job, now)
-
-    def _send_elsewhere(self, job: Job, now: float) -> bool:
-        """Pass a job on to a group that has room for it; tell whether there is one."""
-        place = self._elsewhere.take(job, now, anywhere=self._fleet.only_drains)
-        if place is None:
-            return False
-        offer = job.offer
-        self._notes.passed_on(job, place.leader, now)
-        self._effects.append(
-            PassJobOn(offer.host, offer.call, offer.attempt, job.id, place)
-        )
-        del self._jobs[job.id]
-        return True
-
     # What the fleet tells of runs.
 
     def job_of(self, task_name: str) -> Job | None:
@@ -385,8 +369,8 @@
         """Refuse what the work ahead of it makes too late, or pass it on at once."""
         jobs, cpu_millis = self._jobs.values(), self._fleet.cpu_millis
         for beyond in self._admission.review(jobs, cpu_millis, now):
-            goes = may_go(beyond.job, now, patience_s=0.0)
-            if not (goes and self._send_elsewhere(beyond.job, now)):
+            goes = may_go(beyond.job, now, longest_s=0.0)
+            if not (goes and self._passing_on.send(beyond.job, now)):
                 self._refuse(beyond.job, now, beyond.ahead_s)
 
     def _refuse(self, job: Job, now: float, ahead_s: float = 0.0) -> None:
--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -5,9 +5,10 @@
 
 from jackdawspur.leases import Fence
 from jackdawspur.runs._job import Job
+from jackdawspur.runs._order import spare_s
 from jackdawspur.runs._types import JobStep
 
-__all__ = ["Elsewhere", "Place", "deal", "may_go"]
+__all__ = ["Elsewhere", "Place", "SpareRoom", "deal", "may_go", "patience_s"]
 
 # Room is offered anew every 0.2 s; an older offer has been used by others.
 OFFER_KEPT_S = 0.5
@@ -24,11 +25,22 @@
     fence: Fence
 
 
+@dataclass(frozen=True, slots=True)
+class SpareRoom:
+    """Tell what upstreams of a service have left, each in thousandths of a core.
+
+    `slow` are those on which tasks take longer than on the fast ones.
+    """
+
+    fast: Sequence[int] = ()
+    slow: Sequence[int] = ()
+
+
 @dataclass(eq=False, slots=True)
 class _Offered:
     place: Place
     at: float
-    free: dict[str, list[int]]
+    free: dict[str, SpareRoom]
 
 
 class Elsewhere:
@@ -47,21 +59,22 @@
         """Tell whether there are other groups."""
         return bool(self._offered)
 
-    def offered(self, place: Place, room: dict[str, Sequence[int]], now: float) -> None:
-        """Take in the room of each service, as thousandths of a core an upstream."""
-        free = {service: sorted(rows) for service, rows in room.items()}
-        self._offered[place.leader] = _Offered(place, now, free)
+    def offered(self, place: Place, room: dict[str, SpareRoom], now: float) -> None:
+        """Take in the room of each service."""
+        self._offered[place.leader] = _Offered(place, now, dict(room))
 
-    def take(self, job: Job, now: float, anywhere: bool = False) -> Place | None:
+    def take(
+        self, job: Job, now: float, anywhere: bool = False, only_fast: bool = False
+    ) -> Place | None:
         """Return where all tasks of a job find room at once, and count it as used.
 
         With `anywhere` a job for which there is none goes to each group in turn, which
-        may know better by then.
+        may know better by then. With `only_fast` room on slow upstreams is none.
         """
         service = job.request.route.service
         fresh = [o for o in self._offered.values() if now - o.at <= OFFER_KEPT_S]
         for offered in fresh:
-            left = _fill(offered.free.get(service, ()), job.request.steps)
+            left = _use(offered.free.get(service), job.request.steps, only_fast)
             if left is not None:
                 offered.free[service] = left
                 return offered.place
@@ -71,8 +84,13 @@
         return fresh[self._sent % len(fresh)].place
 
 
-def may_go(job: Job, now: float, patience_s: float = PATIENCE_S) -> bool:
-    """Tell whether a job may go to another group.
+def patience_s(job: Job, now: float) -> float:
+    """Return how long a job waits for room here before it goes elsewhere."""
+    return max(0.0, min(PATIENCE_S, spare_s(job, now)))
+
+
+def may_go(job: Job, now: float, longest_s: float) -> bool:
+    """Tell whether a job that waits this long at the most may go to another group.
 
     What was started, or may have been by an earlier leading host, stays. So does what
     another group sent here, and what must or had better run on certain upstreams.
@@ -80,7 +98,7 @@
     offer = job.offer
     bound = any(step.label or step.near for step in job.request.steps)
     came = offer.far or offer.handed or job.started
-    return not (bound or came) and now - job.offered_at >= patience_s
+    return not (bound or came) and now - job.offered_at >= longest_s
 
 
 def deal(rows: Iterable[int], leaders: Sequence[str]) -> dict[str, tuple[int, ...]]:
@@ -90,7 +108,24 @@
     return {name: tuple(ordered[n::count]) for n, name in enumerate(leaders)}
 
 
-def _fill(rows: Sequence[int], steps: Sequence[JobStep]) -> list[int] | None:
+def _use(
+    room: SpareRoom | None, steps: Sequence[JobStep], only_fast: bool
+) -> SpareRoom | None:
+    """Return what is left of some room, None when not all tasks find some in it.
+
+    Tasks that may run on slow upstreams leave the fast ones to others.
+    """
+    if room is None:
+        return None
+    if not only_fast:
+        left = fill(room.slow, steps)
+        if left is not None:
+            return SpareRoom(room.fast, left)
+    left = fill(room.fast, steps)
+    return None if left is None else SpareRoom(left, room.slow)
+
+
+def fill(rows: Sequence[int], steps: Sequence[JobStep]) -> list[int] | None:
     """Return what is left of rows of room, None when not all tasks find some.
 
     Each task takes the smallest room that is enough.
--- a/jackdawspur/runs/_order.py
+++ b/jackdawspur/runs/_order.py
@@ -9,6 +9,7 @@
     "latest_start",
     "objective",
     "order_key",
+    "spare_s",
     "standing",
     "useful_until",
 ]
@@ -63,6 +64,11 @@
     return useful_until(job) - HOPE * job.left_ms() / MS_PER_S
 
 
+def spare_s(job: Job, now: float) -> float:
+    """Return how long a job can wait, though it may take longer than expected."""
+    return useful_until(job) - now - DOUBT_OF_LEFT * job.left_ms() / MS_PER_S
+
+
 def order_key(job: Job, now: float) -> tuple[bool, bool, int, float]:
     """Return the key whose lowest is served first.
 
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -1,14 +1,24 @@
 """Giving room to waiting jobs, in order."""
 
+import math
 from collections.abc import Iterable, Sequence
 
 from jackdawspur.leases import HeldUpstream, Resources
 from jackdawspur.runs._crashes import Crashes
+from jackdawspur.runs._elsewhere import SpareRoom, fill, may_go, patience_s
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task
 from jackdawspur.runs._order import order_key
-from jackdawspur.runs._placing import FastRoom, choose, fast_room, had_better_wait
+from jackdawspur.runs._passing_on import PassingOn
+from jackdawspur.runs._placing import (
+    FastRoom,
+    choose,
+    fast_room,
+    had_better_wait,
+    is_slow,
+    needs_fast_room,
+)
 from jackdawspur.runs._remembered import Remembered
 from jackdawspur.runs._starts import Starts
 
@@ -22,6 +32,8 @@
 ANSWERS_S = 0.3
 # Paces change over many tasks; all are gone through this seldom.
 FAST_KEPT_S = 0.1
+# A group wants the others' room for this long after a job found none in it.
+WANTS_S = 0.5
 
 
 class Placer:
@@ -31,12 +43,19 @@
     """
 
     def __init__(
-        self, fleet: Fleet, starts: Starts, estimates: Estimates, begun: Remembered
+        self,
+        fleet: Fleet,
+        starts: Starts,
+        estimates: Estimates,
+        begun: Remembered,
+        passing_on: PassingOn,
     ) -> None:
         self._fleet = fleet
         self._starts = starts
         self._estimates = estimates
         self._begun = begun
+        self._passing_on = passing_on
+        self._no_room_at = -math.inf
         self._fast: dict[str, FastRoom] = {}
         self._fast_until = 0.0
         self.due = False
@@ -65,17 +84,63 @@
         """Return the waiting jobs, the one to be served first at the front."""
         return sorted(waiting, key=lambda job: order_key(job, now))
 
+    def spare_room(self, now: float) -> dict[str, SpareRoom]:
+        """Return what is left of the upstreams, by service."""
+        spare: dict[str, SpareRoom] = {}
+        for service, upstreams in self._fleet.with_room(now).items():
+            fast = self._fast_room(service, now)
+            rows: dict[bool, list[int]] = {False: [], True: []}
+            for held in upstreams:
+                rows[self._is_slow(held, fast)].append(held.free.cpu_millis)
+            spare[service] = SpareRoom(rows[False], rows[True])
+        return spare
+
+    def wants_room(self, now: float) -> bool:
+        """Tell whether a job found no room just now."""
+        return now - self._no_room_at <= WANTS_S
+
     def _place(self, jobs: Iterable[Job], now: float) -> None:
         """Give room in order; a job for which there is none lets others pass."""
         waiting = [job for job in jobs if job.has_waiting]
         upstreams = self._fleet.with_room(now) if waiting else {}
-        if not upstreams:
-            return
         refused: dict[str, Resources] = {}
         for job in self.ordered(waiting, now):
-            service = job.request.route.service
-            if self._may_place(job, now):
-                self._place_job(job, upstreams.get(service, ()), refused, now)
+            if not self._may_place(job, now):
+                continue
+            some = upstreams.get(job.request.route.service, ())
+            if not self._goes_elsewhere(job, some, now):
+                self._place_job(job, some, refused, now)
+
+    def _goes_elsewhere(
+        self, job: Job, upstreams: Sequence[HeldUpstream], now: float
+    ) -> bool:
+        """Pass a job on that can't wait for room here, where another group has some.
+
+        A job of which some tasks have begun stays, so one that needs all its time goes
+        before that, unless all its tasks find room here at once.
+        """
+        if not self._passing_on.possible or not may_go(job, now, patience_s(job, now)):
+            return False
+        fast = self._fast_room(job.request.route.service, now)
+        only_fast = needs_fast_room(job, fast, now)
+        rows = [
+            held.free.cpu_millis
+            for held in upstreams
+            if not (only_fast and self._is_slow(held, fast))
+        ]
+        if fill(rows, job.request.steps) is not None:
+            return False
+        self._no_room_at = now
+        return self._passing_on.send(job, now, only_fast)
+
+    def _is_slow(self, held: HeldUpstream, fast: FastRoom | None) -> bool:
+        return fast is not None and is_slow(self._estimates.pace(held.entry.id), fast)
+
+    def _fast_room(self, service: str, now: float) -> FastRoom | None:
+        if now >= self._fast_until:
+            self._fast_until = now + FAST_KEPT_S
+            self._fast = fast_room(self._fleet.held, self._estimates)
+        return self._fast.get(service)
 
     def _may_place(self, job: Job, now: float) -> bool:
         """Hold back what an earlier leading host may still have running.
@@ -113,10 +178,12 @@
             some = _without_suspects(upstreams, crashes) if suspect else upstreams
             held = choose(task, job, some, self._estimates, now)
             if held is None:
+                self._no_room_at = now
                 if _fits_anywhere(task) and not suspect:
                     refused[service] = needed
                 return
             if self._had_better_wait(job, task, held, now):
+                self._no_room_at = now
                 return
             self._start(job, task, held, now)
 
@@ -130,11 +197,8 @@
         """
         if self._fleet.replies.lossy:
             return False
-        if now >= self._fast_until:
-            self._fast_until = now + FAST_KEPT_S
-            self._fast = fast_room(self._fleet.held, self._estimates)
         pace = self._estimates.pace(held.entry.id)
-        fast = self._fast.get(job.request.route.service)
+        fast = self._fast_room(job.request.route.service, now)
         return fast is not None and had_better_wait(task, job, pace, fast, now)
 
     def _start(self, job: Job, task: Task, held: HeldUpstream, now: float) -> None:
--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -10,7 +10,14 @@
 from jackdawspur.runs._job import Job, Task
 from jackdawspur.runs._order import Standing, objective, standing, useful_until
 
-__all__ = ["FastRoom", "choose", "fast_room", "had_better_wait"]
+__all__ = [
+    "FastRoom",
+    "choose",
+    "fast_room",
+    "had_better_wait",
+    "is_slow",
+    "needs_fast_room",
+]
 
 # A task takes about this much longer away from the rack that it had better be on.
 REMOTE_FACTOR = 2.0
@@ -29,6 +36,8 @@
 NEXT_CHANCE_S = 0.05
 # Paces within this factor count as the same, so that packing decides.
 SAME_PACE = 0.15
+# A slow upstream takes about this many times as long as a fast one.
+SLOW_PACE = 1.3
 MS_PER_S = 1000.0
 
 
@@ -98,7 +107,7 @@
     fast one mostly comes free within milliseconds. Waiting ends when the task would no
     longer be in time there either, and before its job would be refused for the wait.
     """
-    if math.log(pace / fast.pace) < SAME_PACE or not _takes_any(task, fast):
+    if not is_slow(pace, fast) or not _takes_any(task, fast):
         return False
     if standing(job, now + NEXT_CHANCE_S) is Standing.HOPELESS:
         return False
@@ -110,6 +119,19 @@
     )
 
 
+def is_slow(pace: float, fast: FastRoom) -> bool:
+    """Tell whether tasks take longer at a pace than on the fast upstreams."""
+    return math.log(pace / fast.pace) >= SAME_PACE
+
+
+def needs_fast_room(job: Job, fast: FastRoom | None, now: float) -> bool:
+    """Tell whether a job may well be too late on slow upstreams."""
+    if fast is None:
+        return False
+    slow_s = job.left_ms() / MS_PER_S * fast.pace * SLOW_PACE
+    return now + slow_s * DOUBT_OF_LIMIT > useful_until(job)
+
+
 def _takes_any(task: Task, fast: FastRoom) -> bool:
     """Tell whether a task may run on any of the fast upstreams, equally well."""
     spec = task.spec
--- a/jackdawspur/runs/tests/test_elsewhere.py
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -1,6 +1,6 @@
 """Jobs that would wait go to a group that has room for all their tasks."""
 
-from jackdawspur.runs import PassJobOn, Place, deal
+from jackdawspur.runs import PassJobOn, Place, SpareRoom, deal
 from jackdawspur.runs.tests.conftest import FENCE, PATIENT, Leading
 
 PLACE = Place("far", FENCE * 2)
@@ -20,7 +20,7 @@
     # Callers of one zone are refused while upstreams of the next zone stand idle: each
     # zone's hosts ran the jobs of their own callers and of nobody else.
     fill(leading)
-    room = {"roster": (14_000, 28_000, 10_000)}
+    room = {"roster": SpareRoom((14_000, 28_000, 10_000))}
     leading.dispatcher.room_offered(PLACE, room, leading.now)
     leading.offer("bb", tasks=3, route=PATIENT, call=7, attempt=2)
     leading.offer("cc", tasks=1, route=PATIENT, call=8)
@@ -32,11 +32,13 @@
 
 
 def test_a_job_stays_while_there_is_room_or_what_is_offered_is_old(leading: Leading):
-    leading.dispatcher.room_offered(PLACE, {"roster": (32_000,)}, leading.now)
+    leading.dispatcher.room_offered(
+        PLACE, {"roster": SpareRoom((32_000,))}, leading.now
+    )
     fill(leading)
     leading.now += 0.6
     leading.offer("bb", route=PATIENT, call=7)
-    leading.dispatcher.room_offered(PLACE, {"other": (32_000,)}, leading.now)
+    leading.dispatcher.room_offered(PLACE, {"other": SpareRoom((32_000,))}, leading.now)
     leading.now += 0.05
     leading.dispatcher.tick(leading.now)
     leading.collect()
@@ -47,7 +49,9 @@
     # A task runs twice: a job that an earlier leading host may still run is sent to
     # another group, whose upstreams know nothing of the first run.
     fill(leading)
-    leading.dispatcher.room_offered(PLACE, {"roster": (32_000,)}, leading.now)
+    leading.dispatcher.room_offered(
+        PLACE, {"roster": SpareRoom((32_000,))}, leading.now
+    )
     leading.offer("bb", route=PATIENT, call=7, handed=1)
     leading.offer("cc", route=PATIENT, call=8, far=True)
     leading.advance(0.05)
@@ -55,7 +59,8 @@
 
 
 def test_room_is_told_only_while_no_job_waits(leading: Leading):
-    assert leading.dispatcher.spare_room(leading.now) == {"roster": [32_000, 32_000]}
+    spare = leading.dispatcher.spare_room(leading.now)
+    assert spare == {"roster": SpareRoom([32_000, 32_000], [])}
     leading.offer("aa", tasks=5)
     leading.settle()
     assert leading.dispatcher.spare_room(leading.now) == {}
@@ -71,7 +76,7 @@
     # A caller is refused at once beside a zone that stands idle: what is ahead of its
     # job was counted before the moment in which the job waits for room had passed.
     fill(leading)
-    room = {"roster": (28_000, 28_000)}
+    room = {"roster": SpareRoom((28_000, 28_000))}
     leading.dispatcher.room_offered(PLACE, room, leading.now)
     for number in range(10):
         leading.offer(f"b{number}", tasks=4, call=number)
--- a/jackdawspur/runs/tests/test_placer.py
+++ b/jackdawspur/runs/tests/test_placer.py
@@ -20,7 +20,11 @@
 def placer(leading: Leading) -> CountingPlacer:
     dispatcher = leading.dispatcher
     one = CountingPlacer(
-        dispatcher.fleet, dispatcher._starts, dispatcher.estimates, dispatcher._begun
+        dispatcher.fleet,
+        dispatcher._starts,
+        dispatcher.estimates,
+        dispatcher._begun,
+        dispatcher._passing_on,
     )
     dispatcher._placer = one
     return one
