Tell of each lost job its cause, its starts and what its longest task needs

Lines of given-up jobs told where each task was, and nothing of when they had begun or whether an upstream of the usual pace could have ended them in time, so the causes of lost jobs were worked out by hand. Now each lost job has a cause from a small enumeration, milliseconds from its coming to the first and last first start, and what its longest task takes at a pace of 1 with the age of the report. The metrics page counts lost jobs by route and cause, and has a histogram of the delay until a job's last first start.

A line listed every task: 360 of them made lines of many KB. It lists the six that end last now and counts the others.

--- a/jackdawspur/front/_gauges.py
+++ b/jackdawspur/front/_gauges.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
-from jackdawspur.metrics import ClassName, Histograms
-from jackdawspur.runs import JobEnd
+from jackdawspur.metrics import ClassName, Histograms, Percentiles
+from jackdawspur.runs import JobEnd, LossCause
 
 __all__ = ["Gauges"]
 
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
         self._times = Histograms()
+        self._last_starts = Histograms()
 
     def count(self, name: str) -> None:
         """Count one event."""
@@ -24,13 +25,31 @@
         self._counts[f"jobs_{end.value}"] += 1
         self._times.record(ClassName(route, end.value), took_ms)
 
+    def lost(self, route: str, cause: LossCause) -> None:
+        """Count a job that the leading host lost, by its cause."""
+        self._counts[f'jobs_lost{{route="{route}",cause="{cause.value}"}}'] += 1
+
+    def begun(self, route: str, last_start_ms: float) -> None:
+        """Record how long after its coming the last task of a job first started."""
+        self._last_starts.record(ClassName(route, ""), last_start_ms)
+
     def lines(self) -> list[str]:
         """Return one line for each counter and percentile."""
         lines = [f"jackdawspur_{name} {n}" for name, n in sorted(self._counts.items())]
         for one in self._times.summarize():
             labels = f'route="{one.name.customer}",end="{one.name.job_class}"'
-            lines.append(f"jackdawspur_job_ms_count{{{labels}}} {one.count}")
-            for share, value in (("0.5", one.p50), ("0.99", one.p99)):
-                quantile = f'{labels},quantile="{share}"'
-                lines.append(f"jackdawspur_job_ms{{{quantile}}} {value}")
+            lines += _histogram("job_ms", labels, one)
+        for one in self._last_starts.summarize():
+            lines += _histogram("last_start_ms", f'route="{one.name.customer}"', one)
         return lines
+
+
+def _histogram(name: str, labels: str, one: Percentiles) -> list[str]:
+    quantiles = (("0.5", one.p50), ("0.99", one.p99))
+    return [
+        f"jackdawspur_{name}_count{{{labels}}} {one.count}",
+        *(
+            f'jackdawspur_{name}{{{labels},quantile="{share}"}} {value}'
+            for share, value in quantiles
+        ),
+    ]
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -29,6 +29,8 @@
     Dispatcher,
     DropCause,
     Effect,
+    JobBegun,
+    JobLost,
     LookAt,
     Note,
     Offer,
@@ -85,6 +87,8 @@
             AnswerJob: self._answer,
             PassJobOn: self._pass_on,
             Note: self._note,
+            JobBegun: self._begun,
+            JobLost: self._lost,
         }
 
     @property
@@ -336,3 +340,9 @@
             note.decision.value,
             extra={"job": note.job, "upstream": note.upstream, "inputs": inputs},
         )
+
+    def _begun(self, begun: JobBegun) -> None:
+        self._owner.gauges.begun(begun.route, begun.last_start_ms)
+
+    def _lost(self, lost: JobLost) -> None:
+        self._owner.gauges.lost(lost.route, lost.cause)
--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -10,7 +10,7 @@
 from jackdawspur.group import Group, HostAddress, JobOffered
 from jackdawspur.leases import Resources, UpstreamEntry
 from jackdawspur.model import UpstreamId
-from jackdawspur.runs import JobRequest, JobStep, Progress, Route
+from jackdawspur.runs import JobBegun, JobRequest, JobStep, Progress, Route
 
 ROUTE = Route("r", "h", "/q/", "s", 1500.0, 60.0, 1.6, 0, 3)
 REQUEST = JobRequest("aa", "", (JobStep(1, Resources(1), 10.0),), ROUTE)
@@ -46,6 +46,9 @@
     def flush_soon(self) -> None:
         pass
 
+    def send(self, host: str, message: object) -> None:
+        pass
+
 
 @pytest.fixture
 def owner() -> Owner:
@@ -134,3 +137,19 @@
     driver.offered(offer(owner.group.fence, sent_at=6.0 - late_s), 6.0)
     assert len(driver.dispatcher.open_jobs) == taken
     assert owner.group.alive("h2", 6.0) == bool(taken)
+
+
+def test_a_lost_job_is_counted_by_route_and_cause(owner: Owner, driver: LeadDriver):
+    driver.offered(offer(owner.group.fence), 5.0)
+    driver.dispatcher.tick(7.0)
+    driver.flush(7.0)
+    lines = owner.gauges.lines()
+    assert 'jackdawspur_jobs_lost{route="r",cause="never_begun"} 1' in lines
+
+
+def test_the_wait_for_the_last_start_is_told_by_route(driver: LeadDriver, owner: Owner):
+    for ms in (0.0, 5.0, 40.0):
+        driver._act(JobBegun("aa", "r", ms))
+    lines = owner.gauges.lines()
+    assert 'jackdawspur_last_start_ms_count{route="r"} 3' in lines
+    assert 'jackdawspur_last_start_ms{route="r",quantile="0.5"} 5' in lines
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -320,7 +320,7 @@
             self._fail(job, f"{task.name} failed {task.failures} times", now)
 
     def _fail(self, job: Job, reason: str, now: float) -> None:
-        self._notes.add(Decision.JOB_FAILED, job.id, "", reason=reason)
+        self._notes.failed(job, reason)
         self._answer(job, JobOutcome(JobEnd.FAILED, not job.started, reason=reason))
         self._end(job, now)
 
--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -13,7 +13,10 @@
     "Decision",
     "DropCause",
     "Effect",
+    "JobBegun",
+    "JobLost",
     "LookAt",
+    "LossCause",
     "Note",
     "PassJobOn",
     "StartRun",
@@ -116,6 +119,26 @@
     UPSTREAM_FENCED = "upstream obeys another host"
 
 
+class LossCause(Enum):
+    """Say why a job is lost, by what is known then; a usual upstream has a pace of 1.
+
+    By its progress it was too long for any usual upstream, would have ended on a usual
+    one, would have ended if begun at once, had a run that began again, or was in time.
+    """
+
+    TOO_LONG = "too_long"
+    SLOW_UPSTREAM = "slow_upstream"
+    LATE_START = "late_start"
+    RESTARTED = "restarted"
+    IN_TIME = "in_time"
+    NO_PROGRESS = "no_progress"
+    NEVER_BEGUN = "never_begun"
+    REFUSED_TOO_LONG = "refused_too_long"
+    REFUSED_WAITED = "refused_waited"
+    REFUSED_FOR_OTHERS = "refused_for_others"
+    FAILED = "failed"
+
+
 class DropCause(Enum):
     """Say for the log why a host's jobs are dropped."""
 
@@ -134,4 +157,32 @@
     inputs: tuple[tuple[str, str | int | float], ...] = ()
 
 
-Effect = StartRun | StopRun | LookAt | AnswerJob | PassJobOn | Note
+@dataclass(frozen=True, slots=True)
+class JobBegun:
+    """Tell that all tasks of a job have started that wait for no other step."""
+
+    job: str
+    route: str
+    last_start_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobLost:
+    """Tell why a job is lost; milliseconds count from its coming, None: not known.
+
+    Starts are first ones under this lead, of tasks that wait for no other step;
+    `not_begun` counts those without. `longest_ms` is what the longest task takes at a
+    pace of 1, `told_ms` how long ago its run told that.
+    """
+
+    job: str
+    route: str
+    cause: LossCause
+    first_start_ms: int | None = None
+    last_start_ms: int | None = None
+    not_begun: int = 0
+    longest_ms: int | None = None
+    told_ms: int | None = None
+
+
+Effect = StartRun | StopRun | LookAt | AnswerJob | PassJobOn | Note | JobBegun | JobLost
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -30,7 +30,10 @@
 
 @dataclass(eq=False, slots=True)
 class Task:
-    """Keep one task; `run` is the number of its last run."""
+    """Keep one task; `run` is the number of its last run.
+
+    `begun_at` is when its first run under this lead took room, `begun_as` its number.
+    """
 
     name: str
     step: int
@@ -43,6 +46,8 @@
     took_ms: float = 0.0
     restarts: int = 0
     adopted: bool = False
+    begun_at: float | None = None
+    begun_as: int = 0
     avoid: set[UpstreamId] = field(default_factory=set)
 
     @property
@@ -55,6 +60,13 @@
         """Tell whether the task has ended well."""
         return self.state is TaskState.DONE
 
+    @property
+    def restarted(self) -> bool:
+        """Tell whether a run of the task ended, and another began or is to begin."""
+        if self.begun_at is None:
+            return False
+        return self.run > self.begun_as or self.state is TaskState.WAITING
+
     def runs_as(self, run: RunId, upstream: UpstreamId) -> bool:
         """Tell whether a run on an upstream is the present one of the task.
 
@@ -95,6 +107,8 @@
         self.by_name = {task.name: task for task in self.tasks}
         self._open_in_step = [step.count for step in self.request.steps]
         self._waiting = list(self.tasks)
+        # Of the tasks that wait for no other step.
+        self.not_begun = sum(not task.spec.after for task in self.tasks)
         self.chain_ms = self._longest_ms(expected_ms)
         for name in offer.progress.done:
             if name in self.by_name:
@@ -159,6 +173,9 @@
         task.state = TaskState.PLACED
         task.upstream = upstream
         task.placed_at = now
+        if task.begun_at is None:
+            task.begun_at, task.begun_as = now, task.run
+            self.not_begun -= not task.spec.after
 
     def put_back(self, task: Task) -> None:
         """Let a task wait again."""
@@ -173,6 +190,8 @@
             return
         if task.state is TaskState.WAITING:
             self._waiting.remove(task)
+            if task.begun_at is None:
+                self.not_begun -= not task.spec.after
         task.state = TaskState.DONE
         self._open_in_step[task.step] -= 1
 
--- a/jackdawspur/runs/_notes.py
+++ b/jackdawspur/runs/_notes.py
@@ -1,8 +1,15 @@
 """Collecting the reasons of decisions for the log."""
 
-from jackdawspur.runs._effects import Decision, Effect, Note
-from jackdawspur.runs._job import Job
-from jackdawspur.runs._order import useful_until
+from jackdawspur.runs._effects import (
+    Decision,
+    Effect,
+    JobBegun,
+    JobLost,
+    LossCause,
+    Note,
+)
+from jackdawspur.runs._job import Job, Task
+from jackdawspur.runs._order import CAUTION, useful_until
 
 __all__ = ["Notes"]
 
@@ -22,28 +29,39 @@
         note = Note(decision, job, upstream, tuple(inputs.items()))
         self._effects.append(note)
 
-    def late(self, decision: Decision, job: Job, tasks: str, now: float) -> None:
+    def late(
+        self, decision: Decision, job: Job, lost: JobLost, tasks: str, now: float
+    ) -> None:
         """Explain the end of a job that nobody waits for or that comes too late.
 
-        `tasks` tells where each of them is.
+        `tasks` tells where those are that end last.
         """
+        self._effects.append(lost)
         self.add(
             decision,
             job.id,
             "",
             host=job.offer.host,
+            cause=lost.cause.value,
+            reached_ms=_ms(job.offered_at - job.offer.arrived),
             waited_ms=_ms(now - job.offer.arrived),
             left_ms=_ms(job.offer.deadline - now),
+            useful_ms=_ms(useful_until(job) - now),
             expected_ms=round(max(job.expected_ms)),
+            **_known(lost),
             tasks=tasks,
         )
 
     def refused(self, job: Job, jobs: int, ahead_s: float, now: float) -> None:
         """Explain the refusal of a job among so many, with the work ahead of it."""
+        cause = _refusal_cause(job, ahead_s)
+        self._lost(job, cause)
         self.add(
             Decision.JOB_REFUSED,
             job.id,
             "",
+            cause=cause.value,
+            reached_ms=_ms(job.offered_at - job.offer.arrived),
             waited_ms=_ms(now - job.offer.arrived),
             left_ms=_ms(job.offer.deadline - now),
             useful_ms=_ms(useful_until(job) - now),
@@ -52,6 +70,25 @@
             jobs=jobs,
         )
 
+    def failed(self, job: Job, reason: str) -> None:
+        """Explain the failure of a job."""
+        self._lost(job, LossCause.FAILED)
+        self.add(Decision.JOB_FAILED, job.id, "", reason=reason)
+
+    def started(self, job: Job, task: Task, now: float) -> None:
+        """Tell when the last task of a job has started, be its runs good or not.
+
+        Jobs that were handed over may have started under another lead.
+        """
+        last = not job.not_begun and task.begun_at == now and not task.spec.after
+        if last and not job.offer.handed:
+            waited_ms = (now - job.offer.arrived) * MS_PER_S
+            self._effects.append(JobBegun(job.id, job.request.route.name, waited_ms))
+
+    def _lost(self, job: Job, cause: LossCause) -> None:
+        route = job.request.route.name
+        self._effects.append(JobLost(job.id, route, cause, not_begun=job.not_begun))
+
     def passed_on(self, job: Job, leader: str, now: float) -> None:
         """Note that a job goes to another group."""
         waited_ms = _ms(now - job.offer.arrived)
@@ -60,3 +97,25 @@
 
 def _ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
+
+
+def _known(lost: JobLost) -> dict[str, int]:
+    """Return what is known of a lost job's starts and its longest task."""
+    figures = {
+        "first_start_ms": lost.first_start_ms,
+        "last_start_ms": lost.last_start_ms,
+        "not_begun": lost.not_begun,
+        "longest_ms": lost.longest_ms,
+        "told_ms": lost.told_ms,
+    }
+    return {name: ms for name, ms in figures.items() if ms is not None}
+
+
+def _refusal_cause(job: Job, ahead_s: float) -> LossCause:
+    """Return why a job is refused of which nothing has begun."""
+    if ahead_s > 0.0:
+        return LossCause.REFUSED_FOR_OTHERS
+    needs_s = CAUTION * job.left_ms() / MS_PER_S
+    if job.offer.arrived + needs_s > useful_until(job):
+        return LossCause.REFUSED_TOO_LONG
+    return LossCause.REFUSED_WAITED
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -204,6 +204,7 @@
     def _start(self, job: Job, task: Task, held: HeldUpstream, now: float) -> None:
         task.run += 1
         job.place(task, held.entry.id, now)
+        self._fleet.notes.started(job, task, now)
         self._begun.add(job.id, now)
         self._estimates.started(held.entry.id)
         self._starts.start(held, task, job.request.spec, now)
--- a/jackdawspur/runs/_review.py
+++ b/jackdawspur/runs/_review.py
@@ -4,9 +4,10 @@
 from jackdawspur.runs._effects import Decision
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._fleet import Fleet
-from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._job import Job, Task
+from jackdawspur.runs._losses import Losses
 from jackdawspur.runs._notes import Notes
-from jackdawspur.runs._progress import Verdict, judge, project
+from jackdawspur.runs._progress import Verdict, judge
 
 __all__ = ["Review"]
 
@@ -23,6 +24,7 @@
         self._fleet = fleet
         self._estimates = estimates
         self._notes = notes
+        self._losses = Losses(fleet, estimates)
 
     def job(self, job: Job, now: float) -> Verdict:
         """Look at all runs of a job; tell whether it is to be given up."""
@@ -43,18 +45,8 @@
 
     def note_late(self, decision: Decision, job: Job, now: float) -> None:
         """Explain the end of a job that nobody waits for or that comes too late."""
-        tasks = " ".join(self._story(task, now) for task in job.tasks)
-        self._notes.late(decision, job, tasks, now)
-
-    def _story(self, task: Task, now: float) -> str:
-        """Tell where a task is, for how many milliseconds and how far, and the pace."""
-        if task.upstream is None:
-            return f"{task.state.value}:-:0"
-        ms = task.took_ms or (now - task.placed_at) * MS_PER_S
-        run = self._fleet.run_of(task)
-        told = f":{round(run.percent)}%" if run else ""
-        pace = self._estimates.pace(task.upstream)
-        return f"{task.state.value}:{task.upstream.name}:{round(ms)}{told}:x{pace:.2f}"
+        lost = self._losses.of(job, now)
+        self._notes.late(decision, job, lost, self._losses.stories(job, now), now)
 
     def _correct(self, job: Job, step: int) -> None:
         """Expect of a step what its tasks show by their progress.
@@ -88,15 +80,8 @@
 
     def _whole_ms(self, job: Job, task: Task) -> float | None:
         """Return how long a task takes at a pace of one, None while not known."""
-        if task.state is TaskState.WAITING:
-            return None
-        whole_ms = task.took_ms
-        if not whole_ms:
-            run = self._fleet.run_of(task)
-            expected_ms = job.first_expected_ms[task.step]
-            projected = project(run, expected_ms) if run else None
-            whole_ms = projected.whole_s * MS_PER_S if projected else None
-        return whole_ms and whole_ms / self._estimates.pace(task.upstream)
+        known = self._losses.known(job, task)
+        return known and known.whole_ms
 
     def _restart(self, task: Task, run: Run, elsewhere_ms: float, now: float) -> None:
         task.restarts += 1
