Play zones among jobs as callers send them, and count the servable ones

The own bench drew tasks of one job evenly within 0.15, flushed after each event, so that no tick saw a job before it was placed, and knew one zone only; its figure of the largest jobs mixed what nobody could serve with what was lost. `jackdawspur.bench.zones` draws tasks normally by 0.15, lets what comes within a pass be handled in any order before one flush, and plays one to three zones that deal out room and pass jobs on. Lines tell how many long jobs, and of their largest tenth, could be served on a usual upstream, how many were, and of each of the others the product's cause and milliseconds, beside what really became of its tasks. Existing scenarios and bounds stay as they are; their lines get the same counts.

--- /dev/null
+++ b/jackdawspur/bench/_drawn.py
@@ -0,0 +1,69 @@
+"""Jobs drawn as callers send them, and the times that they and their hosts keep."""
+
+import random
+from dataclasses import dataclass
+
+from jackdawspur.bench._front_simulation import JobKind
+from jackdawspur.bench._front_upstream import Work
+from jackdawspur.leases import Resources
+from jackdawspur.runs import JobRequest, JobStep, Route
+
+__all__ = [
+    "ANSWER_S",
+    "CALL_S",
+    "HOP_S",
+    "LIMIT_S",
+    "SLOWER",
+    "USABLE_S",
+    "WAY_S",
+    "DrawnJob",
+    "draw",
+]
+
+MS_PER_S = 1000.0
+# Callers wait so long; of that their requests and answers are on the way to a host and
+# back, and calls to an upstream there and back.
+LIMIT_S = 1.548
+CALLER_WAY_S = 0.006
+CALL_S = 0.001
+WAY_S = CALLER_WAY_S + 2 * CALL_S
+USABLE_S = LIMIT_S - WAY_S
+# What hosts keep of it for the answer.
+ANSWER_S = 0.012
+# Between hosts, each way.
+HOP_S = 0.001
+# A third of the upstreams takes so many times as long.
+SLOWER = 1.3
+# Tasks of one job differ by this share, jobs' declarations from their work as well.
+TASKS_SPREAD = 0.15
+LEAST_TASK = 0.3
+ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class DrawnJob:
+    """Keep a job and how long its tasks really take."""
+
+    request: JobRequest
+    work: Work
+
+    @property
+    def longest_s(self) -> float:
+        """Return what its longest task takes at a pace of 1."""
+        return max(self.work.seconds.values())
+
+
+def draw(kind: JobKind, job: str, rng: random.Random) -> DrawnJob:
+    """Draw one job of a kind."""
+    work_s = kind.work_s * rng.lognormvariate(-(kind.spread**2) / 2, kind.spread)
+    tasks = max(1, round(rng.gauss(kind.tasks, 0.3 * kind.tasks)))
+    cpu = min(round(rng.gauss(14_000, 2000)), 20_000)
+    declared_ms = work_s * rng.lognormvariate(0, kind.declared) * MS_PER_S
+    step = JobStep(tasks, Resources(cpu, 64, 0), declared_ms)
+    timeout_ms = LIMIT_S * MS_PER_S
+    route = Route(kind.name, "h", "/", "service", timeout_ms, 60, 1.6, 0, ATTEMPTS)
+    seconds = {
+        f"{job}.0.0.{n}": work_s * max(LEAST_TASK, rng.gauss(1.0, TASKS_SPREAD))
+        for n in range(tasks)
+    }
+    return DrawnJob(JobRequest(job, "", (step,), route), Work(seconds, step.resources))
--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -3,11 +3,12 @@
 import heapq
 import itertools
 import random
+import statistics
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from jackdawspur.bench._front_upstream import FrontUpstream, Tally, Work
-from jackdawspur.bench._sizes import JobFate
+from jackdawspur.bench._sizes import JobFate, LostJob
 from jackdawspur.leases import CallOutcome, Resources, UpstreamEntry, fence_at
 from jackdawspur.model import HostId, UpstreamId
 from jackdawspur.runs import (
@@ -15,6 +16,7 @@
     Dispatcher,
     Effect,
     JobEnd,
+    JobLost,
     JobRequest,
     JobStep,
     LookAt,
@@ -102,6 +104,7 @@
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._asked: dict[str, _Asked] = {}
+        self._lost: dict[str, JobLost] = {}
         self._fence = 0
         self.upstreams = {one.entry.id: one for one in self._make_upstreams()}
         self._waiting: list[_Look] = []
@@ -221,6 +224,8 @@
             self._stop(effect)
         elif isinstance(effect, LookAt):
             self._look(effect)
+        elif isinstance(effect, JobLost):
+            self._lost[effect.job] = effect
         elif isinstance(effect, AnswerJob):
             self._answered(effect)
 
@@ -309,8 +314,9 @@
         if asked is None:
             return
         passed_s = self.now - asked.offer.arrived
-        fastest = min(one.pace for one in self.upstreams.values())
-        self.result.fates.append(_fate(asked, answer.outcome.end, fastest))
+        paces = [one.pace for one in self.upstreams.values()]
+        lost = self._lost.pop(answer.job, None)
+        self.result.fates.append(_fate(asked, answer.outcome.end, paces, lost))
         if answer.outcome.end is JobEnd.REFUSED:
             self.result.refused += 1
         elif answer.outcome.end is not JobEnd.COMPLETE:
@@ -323,9 +329,26 @@
             self.result.failed += 1
 
 
-def _fate(asked: _Asked, end: JobEnd, fastest: float) -> JobFate:
+def _fate(
+    asked: _Asked, end: JobEnd, paces: list[float], lost: JobLost | None
+) -> JobFate:
     seconds = asked.work.seconds.values()
     cores = asked.work.resources.cpu_millis / MILLIS_PER_CORE
-    route = asked.offer.request.route
-    served = end is JobEnd.COMPLETE
-    return JobFate(route.name, sum(seconds) * cores, max(seconds) * fastest, served)
+    longest_s, served = max(seconds), end is JobEnd.COMPLETE
+    return JobFate(
+        asked.offer.request.route.name,
+        sum(seconds) * cores,
+        longest_s * min(paces),
+        served,
+        servable=longest_s * statistics.median(paces) <= PATIENCE_S,
+        came=asked.offer.arrived,
+        lost=None if served else _told(lost, longest_s),
+    )
+
+
+def _told(lost: JobLost | None, longest_s: float) -> LostJob:
+    longest_ms = round(longest_s * MS_PER_S)
+    if lost is None:
+        return LostJob("not_told", longest_ms=longest_ms)
+    cause, first, last = lost.cause.value, lost.first_start_ms, lost.last_start_ms
+    return LostJob(cause, "", first, last, longest_ms)
--- a/jackdawspur/bench/_sizes.py
+++ b/jackdawspur/bench/_sizes.py
@@ -1,25 +1,58 @@
 """How large jobs are served beside the others of their kind."""
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-__all__ = ["JobFate", "largest_tenth", "possible_share", "served_share"]
+__all__ = [
+    "JobFate",
+    "LostJob",
+    "Servable",
+    "largest_tenth",
+    "possible_share",
+    "servable",
+    "served_share",
+]
 
 PARTS = 10
 DIGITS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class LostJob:
+    """Tell why a job was lost; milliseconds count from its coming.
+
+    `cause` is what the product tells, `seen` what the bench knows, `longest_ms` what
+    the longest task really takes at a pace of 1, `after_ms` when the job ended and
+    `believed` the pace that was believed of the upstream whose task ends last.
+    """
+
+    cause: str
+    seen: str = ""
+    first_start_ms: int | None = None
+    last_start_ms: int | None = None
+    longest_ms: int = 0
+    after_ms: int = 0
+    believed: float = 0.0
+    came_s: float = 0.0
+    far: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class JobFate:
     """Tell what came of one job; `size` is its work in core-seconds.
 
-    `least_s` is what its longest task takes on the fastest upstream, in seconds.
+    `least_s` is what its longest task takes on the fastest upstream, in seconds. A job
+    is `servable` that would end in time if begun at once on a usual one.
     """
 
     kind: str
     size: float
     least_s: float
     served: bool
+    servable: bool = True
+    came: float = 0.0
+    lost: LostJob | None = None
 
 
 def largest_tenth(fates: Iterable[JobFate], kind: str) -> list[JobFate]:
@@ -39,3 +72,30 @@
     """Return the share that ends within the limit if begun at once where it is fast."""
     count = sum(one.least_s <= limit_s for one in fates)
     return round(count / max(1, len(fates)), DIGITS)
+
+
+@dataclass(frozen=True, slots=True)
+class Servable:
+    """Count jobs, those that could be served, and those of them that were.
+
+    `causes` counts the servable ones that were lost, by what the product tells and by
+    what the bench saw; `lost` lists them.
+    """
+
+    jobs: int
+    servable: int
+    served: int
+    share: float
+    causes: dict[str, int]
+    lost: tuple[LostJob, ...]
+
+
+def servable(fates: Sequence[JobFate]) -> Servable:
+    """Return how many jobs could be served, and what became of them."""
+    could = [one for one in fates if one.servable]
+    lost = tuple(one.lost for one in could if one.lost)
+    served = sum(one.served for one in could)
+    causes = Counter(f"{one.cause}, {one.seen}" for one in lost)
+    share = round(served / max(1, len(could)), DIGITS)
+    ordered = dict(causes.most_common())
+    return Servable(len(fates), len(could), served, share, ordered, lost)
--- a/jackdawspur/bench/front.py
+++ b/jackdawspur/bench/front.py
@@ -16,7 +16,12 @@
     FrontSimulation,
     JobKind,
 )
-from jackdawspur.bench._sizes import largest_tenth, possible_share, served_share
+from jackdawspur.bench._sizes import (
+    largest_tenth,
+    possible_share,
+    servable,
+    served_share,
+)
 from jackdawspur.model import HostId
 from jackdawspur.runs import Decision, Dispatcher, Job, Placer
 
@@ -188,6 +193,8 @@
         "long_served": served_share(long),
         "largest_served": served_share(largest),
         "largest_possible": possible_share(largest, PATIENCE_S),
+        "long_servable": servable(long),
+        "largest_servable": servable(largest),
         "two_at_once": tally.two_at_once,
         "over_capacity": tally.over_capacity,
     }
--- /dev/null
+++ b/jackdawspur/bench/zones.py
@@ -0,0 +1,156 @@
+"""Run leading hosts of zones in virtual time among jobs as callers send them.
+
+``python -m`` this module prints one line a scenario, over all seeds: how many jobs of
+the long kind could be served, and what became of these. It exits 1 when a task ran
+twice at one time or an upstream was overloaded.
+"""
+
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+
+import msgspec
+
+from jackdawspur.bench._front_simulation import JobKind
+from jackdawspur.bench._sizes import JobFate, largest_tenth, servable
+from jackdawspur.bench._zones import ZonesResult, ZonesSimulation
+
+__all__ = ["LONG_KIND", "SCENARIOS", "ZonesScenario", "largest_of", "main", "play"]
+
+SEEDS = range(11, 31)
+SECONDS = 20.0
+# Jobs that come earlier meet a host that has learned nothing yet.
+LEARNED_S = 4.0
+LONG_KIND = "reassign"
+PASS_S = 0.005
+UPSTREAMS = 24
+# About half of the places are taken by these, where an upstream has two or three.
+ROOMY = (
+    JobKind("confirm", 2.0, 8, 0.06),
+    JobKind("reassign", 5.0, 4, 0.9),
+    JobKind("check", 20.0, 2, 0.2),
+)
+# About three quarters.
+USUAL = (
+    JobKind("confirm", 4.0, 8, 0.06),
+    JobKind("reassign", 9.0, 4, 0.9),
+    JobKind("check", 17.0, 2, 0.2),
+)
+BURST = 1.3
+BURST_S = (5.0, 9.0)
+LOST_SHARE = 0.13
+# A zone with this load has little room left, one with that load much.
+BUSY = 1.05
+QUIET = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class ZonesScenario:
+    """Name what happens in how many zones of what load."""
+
+    name: str
+    zones: int = 1
+    kinds: Sequence[JobKind] = ROOMY
+    pass_s: float = PASS_S
+    happen: Callable[[ZonesSimulation], None] = lambda _simulation: None
+
+
+def _burst(simulation: ZonesSimulation) -> None:
+    """Let more jobs come to the first zone while it loses upstreams."""
+    zone = simulation.zones[0]
+    lost = list(zone.upstreams.values())[1 :: round(1 / LOST_SHARE)]
+    loads = (BURST * zone.load, zone.load)
+    for when, load, silent in zip(BURST_S, loads, (True, False), strict=True):
+
+        def change(load: float = load, silent: bool = silent) -> None:
+            zone.load = load
+            for upstream in lost:
+                upstream.silent = silent
+
+        simulation.time.at(when, change)
+
+
+def _burst_beside_room(simulation: ZonesSimulation) -> None:
+    for zone in simulation.zones:
+        zone.load = QUIET
+    simulation.zones[0].load = BUSY
+    _burst(simulation)
+
+
+def _full(simulation: ZonesSimulation) -> None:
+    """Let the first zone have too many jobs for it, and others few."""
+    for zone in simulation.zones:
+        zone.load = QUIET
+    simulation.zones[0].load = 1.4
+
+
+def _new_leader(simulation: ZonesSimulation) -> None:
+    zone = simulation.zones[0]
+    for when in (5.0, 8.0):
+        simulation.time.at(when, lambda: simulation.change_leader(zone))
+
+
+SCENARIOS = (
+    ZonesScenario("room for all"),
+    ZonesScenario("room for all, a pass each", pass_s=0.0),
+    ZonesScenario("usual load", kinds=USUAL),
+    ZonesScenario("burst and lost upstreams", kinds=USUAL, happen=_burst),
+    ZonesScenario("new leader", happen=_new_leader),
+    ZonesScenario("three zones, one in a burst", 3, USUAL, happen=_burst_beside_room),
+    ZonesScenario("three zones, one full", 3, USUAL, happen=_full),
+    ZonesScenario("two zones, one full", 2, USUAL, happen=_full),
+)
+
+
+def play(scenario: ZonesScenario, seed: int, seconds: float = SECONDS) -> ZonesResult:
+    """Play a scenario with one seed."""
+    simulation = ZonesSimulation(
+        scenario.kinds, scenario.zones, UPSTREAMS, scenario.pass_s, seed
+    )
+    scenario.happen(simulation)
+    return simulation.run(seconds)
+
+
+def largest_of(results: Sequence[ZonesResult]) -> list[JobFate]:
+    """Return the largest tenth of the long jobs of each seed together."""
+    return [one for each in results for one in largest_tenth(_long(each), LONG_KIND)]
+
+
+def _long(result: ZonesResult) -> list[JobFate]:
+    return [
+        one for one in result.fates if one.kind == LONG_KIND and one.came >= LEARNED_S
+    ]
+
+
+def _line(scenario: ZonesScenario, results: Sequence[ZonesResult]) -> bytes:
+    fields = {
+        "scenario": scenario.name,
+        "seeds": len(results),
+        "offered": sum(one.offered for one in results),
+        "passed_on": sum(one.passed_on for one in results),
+        "long": servable([one for each in results for one in _long(each)]),
+        "largest": servable(largest_of(results)),
+        "two_at_once": sum(one.tally.two_at_once for one in results),
+        "over_capacity": sum(one.tally.over_capacity for one in results),
+    }
+    fields["long"] = {n: v for n, v in asdict(fields["long"]).items() if n != "lost"}
+    return msgspec.json.encode(fields) + b"\n"
+
+
+def main() -> int:
+    """Play all scenarios, or those named; return 1 when an invariant is broken."""
+    named = sys.argv[1:]
+    broken = 0
+    for scenario in SCENARIOS:
+        if named and scenario.name not in named:
+            continue
+        results = [play(scenario, seed) for seed in SEEDS]
+        sys.stdout.buffer.write(_line(scenario, results))
+        sys.stdout.buffer.flush()
+        broken += sum(one.tally.two_at_once for one in results)
+        broken += sum(one.tally.over_capacity for one in results)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
