Try upstreams of which little is known with tasks that have time

A task that has time now goes to upstreams that few tasks have told the pace of, where paces are alike, and a task without keeps off these.

--- a/jackdawspur/runs/_estimates.py
+++ b/jackdawspur/runs/_estimates.py
@@ -64,6 +64,10 @@
         """Return the factor on the time that a task takes there."""
         return self._paces.of(upstream)
 
+    def pace_seen(self, upstream: UpstreamId) -> int:
+        """Return how many tasks told that pace."""
+        return self._paces.seen(upstream)
+
     def learn_paces(self, job: Job) -> None:
         """Compare the upstreams that ran a job's tasks side by side."""
         for number in range(len(job.request.steps)):
--- a/jackdawspur/runs/_paces.py
+++ b/jackdawspur/runs/_paces.py
@@ -41,6 +41,10 @@
         """Return the factor on the time that a task takes there, 1 if not known."""
         return math.exp(self._log_pace.get(upstream, 0.0))
 
+    def seen(self, upstream: UpstreamId) -> int:
+        """Return how many tasks told the pace of an upstream."""
+        return self._seen.get(upstream, 0)
+
     def learn(self, took: list[tuple[UpstreamId, float]]) -> None:
         """Take in the times in milliseconds of one step's tasks of one job."""
         if len(took) < 2:
--- a/jackdawspur/runs/_placing.py
+++ b/jackdawspur/runs/_placing.py
@@ -36,6 +36,8 @@
 NEXT_CHANCE_S = 0.05
 # Paces within this factor count as the same, so that packing decides.
 SAME_PACE = 0.15
+# So many tasks tell a pace well enough.
+SEEN_ENOUGH = 4
 # A slow upstream takes about this many times as long as a fast one.
 SLOW_PACE = 1.3
 MS_PER_S = 1000.0
@@ -169,11 +171,15 @@
 
 def _score(
     task: Task, held: HeldUpstream, estimates: Estimates, most_pace: float
-) -> tuple[bool, bool, int, int]:
+) -> tuple[bool, bool, int, int, int]:
     pace = estimates.pace(held.entry.id)
+    seen = min(SEEN_ENOUGH, estimates.pace_seen(held.entry.id))
     remote = bool(task.spec.near) and task.spec.near not in held.entry.labels
     left = held.free.cpu_millis - task.spec.resources.cpu_millis
     rank = round(math.log(pace) / SAME_PACE)
     safe = pace * (REMOTE_FACTOR if remote else 1.0) <= most_pace
-    # Away from its data a task takes room for longer, also when it has the time.
-    return (not safe, remote, -rank if safe else rank, left)
+    # Away from its data a task takes room for longer, also when it has the time. A task
+    # that has time is tried on upstreams little is known of, others keep off these.
+    if safe:
+        return (False, remote, -rank, seen, left)
+    return (True, remote, rank, -seen, left)
