Count upstreams that are not heard yet as capacity

Cause: what had not answered the new leading host yet counted as no capacity, so that the work ahead seemed to take 2,160 s. It counts until it turns silent.

--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -61,11 +61,14 @@
 
     @property
     def cpu_millis(self) -> int:
-        """Return the processor capacity of all upstreams held that take tasks."""
+        """Return the processor capacity of all upstreams that take tasks.
+
+        One that was not heard yet counts: it mostly answers within milliseconds.
+        """
         return sum(
             held.entry.capacity.cpu_millis
             for held in self._held.values()
-            if held.held and not held.entry.draining
+            if (held.held or held.answered) and not held.entry.draining
         )
 
     @property
