Stop no run as slow before the others of its job have told

Cause: a run was measured against an estimate although its like, under way beside it, tell within 0.2 s.

--- a/jackdawspur/runs/_review.py
+++ b/jackdawspur/runs/_review.py
@@ -15,6 +15,8 @@
 # A lone task may well take this many times what its caller declared.
 DOUBT_OF_DECLARED = 1.6
 MOST_OF_DECLARED = 3.0
+# Looks wait for 0.2 s, so that all runs have told their progress by then.
+ALL_TOLD_S = 0.3
 
 
 class Review:
@@ -37,6 +39,8 @@
                 continue
             elsewhere_ms = self._elsewhere_ms(job, task)
             verdict = judge(run, job, elsewhere_ms, task.restarts, now)
+            if verdict is Verdict.RESTART and self._others_may_tell(job, task, now):
+                continue
             if verdict is Verdict.RESTART:
                 self._restart(task, run, elsewhere_ms, now)
             elif verdict is Verdict.GIVE_UP:
@@ -83,6 +87,16 @@
         known = self._losses.known(job, task)
         return known and known.whole_ms
 
+    def _others_may_tell(self, job: Job, task: Task, now: float) -> bool:
+        """Tell whether others of the job will soon correct what is expected of a task.
+
+        All tasks of a job that is longer than declared look slow until others tell.
+        """
+        others = [t for t in job.placed() if t.step == task.step and t is not task]
+        if any(self._whole_ms(job, other) for other in others):
+            return False
+        return any(now - other.placed_at < ALL_TOLD_S for other in others)
+
     def _restart(self, task: Task, run: Run, elsewhere_ms: float, now: float) -> None:
         task.restarts += 1
         task.avoid.add(task.upstream)
