Wait for room no longer than a twentieth of what a job can spare

A job of 1.52 s that its caller thought to take 0.85 s waited 20 ms and a tick in a full zone beside room elsewhere (started after 67 ms; of the largest tenth). The patience is now a twentieth of what it can spare by its estimate, 20 ms at the most.

--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -15,6 +15,8 @@
 # A job that finds no room waits this long for an end before it goes elsewhere, which
 # costs bytes between zones and time each way.
 PATIENCE_S = 0.02
+# And no longer than this share of what it has to spare, by an estimate.
+PATIENCE_SHARE = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +88,7 @@
 
 def patience_s(job: Job, now: float) -> float:
     """Return how long a job waits for room here before it goes elsewhere."""
-    return max(0.0, min(PATIENCE_S, spare_s(job, now)))
+    return max(0.0, min(PATIENCE_S, PATIENCE_SHARE * spare_s(job, now)))
 
 
 def may_go(job: Job, now: float, longest_s: float) -> bool:
