--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -17,6 +17,8 @@
 PATIENCE_S = 0.02
 # And no longer than this share of what it has to spare, by an estimate.
 PATIENCE_SHARE = 0.05
+# A wait that is shorter than a pass or two of the loop hardly ever meets an end.
+LEAST_PATIENCE_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +90,8 @@
 
 def patience_s(job: Job, now: float) -> float:
     """Return how long a job waits for room here before it goes elsewhere."""
-    return max(0.0, min(PATIENCE_S, PATIENCE_SHARE * spare_s(job, now)))
+    wait_s = min(PATIENCE_S, PATIENCE_SHARE * spare_s(job, now))
+    return wait_s if wait_s >= LEAST_PATIENCE_S else 0.0
 
 
 def may_go(job: Job, now: float, longest_s: float) -> bool:
