Count an upstream as fast as others with its labels until its own tasks tell

A pace is now the mean of an upstream's own tasks and of what upstreams with the same labels have in common, which counts as two tasks; labels whose upstreams differ say little.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -140,7 +140,7 @@
             self._jobs.all_repeated(now)
         self._fleet.listing.set_zone(self._zone if by_zone else None, now)
         self._fleet.set_entries(kept, kept if listed is None else tuple(listed), now)
-        self._estimates.set_upstreams(entry.id for entry in kept)
+        self._estimates.set_upstreams(kept)
 
     def compare_lists(self, longest: int, all_read_at: float) -> None:
         """Take in the longest list of other hosts, and when they had all read one."""
--- a/jackdawspur/runs/_estimates.py
+++ b/jackdawspur/runs/_estimates.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from jackdawspur.health import UpstreamHealth
-from jackdawspur.leases import Ending
+from jackdawspur.leases import Ending, UpstreamEntry
 from jackdawspur.model import HostId, SubmissionId, UpstreamId
 from jackdawspur.runs._job import Job, Task, run_time_spec
 from jackdawspur.runs._paces import Paces
@@ -24,11 +24,12 @@
         self._health = UpstreamHealth(own)
         self._paces = Paces()
 
-    def set_upstreams(self, upstreams: Iterable[UpstreamId]) -> None:
+    def set_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
         """Judge exactly these upstreams."""
-        kept = tuple(upstreams)
+        labels = {entry.id: entry.labels for entry in entries}
+        kept = tuple(labels)
         self._health.set_upstreams(kept)
-        self._paces.set_upstreams(kept)
+        self._paces.set_upstreams(kept, labels)
 
     def forget_running(self, upstreams: Iterable[UpstreamId]) -> None:
         """Judge upstreams anew: what ran under an earlier lead is not counted here.
--- a/jackdawspur/runs/_paces.py
+++ b/jackdawspur/runs/_paces.py
@@ -2,16 +2,19 @@
 
 import math
 import statistics
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from jackdawspur.model import UpstreamId
+from jackdawspur.runs._kinds import Kinds
 
 __all__ = ["Paces"]
 
 # Tasks of one job differ by about 15 %, so some ten of them tell speeds 25 % apart.
 STEP = 0.1
-# Before any task has ended, a pace is as uncertain as two tasks leave it.
+# What upstreams with the same labels have in common counts as so many own tasks.
 PRIOR_TASKS = 2
+# More tasks than this tell nothing more of one upstream: its latest ones decide.
+MOST_TASKS = 20
 # An upstream that suddenly takes twice as long is believed at once: it is one that
 # turned slow, and each further job that it gets is late.
 SURPRISE = math.log(2.0)
@@ -25,21 +28,29 @@
 
     Run times of different jobs differ far more than speeds of upstreams do. Tasks of
     one step of one job are nearly equal, so they are compared only with each other.
+    An upstream of which little is known counts as fast as others with its labels.
     """
 
     def __init__(self) -> None:
-        self._log_pace: dict[UpstreamId, float] = {}
+        # By upstream: the logarithm of its own pace, and how many tasks told it.
+        self._own: dict[UpstreamId, float] = {}
         self._seen: dict[UpstreamId, int] = {}
-
-    def set_upstreams(self, upstreams: Iterable[UpstreamId]) -> None:
-        """Keep exactly these upstreams."""
-        known, seen = self._log_pace, self._seen
-        self._log_pace = {one: known.get(one, 0.0) for one in upstreams}
-        self._seen = {one: seen.get(one, 0) for one in self._log_pace}
+        self._kinds = Kinds()
+
+    def set_upstreams(
+        self,
+        upstreams: Iterable[UpstreamId],
+        labels: Mapping[UpstreamId, Iterable[str]] | None = None,
+    ) -> None:
+        """Keep exactly these upstreams, with their labels."""
+        self._own = {one: self._own.get(one, 0.0) for one in upstreams}
+        self._seen = {one: self._seen.get(one, 0) for one in self._own}
+        self._kinds.set_upstreams(labels or {})
+        self._kinds.learn(self._own, self._seen)
 
     def of(self, upstream: UpstreamId) -> float:
         """Return the factor on the time that a task takes there, 1 if not known."""
-        return math.exp(self._log_pace.get(upstream, 0.0))
+        return math.exp(self._log(upstream))
 
     def seen(self, upstream: UpstreamId) -> int:
         """Return how many tasks told the pace of an upstream."""
@@ -49,20 +60,35 @@
         """Take in the times in milliseconds of one step's tasks of one job."""
         if len(took) < 2:
             return
-        logs = [
-            (one, math.log(max(1.0, ms)), self._log_pace.get(one, 0.0))
-            for one, ms in took
-        ]
+        logs = [(one, math.log(max(1.0, ms)), self._log(one)) for one, ms in took]
         work = sorted(log - pace for _, log, pace in logs)
         middle = work[(len(work) - 1) // 2]
         for upstream, log, pace in logs:
-            if upstream in self._log_pace:
-                step = max(STEP, 1.0 / (PRIOR_TASKS + self._seen[upstream]))
-                self._log_pace[upstream] = _moved(pace, log - middle, step)
-                self._seen[upstream] += 1
+            if upstream in self._own:
+                self._move(upstream, log - middle, pace)
         # A job may end after all upstreams left the list, and then there is no median.
-        if self._log_pace:
+        if self._own:
             self._centre()
+            self._kinds.learn(self._own, self._seen)
+
+    def _log(self, upstream: UpstreamId) -> float:
+        seen = self._seen.get(upstream, 0)
+        if seen >= MOST_TASKS:
+            return self._own[upstream]
+        own = self._own.get(upstream, 0.0)
+        common = self._kinds.log_pace(upstream)
+        return (seen * own + PRIOR_TASKS * common) / (seen + PRIOR_TASKS)
+
+    def _move(self, upstream: UpstreamId, told: float, pace: float) -> None:
+        seen = self._seen[upstream]
+        step = max(STEP, 1.0 / (seen + 1))
+        if abs(told - pace) > SURPRISE:
+            # One task in doubt would count in full as the first one.
+            step = max(STEP, SURPRISE_STEP)
+            self._seen[upstream] = MOST_TASKS
+        else:
+            self._seen[upstream] = min(MOST_TASKS, seen + 1)
+        self._own[upstream] += step * (told - self._own[upstream])
 
     def _centre(self) -> None:
         """Keep the median pace at one.
@@ -70,12 +96,8 @@
         Only ratios are learned: left alone, all paces drift the same way, and with
         them what jobs are expected to take.
         """
-        middle = statistics.median(self._log_pace.values())
-        for upstream, pace in self._log_pace.items():
-            self._log_pace[upstream] = min(SLOWEST, max(FASTEST, pace - middle))
-
-
-def _moved(pace: float, seen: float, step: float) -> float:
-    if abs(seen - pace) > SURPRISE:
-        step = max(step, SURPRISE_STEP)
-    return pace + step * (seen - pace)
+        known = [one for one, seen in self._seen.items() if seen]
+        middle = statistics.median(map(self._log, known)) if known else 0.0
+        for upstream in known:
+            pace = self._own[upstream] - middle
+            self._own[upstream] = min(SLOWEST, max(FASTEST, pace))
--- a/jackdawspur/runs/tests/test_losses.py
+++ b/jackdawspur/runs/tests/test_losses.py
@@ -90,7 +90,8 @@
     leading.settle()
     barred(leading, "aa")
     (place,) = leading.running()["aa.0.0.0"]
-    leading.dispatcher.estimates._paces._log_pace[place] = 0.5
+    paces = leading.dispatcher.estimates._paces
+    paces._own[place], paces._seen[place] = 0.5, 100
     advance_at(leading, "aa", 1.2, 0.4)
     one = lost(notes, "aa")
     assert one.cause is LossCause.SLOW_UPSTREAM
