Begin a late run anew where a faster upstream makes it in time

A long overlay was given up after some tenths of a second since one of its tasks ran on an upstream slower by 1.3, while a fast one had room on which it would have been in time. A run was begun anew only if that took less than half. Now also once if its progress, believed as it is, makes it late, and it would be in time on the best upstream that has room.

--- a/jackdawspur/runs/_progress.py
+++ b/jackdawspur/runs/_progress.py
@@ -7,7 +7,14 @@
 from jackdawspur.runs._job import Job
 from jackdawspur.runs._order import objective, useful_until
 
-__all__ = ["Projection", "Verdict", "judge", "project"]
+__all__ = [
+    "Projection",
+    "Verdict",
+    "ends_in_time_anew",
+    "judge",
+    "may_be_late",
+    "project",
+]
 
 MS_PER_S = 1000.0
 # Progress is told in whole percent: below this it says too little to project from.
@@ -57,6 +64,25 @@
     return Projection(100.0 * second_a_percent, run.reported_at + left_s)
 
 
+def may_be_late(run: Run, job: Job, expected_ms: float) -> bool:
+    """Tell whether a run ends too late if its progress is believed as it is."""
+    projected = project(run, expected_ms)
+    return projected is not None and projected.end > useful_until(job)
+
+
+def ends_in_time_anew(
+    run: Run, job: Job, expected_ms: float, faster: float, now: float
+) -> bool:
+    """Tell whether a run would be in time if it began anew on a faster upstream.
+
+    `faster` is the share of its time that it takes there.
+    """
+    projected = project(run, expected_ms)
+    if projected is None:
+        return False
+    return now + RESTART_S + projected.whole_s * faster <= useful_until(job)
+
+
 def judge(run: Run, job: Job, expected_ms: float, restarts: int, now: float) -> Verdict:
     """Tell whether a run should go on, start again elsewhere, or end its job.
 
--- a/jackdawspur/runs/_review.py
+++ b/jackdawspur/runs/_review.py
@@ -7,7 +7,13 @@
 from jackdawspur.runs._job import Job, Task
 from jackdawspur.runs._losses import Losses
 from jackdawspur.runs._notes import Notes
-from jackdawspur.runs._progress import Verdict, judge
+from jackdawspur.runs._placing import choose
+from jackdawspur.runs._progress import (
+    Verdict,
+    ends_in_time_anew,
+    judge,
+    may_be_late,
+)
 
 __all__ = ["Review"]
 
@@ -15,6 +21,8 @@
 # A lone task may well take this many times what its caller declared.
 DOUBT_OF_DECLARED = 1.6
 MOST_OF_DECLARED = 3.0
+# Paces are learned to within a tenth or so: one that differs by less is no reason.
+MOST_OF_PACE = 0.87
 # Looks wait for 0.2 s, so that all runs have told their progress by then.
 ALL_TOLD_S = 0.3
 
@@ -41,12 +49,35 @@
             verdict = judge(run, job, elsewhere_ms, task.restarts, now)
             if verdict is Verdict.RESTART and self._others_may_tell(job, task, now):
                 continue
-            if verdict is Verdict.RESTART:
+            if verdict is Verdict.RESTART or self._better_anew(job, task, run, now):
                 self._restart(task, run, elsewhere_ms, now)
             elif verdict is Verdict.GIVE_UP:
                 return verdict
         return Verdict.GO_ON
 
+    def _better_anew(self, job: Job, task: Task, run: Run, now: float) -> bool:
+        """Tell whether a run is late for its slow upstream, and in time on another.
+
+        The fast one must have room: a run is not stopped for one that has to wait.
+        """
+        expected_ms = job.first_expected_ms[task.step]
+        if task.restarts or not may_be_late(run, job, expected_ms):
+            return False
+        service = job.request.route.service
+        others = [
+            held
+            for held in self._fleet.with_room(now).get(service, ())
+            if held.entry.id != task.upstream
+        ]
+        held = choose(task, job, others, self._estimates, now)
+        if held is None:
+            return False
+        pace = self._estimates.pace(task.upstream)
+        faster = self._estimates.pace(held.entry.id) / pace
+        if faster > MOST_OF_PACE:
+            return False
+        return ends_in_time_anew(run, job, expected_ms, faster, now)
+
     def note_late(self, decision: Decision, job: Job, now: float) -> None:
         """Explain the end of a job that nobody waits for or that comes too late."""
         lost = self._losses.of(job, now)
