Draw more faults on whole hosts: crashing tasks, shrinking upstreams, power of zones, roaming callers

Kinds that were missing: a task that crashes what runs it beside a change of lead, upstreams whose capacity shrinks and grows again, loss of power of one zone or of all with or without upstreams, restarts in turn beside a store that is away, a cut between zones and late orders, links that go silent just before callers' connections break, cuts shorter than the time after which a host counts as lost, and a host that is not heard while an upstream is replaced. Callers ask again in any zone, 1.3 s after their connection broke.

An answer 'failed' is checked as such now: it needs a task under which an upstream crashed, and an answer 200 counts as completed only when it does not say 'failed'. Before, no drawn job could fail, so that every 200 meant completed.

--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -2,12 +2,13 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from jackdawspur.front.tests.faulty import FaultyWorld
-from jackdawspur.front.tests.faulty_parts import Attempt, Caller
+from jackdawspur.front.tests.faulty_parts import Caller
+from jackdawspur.front.tests.findings import PATIENCE_S, Finding, find
+from jackdawspur.front.tests.more_faults import MORE_STILL
 
-__all__ = ["LAYOUTS", "Finding", "Play", "play"]
+__all__ = ["LAYOUTS", "Play", "play"]
 
 # Names of layouts: zones with their hosts, upstreams of each zone, the most for one
 # group of all zones.
@@ -16,30 +17,32 @@
     "two groups": (("z1", "z2"), 2, 4, 2),
     "at the limit": (("z1", "z2"), 2, 4, 8),
     "stuttering hosts": (("z1", "z2", "z3"), 2, 3, 64),
+    "roaming callers": (("z1", "z2"), 2, 4, 2),
+    "roaming in one group": (("z1", "z2", "z3"), 2, 3, 64),
+    "three at the limit": (("z1", "z2", "z3"), 2, 3, 9),
+    "one host a zone": (("z1", "z2", "z3"), 1, 3, 4),
 }
-# In this layout more kinds of faults are drawn; the seeds of the others keep theirs.
+# In these layouts more kinds of faults are drawn; the seeds of the others keep theirs.
 STUTTERING = "stuttering hosts"
+# In these still more, and callers ask again in other zones too.
+ROAMING = (
+    "roaming callers",
+    "roaming in one group",
+    "three at the limit",
+    "one host a zone",
+)
+ROAMS = 0.7
 STARTED_S = 2.5
 FAULTS_S = 6.0
 HEALED_S = 3.0
 JOB_EVERY_S = 0.07
 SHORT_S, LONG_S = 0.05, 0.9
-PATIENCE_S = 1.5
-REFUSED = (429, 503)
 LEAST_FAULTS, MOST_FAULTS = 3, 9
 
 
 Strike = tuple[float, Callable[["Play", float], object]]
 
 
-@dataclass(frozen=True)
-class Finding:
-    """Name a rule that was broken, and where."""
-
-    rule: str
-    detail: str
-
-
 class Play:
     """Play one seed."""
 
@@ -48,6 +51,9 @@
         self.zones, hosts, upstreams, most = LAYOUTS[layout]
         self.world = FaultyWorld(monkeypatch, most, seed)
         self.kinds = FAULTS + MORE_FAULTS if layout == STUTTERING else FAULTS
+        if layout in ROAMING:
+            self.kinds = FAULTS + MORE_FAULTS + MORE_STILL
+            self.world.roams = ROAMS
         self.faults = []
         for zone in self.zones:
             self.world.add_upstreams(zone, upstreams)
@@ -343,45 +349,3 @@
 def play(monkeypatch, layout: str, seed: int) -> list[Finding]:
     """Play a seed and return the rules that were broken."""
     return Play(monkeypatch, layout, seed).run()
-
-
-def find(world: FaultyWorld, last: list[Caller]) -> list[Finding]:
-    """Return the rules that were broken."""
-    found = []
-    if world.tally.two_at_once:
-        found.append(Finding("TWICE", str(world.tally.two_at_once)))
-    if world.tally.over_capacity:
-        found.append(Finding("LIMIT", str(world.tally.over_capacity)))
-    for caller in world.callers:
-        found += [Finding(rule, caller.request.id) for rule in _broken(world, caller)]
-    for caller in last:
-        reply = caller.attempts[0].reply
-        if reply is None or reply.status != 200:
-            name = caller.attempts[0].life.name
-            found.append(Finding("SERVES", f"{name} {reply and reply.status}"))
-    return found
-
-
-def _broken(world: FaultyWorld, caller: Caller) -> list[str]:
-    replies = [one.reply for one in caller.attempts if one.reply is not None]
-    broken = []
-    refused = [one.status in REFUSED for one in replies]
-    if refused and all(refused) and len(replies) == len(caller.attempts):
-        if caller.tasks & world.tally.started:
-            broken.append("REFUSED")
-    done = [one for one in caller.attempts if one.reply and one.reply.status == 200]
-    if not all(one.whole for one in done):
-        broken.append("COMPLETED")
-    if any(not _in_time(one) for one in caller.attempts):
-        broken.append("ANSWER")
-    return broken
-
-
-def _in_time(asked: Attempt) -> bool:
-    """Tell whether a caller had its answer, as far as its host could give one."""
-    ends = asked.sent_at + PATIENCE_S
-    stood_still = any(
-        froze < ends and thawed > asked.sent_at
-        for froze, thawed in asked.life.stood_still
-    )
-    return stood_still or not asked.in_vain
--- a/jackdawspur/front/tests/faulty.py
+++ b/jackdawspur/front/tests/faulty.py
@@ -82,6 +82,8 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.late_messages = False
+        # The share of callers that ask again in any zone.
+        self.roams = 0.0
         self._cut_since: dict[tuple[Life, Life], float] = {}
         self.unready_since: dict[str, float] = {}
         self._watch()
@@ -264,10 +266,16 @@
             def again() -> None:
                 caller.again -= 1
                 if not caller.left:
+                    self._roam(caller)
                     self._send(caller)
 
             self.after(ASKS_AGAIN_S, again)
 
+    def _roam(self, caller: Caller) -> None:
+        """Let a caller ask in another zone, as the platform may have it do."""
+        if self.roams and self.rng.random() < self.roams:
+            caller.zone = self.rng.choice(sorted(set(self.zones.values())))
+
     def reset(self, life: Life, number: int) -> None:
         """Break the connection of a caller."""
         if (life, number) in self._calls:
--- a/jackdawspur/front/tests/faulty_parts.py
+++ b/jackdawspur/front/tests/faulty_parts.py
@@ -49,18 +49,20 @@
 
 
 class Starts(Tally):
-    """Keep besides what was started and what ended well."""
+    """Keep besides what was started, what ended well, and under what some crashed."""
 
     def __init__(self) -> None:
         super().__init__()
         self.started: set[str] = set()
         self.done: set[str] = set()
+        self.crashed: set[str] = set()
 
 
 class FaultyUpstream(FrontUpstream):
     """Crash, take a while to stop, and keep a slow clock.
 
-    `drift` is by how much its clock is slow. `boot_over` tells that it crashed, `gone`
+    `drift` is by how much its clock is slow, `guards` that it refuses starts beyond its
+    capacity. `boot_over` tells that it crashed, `gone`
     that another boot answers in its place.
     """
 
@@ -70,11 +72,25 @@
         self.boot_over = self.gone = False
         self.boot = 1
         self.crashes = 0
+        self.guards = False
         self._stops: dict[RunId, float] = {}
 
     def clock_ms(self, now: float) -> int:
         return super().clock_ms(now * (1.0 - self.drift))
 
+    def runs_any(self, job: str) -> bool:
+        """Tell whether a task of a job runs here."""
+        return any(run.task.startswith(f"{job}.") for run in self._tasks)
+
+    def start(self, run: RunId, until_ms: int, fence: int, work, now: float):
+        """Refuse what does not fit, as upstreams do that guard their capacity."""
+        taken = sum(one.cpu for one in self._tasks.values())
+        beyond = taken + work.resources.cpu_millis > self.entry.capacity.cpu_millis
+        if self.guards and beyond and fence >= self._fence and run not in self._tasks:
+            self._fence = fence
+            return CallOutcome.NO_ROOM
+        return super().start(run, until_ms, fence, work, now)
+
     def stop(self, run: RunId, fence: int, now: float) -> CallOutcome:
         if fence < self._fence or run not in self._tasks:
             return super().stop(run, fence, now)
@@ -98,6 +114,7 @@
         self.crashes += 1
         for one in self._tasks.values():
             self._tally.running[one.run.task] -= 1
+            self._tally.crashed.add(one.run.task)
         self._tasks.clear()
         self._ended.clear()
 
--- a/jackdawspur/front/tests/test_drawn_faults.py
+++ b/jackdawspur/front/tests/test_drawn_faults.py
@@ -66,6 +66,10 @@
     played.world.replied(*open_call(played), HttpReply(200, b""))
 
 
+def fail_what_runs(played: Play, _seconds: float) -> None:
+    played.world.replied(*open_call(played), HttpReply(200, b'{"state":"failed"}'))
+
+
 def lose_an_answer(played: Play, _seconds: float) -> None:
     life, lost = open_call(played)
     reply = life.process._web.reply
@@ -89,6 +93,7 @@
         ("LIMIT", shrink_upstreams),
         ("REFUSED", refuse_what_runs),
         ("COMPLETED", complete_what_runs),
+        ("FAILED", fail_what_runs),
         ("ANSWER", lose_an_answer),
         ("SERVES", deafen_a_host),
     ],
