Test that a job whose drop is lost is not run in two zones, red

Brought about in virtual time, in two groups with two hosts a zone. A caller in z1 sends a job; the zone's leading host runs it. 0.1 s later the connection from the caller's host to the leading host goes silent and the caller's connection breaks, so that the one message that drops the job is lost. The host is asked to connect anew after 0.28 s and counts as alive all the while. The job goes on until its caller's time is over, 1.488 s after it came. The caller asks again 1.3 s after the break, in z2, which starts the task at once: two runs for some 0.1 s.

Cause: the leading host believes that a caller waits until it is told otherwise, once, on a connection that loses what it carries. It needs a break within 0.19 s of the request for a limit of 1.5 s, and more where the limit is longer.

--- /dev/null
+++ b/jackdawspur/front/tests/test_changing_hands.py
@@ -0,0 +1,44 @@
+"""What is believed of hosts that are not heard, as a job changes hands."""
+
+import pytest
+
+from jackdawspur.front.tests.faulty import FaultyWorld
+
+ZONES = ("z1", "z2")
+
+
+def make(monkeypatch, most_upstreams: int, count: int) -> FaultyWorld:
+    """Return two zones with two hosts each, and so many upstreams each."""
+    world = FaultyWorld(monkeypatch, most_upstreams, seed=1)
+    for zone in ZONES:
+        world.add_upstreams(zone, count)
+    for number in range(2):
+        for zone in ZONES:
+            world.start(f"{zone}-h{number}", zone)
+    world.run(3.0)
+    return world
+
+
+def hosts_of(world: FaultyWorld, zone: str) -> tuple[str, str]:
+    """Return the leading host of a zone and the one that follows it."""
+    leaders = world.leaders()
+    names = [name for name, where in world.zones.items() if where == zone]
+    return tuple(sorted(names, key=lambda name: name not in leaders))
+
+
+# At several moments between two heartbeats.
+@pytest.mark.parametrize("phase_s", [0.0, 0.025, 0.05, 0.075])
+def test_a_job_whose_drop_is_lost_is_not_run_in_two_zones(monkeypatch, phase_s: float):
+    # Guards against telling only once that a job is dropped.
+    world = make(monkeypatch, most_upstreams=2, count=3)
+    world.run(phase_s)
+    leader, host = hosts_of(world, "z1")
+    caller = world.ask("z1", 1.4, 1, world.lives[host])
+    world.run(0.1)
+    assert caller.tasks == world.tally.started
+    world.silent_links.add((host, leader))
+    (call,) = world.open_calls
+    world.reset(*call)
+    caller.zone = "z2"
+    world.run(3.0)
+    assert world.tally.two_at_once == 0
