Test that a job of a host that started again is not run in two zones, red

Brought about in virtual time, in two groups. A host of z1 dies 0.1 s after its caller's job began and is back within 0.35 s, so that its leading host hears it again before it counts as silent. The jobs of its earlier run are kept, though their callers' connections broke, and go on until their time is over. The caller asks again 1.3 s after the break, in z2: two runs. The address of a host names its run, but nothing compares it as jobs are kept.

The class is that of upstreams that start again under their names: what one boot told is used for another.

--- a/jackdawspur/front/tests/test_changing_hands.py
+++ b/jackdawspur/front/tests/test_changing_hands.py
@@ -42,3 +42,22 @@
     caller.zone = "z2"
     world.run(3.0)
     assert world.tally.two_at_once == 0
+
+
+@pytest.mark.parametrize("down_s", [0.1, 0.25, 0.35, 0.6])
+def test_a_job_of_a_host_that_started_again_is_not_run_in_two_zones(
+    monkeypatch, down_s: float
+):
+    # Guards against taking a host that starts again before it was missed for the one
+    # whose callers waited.
+    world = make(monkeypatch, most_upstreams=2, count=3)
+    _, host = hosts_of(world, "z1")
+    caller = world.ask("z1", 1.4, 1, world.lives[host])
+    world.run(0.1)
+    assert caller.tasks == world.tally.started
+    world.kill(host)
+    world.run(down_s)
+    world.start(host, "z1")
+    caller.zone = "z2"
+    world.run(3.0)
+    assert world.tally.two_at_once == 0
