Test that an upstream replaced behind a cut is missed, red

Brought about in virtual time, one group of two zones. One zone is cut off, from the store as well, and chooses a leading host of its own, with a higher fence. Meanwhile an upstream on the other side crashes and is back under another name; its old entry lapses, so that both lists are equally long. The leading host there uses the new one, since hosts not heard for 2.5 s don't count. As the cut heals it gives up, and its jobs are handed over to the higher fence. That host has not read the list again yet. All upstreams on its list answer or are known to be gone, its list is as long as those of others, so it takes it for complete and starts the handed-over tasks at once, with run 17, while run 1 goes on for up to 0.6 s on the upstream that it doesn't know.

Cause: Listing.complete compares how long lists are, not what stands on them.

--- a/jackdawspur/front/tests/test_changing_hands.py
+++ b/jackdawspur/front/tests/test_changing_hands.py
@@ -5,6 +5,7 @@
 from jackdawspur.front.tests.faulty import FaultyWorld
 
 ZONES = ("z1", "z2")
+CUT = frozenset(ZONES)
 
 
 def make(monkeypatch, most_upstreams: int, count: int) -> FaultyWorld:
@@ -61,3 +62,30 @@
     caller.zone = "z2"
     world.run(3.0)
     assert world.tally.two_at_once == 0
+
+
+# At several moments between two reads of the list.
+@pytest.mark.parametrize("phase_s", [0.0, 0.1, 0.2, 0.3, 0.4])
+def test_an_upstream_replaced_behind_a_cut_is_missed_as_the_cut_heals(
+    monkeypatch, phase_s: float
+):
+    # Guards against taking a list as long as those of others for the same list.
+    world = make(monkeypatch, most_upstreams=64, count=2)
+    ((_, zone),) = world.leaders().items()
+    beyond = {name for name, where in world.zones.items() if where != zone}
+    world.cut.add(CUT)
+    world.storeless |= beyond
+    world.run(0.5)
+    replaced = next(entry.id for entry in world.listed if entry.id.zone == zone)
+    world.crash(replaced, 0.05)
+    world.run(4.6 + phase_s)
+    _, host = hosts_of(world, zone)
+    for seconds in (0.2, 0.2, 0.8, 0.8):
+        # The first two fill the upstream that all hosts know.
+        world.ask(zone, seconds, 1, world.lives[host])
+        world.run(0.005)
+    world.run(0.2)
+    world.cut.clear()
+    world.storeless.clear()
+    world.run(3.0)
+    assert world.tally.two_at_once == 0
