Draw zones that are cut off from the store too, while upstreams are replaced

No drawn fault cut a zone off from others and from the store for as long as it takes for the entry of a crashed upstream to lapse.

--- a/jackdawspur/front/tests/more_faults.py
+++ b/jackdawspur/front/tests/more_faults.py
@@ -180,6 +180,25 @@
     return f"{name} {out} {told} {seconds:.2f}"
 
 
+def cut_off_zone(play: "Play", seconds: float) -> str:
+    """Cut a zone off from others and the store, while upstreams are replaced."""
+    world, rng = play.world, play.rng
+    zone = rng.choice(play.zones)
+    pairs = {frozenset((zone, one)) for one in play.zones if one != zone}
+    away = {name for name, where in world.zones.items() if where == zone}
+    world.cut |= pairs
+    world.storeless |= away
+    up = play._up()
+    for one in rng.sample(up, min(len(up) - 1, rng.randint(1, 2))):
+        world.crash(one.entry.id, rng.choice((0.05, 0.5)))
+    # An entry lapses some seconds after its upstream crashed.
+    whole_s = max(seconds, rng.choice((0.0, 4.6)))
+    world.after(whole_s, lambda: world.cut.difference_update(pairs))
+    back_s = whole_s + rng.uniform(0.0, 0.5)
+    world.after(back_s, lambda: world.storeless.difference_update(away))
+    return f"{zone} {whole_s:.2f} {back_s:.2f}"
+
+
 MORE_STILL: tuple[Fault, ...] = (
     crashing_task,
     crashing_task,
@@ -194,4 +213,7 @@
     reset_beside_silence,
     flap,
     deafen,
+    cut_off_zone,
+    cut_off_zone,
+    cut_off_zone,
 )
