Draw hosts whose timers come first as they go on

A host that is stopped within a pass of its loop, and not while it waits for sockets, has its timers called before it reads what arrived meanwhile. The drawn faults knew the other order only.

--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -54,6 +54,7 @@
         if layout in ROAMING:
             self.kinds = FAULTS + MORE_FAULTS + MORE_STILL
             self.world.roams = ROAMS
+            self.world.timers_first = self.rng.random() < 0.5
         self.faults = []
         for zone in self.zones:
             self.world.add_upstreams(zone, upstreams)
--- a/jackdawspur/front/tests/faulty.py
+++ b/jackdawspur/front/tests/faulty.py
@@ -43,18 +43,21 @@
 
 
 class Timers(VirtualDeadlines):
-    """Call back at virtual times, after what was read."""
+    """Call back at virtual times, after what was read or before."""
 
     def call_after(self, seconds: float, callback: Callable[[], None]) -> None:
         life = self._life
+        frozen = None if self._world.timers_first else life
 
         def act() -> None:
+            if life.dead:
+                return
             if life.thaws_at > self._world.now:
-                self._world.after(life.thaws_at - self._world.now, act, life)
+                self._world.after(life.thaws_at - self._world.now, act, frozen)
             else:
                 callback()
 
-        self._world.after(seconds, act, life)
+        self._world.after(seconds, act, frozen)
 
 
 class FaultyLife(Life):
@@ -82,6 +85,7 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.late_messages = False
+        self.timers_first = False
         # The share of callers that ask again in any zone.
         self.roams = 0.0
         self._cut_since: dict[tuple[Life, Life], float] = {}
@@ -119,10 +123,10 @@
         self.after(6.0, lambda: life.dead or self.kill(name))
 
     def freeze(self, name: str, seconds: float) -> None:
-        """Let a host stand still; what arrived comes before its timers then."""
+        """Let a host stand still; what arrived comes before its timers, or after."""
         life = self.lives[name]
         super().freeze(name, seconds)
-        life.thaws_at = life.frozen_until + 0.001
+        life.thaws_at = life.frozen_until + (-0.001 if self.timers_first else 0.001)
         life.stood_still.append((self.now, life.frozen_until))
 
     def _watch(self) -> None:
