Test that an offer to a host never heard starts nothing late, red

Brought about in virtual time, in two groups. A zone is cut off from the other; within the next 0.2 s a host of it starts and gets jobs, for which its own zone has no room. Its leading host heard the other zone's less than 0.5 s ago and passes them on. The host that started has not heard that one yet, so it names infinity as what its clock shows. The offers stay in the connection. The caller is told that the outcome is unknown, asks again 1.3 s later, and a zone starts the job.

Cause: Group.clock_of has no clock of a host never heard, and lateness then counts as none, where it should count as unknown.

--- a/jackdawspur/front/tests/test_changing_hands.py
+++ b/jackdawspur/front/tests/test_changing_hands.py
@@ -89,3 +89,31 @@
     world.storeless.clear()
     world.run(3.0)
     assert world.tally.two_at_once == 0
+
+
+@pytest.mark.parametrize("phase_s", [0.05, 0.15])
+def test_an_offer_to_a_host_never_heard_starts_nothing_seconds_later(
+    monkeypatch, phase_s: float
+):
+    # Guards against offers that can't be told to be late: who offers a job that was
+    # passed on has not heard the other zone's leading host since its own start.
+    world = FaultyWorld(monkeypatch, most_upstreams=2, seed=1)
+    world.late_messages = True
+    world.add_upstreams("z1", 1)
+    world.add_upstreams("z2", 6)
+    for number in range(2):
+        for zone in ZONES:
+            world.start(f"{zone}-h{number}", zone)
+    world.run(3.0)
+    _, host = hosts_of(world, "z1")
+    world.kill(host)
+    world.run(1.0)
+    world.cut.add(CUT)
+    world.start(host, "z1")
+    world.run(phase_s)
+    for _ in range(3):
+        world.ask("z1", 0.9, 2, world.lives[host])
+    world.run(2.95)
+    world.cut.discard(CUT)
+    world.run(3.0)
+    assert world.tally.two_at_once == 0
