Test that a job repeated no more is dropped though zones change, red

Brought about in the decisions of one leading host, not on whole hosts. A host of another group offers its job no more. Each change between one zone and all counts every offer as repeated just then, so that hosts which left the group have the time to say which jobs stay. A job whose host had ceased to offer it before gets that time too, with each change: with changes 0.4 and 0.8 s after its last offer it runs for 1.3 s and without end with more of them. After 1.1 s its host's own leading host counts on its end and starts it again. A group changes with a read of the list, every 0.5 s, and as another zone's leading host is heard or lost.

--- a/jackdawspur/runs/tests/test_elsewhere.py
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -1,9 +1,11 @@
 """Jobs that would wait go to a group that has room for all their tasks."""
 
 from jackdawspur.runs import PassJobOn, Place, SpareRoom, deal
+from jackdawspur.runs._placer import SETTLED_S
 from jackdawspur.runs.tests.conftest import FENCE, PATIENT, Leading
 
 PLACE = Place("far", FENCE * 2)
+STEP_S = 0.05
 
 
 def passed_on(leading: Leading) -> list[PassJobOn]:
@@ -120,3 +122,22 @@
     assert [one.place for one in passed_on(leading)].count(other) == 2
     assert len(passed_on(leading)) == 4
     assert not leading.answers
+
+
+def test_a_job_repeated_no_more_is_dropped_though_zones_come_and_go(
+    leading: Leading,
+):
+    # Guards against prolonging with each change of the group what a host offers no
+    # more: after SETTLED_S its own leading host starts the job.
+    entries = [leading.entry(one) for one in leading.upstreams]
+    leading.offer("aa", route=PATIENT, deadline=leading.now + 5.0)
+    leading.settle()
+    by_zone = False
+    for step in range(round(SETTLED_S / STEP_S)):
+        leading.advance(STEP_S)
+        if step in (7, 15):
+            by_zone = not by_zone
+            leading.dispatcher.set_upstreams(entries, leading.now, entries, by_zone)
+        leading.dispatcher.drop_unrepeated({"h2"}, leading.now)
+    leading.settle()
+    assert not leading.running()
