Test that starts which reached other boots blame no task, red

Found by drawn faults on whole hosts (roaming callers, kept): a zone is cut off, two upstreams of another crash meanwhile and are back under other names. The leading host sends two starts of one job to one of them; the first is refused by the other boot, and the second, still open, counts as a task that ran as the upstream crashed. Started elsewhere, at the other crashed one, it has no reply, and the next look meets another boot. With two crashes under it the job is failed, though no upstream crashed under any of its tasks: three had ended well and the fourth had never begun.

Cause: Crashes is told of all runs that take room, with starts that nobody replied to. A start that was sent is taken for a run that was there at the crash. The caller gets 'failed' for a job that could be done.

--- a/jackdawspur/front/tests/test_drawn_faults.py
+++ b/jackdawspur/front/tests/test_drawn_faults.py
@@ -20,6 +20,7 @@
     ("two groups", 30773),
     ("one group", 1030),
     ("one group", 2027),
+    ("roaming callers", 730037),
 )
 # Above all fences of hosts.
 HIGHEST = 1 << 61
--- a/jackdawspur/runs/tests/test_crashes.py
+++ b/jackdawspur/runs/tests/test_crashes.py
@@ -205,3 +205,20 @@
     leading.upstreams[lost].running.clear()
     leading.advance(SILENT_S)
     assert set(leading.running()) == {"aa.0.0.0", "aa.0.0.1"}
+
+
+def test_starts_that_all_reached_other_boots_blame_no_task():
+    # Guards against failing a healthy job none of whose tasks has ever run: upstreams
+    # had crashed before its starts came, and each refusal blames the other starts.
+    leading = Leading(3)
+    leading.lead()
+    leading.offer("good", tasks=2, route=PATIENT, deadline=leading.now + 5.0)
+    for _ in range(2):
+        leading.collect()
+        orders, leading.starts = leading.starts, []
+        assert len({order.upstream for order in orders}) == 1
+        for order in orders:
+            leading.dispatcher.start_replied(order, CallOutcome.GONE, leading.now)
+    leading.advance(0.1)
+    assert not [one for one in leading.answers if one.outcome.end is JobEnd.FAILED]
+    assert set(leading.running()) == {GOOD, OTHER}
