Drop jobs that their hosts of the own group repeat no more

Jobs of other groups' hosts already needed their offers repeated; those of the own group, repeated every 0.4 s, are dropped after 1.0 s without now. A change of the group's zones prolongs what is no longer repeated once, not each time. Seven cases of test_changing_hands.py and one of test_elsewhere.py failed before.

--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -89,7 +89,9 @@
         self, offer: Offer, expected_ms: tuple[float, ...], now: float
     ) -> None:
         self.offer = offer
-        self.offered_at = self.repeated_at = now
+        self.offered_at = now
+        # When its host last offered it, and when that counts as repeated.
+        self.told_at = self.repeated_at = now
         self.request = offer.request
         self.first_expected_ms = expected_ms
         self.expected_ms = list(expected_ms)
@@ -141,7 +143,7 @@
         and may have started it: kept as one of which nothing started, it could be
         refused as not run. One with fewer, from the same call, was overtaken.
         """
-        self.repeated_at = now
+        self.told_at = self.repeated_at = now
         same_call = (offer.host, offer.call) == (self.offer.host, self.offer.call)
         if same_call and offer.handed < self.offer.handed:
             return
--- a/jackdawspur/runs/_open_jobs.py
+++ b/jackdawspur/runs/_open_jobs.py
@@ -8,6 +8,9 @@
 
 # Hosts repeat the offers of jobs that another group has every 0.12 s.
 UNREPEATED_S = 0.5
+# Hosts of the own group repeat theirs every 0.4 s. Who asked for a job may ask another
+# zone 1.3 s after a break.
+OWN_UNREPEATED_S = 1.0
 
 
 class OpenJobs(dict[str, Job]):
@@ -34,22 +37,21 @@
         return reported
 
     def all_repeated(self, now: float) -> None:
-        """Count all offers as repeated just now."""
+        """Count all offers as repeated just now, those that lapse only once."""
         for job in self.values():
-            job.repeated_at = now
+            job.repeated_at = min(now, job.told_at + UNREPEATED_S)
 
     def unrepeated(self, outsiders: set[str], now: float) -> list[Job]:
-        """Return the jobs of other groups' hosts whose offers are repeated no more.
+        """Return the jobs that their hosts offer no more.
 
-        That such a host is heard says nothing of a job: it may have handed the job to
-        its own leading host, or have no caller for it, and the message was lost. What
-        ran on here would run twice at one time.
+        That a host is heard says nothing of a job: it may have handed the job to its
+        own leading host, have started again, or have no caller for it, and the message
+        was lost. What ran on here would run twice at one time.
         """
         return [
             job
             for job in self.values()
-            if (job.offer.far or job.offer.host in outsiders)
-            and now - job.repeated_at > UNREPEATED_S
+            if now - job.repeated_at > _kept_s(job, outsiders)
         ]
 
     def progress_by_host(self, crashes: Crashes) -> dict[str, dict[str, Progress]]:
@@ -70,3 +72,9 @@
         if task.failures or crashes.is_suspect(task.name)
     )
     return Progress(done, troubles)
+
+
+def _kept_s(job: Job, outsiders: set[str]) -> float:
+    """Return how long a job is kept that its host repeats no more."""
+    outside = job.offer.far or job.offer.host in outsiders
+    return UNREPEATED_S if outside else OWN_UNREPEATED_S
