--- a/jackdawspur/runs/_starts.py
+++ b/jackdawspur/runs/_starts.py
@@ -64,8 +64,8 @@
         Waiting for the call's own time limit would make each lost reply a late job: a
         look shows within milliseconds whether the run is there.
         """
-        before = now - self._replies.overdue_s
-        while self._open and self._open[0].at <= before:
+        overdue_s = self._replies.overdue_s
+        while self._open and self._open[0].at + overdue_s <= now:
             one = self._open.popleft()
             if one.run.phase is Phase.STARTING and one.run.id in one.held.runs:
                 self._unsure(one.held, one.run, now)
@@ -136,6 +136,6 @@
         elif outcome in (CallOutcome.NO_ROOM, CallOutcome.NOT_SENT):
             held.refused_until = now + REFUSED_S
         elif outcome is CallOutcome.GONE:
-            self._fleet.gone(held, now)
+            self._fleet.gone(held, now, replaced_by=run.since)
         elif outcome is CallOutcome.INVALID:
             self._fleet.owner.start_invalid(run.id.task, now)
