Count a message whose receiver was never heard as late

Two tasks ran twice at one time: a host that had just started offered jobs to another zone's leading host, which it had not heard, so that the offers named no clock and never counted as late; a cut held them up for 3 s. They are dropped now, and repeated when that host was heard. The silence of a host never heard is the limit itself, as a difference rounded to below it and kept callers waiting for a second.

--- a/jackdawspur/group/__init__.py
+++ b/jackdawspur/group/__init__.py
@@ -5,8 +5,8 @@
     FOLLOWER_SILENCE_S,
     SILENCE_S,
     Group,
-    is_late,
 )
+from jackdawspur.group._lateness import is_late
 from jackdawspur.group._messages import (
     ConfigurationPassed,
     GroupMessage,
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -1,5 +1,7 @@
 """Which hosts are alive, and which of them leads."""
 
+import math
+
 from jackdawspur.group._candidates import is_fit, rank
 from jackdawspur.group._extent import MOST_UPSTREAMS, Extent
 from jackdawspur.group._messages import HostAddress, HostBeat
@@ -11,7 +13,6 @@
     "FOLLOWER_SILENCE_S",
     "SILENCE_S",
     "Group",
-    "is_late",
 ]
 
 BEAT_S = 0.1
@@ -50,14 +51,6 @@
 CLAIM_STEPS = 5000
 
 
-def is_late(receiver_at: float, now: float) -> bool:
-    """Tell whether a message was held up for so long that its sender counted as lost.
-
-    `receiver_at` is what the receiver's clock showed when the message was sent.
-    """
-    return now - receiver_at > SILENCE_S
-
-
 class Group:
     """Follow the live host with the highest fence; lead when there is none.
 
@@ -235,12 +228,13 @@
 
     def silent_s(self, name: str, now: float) -> float:
         """Return for how long a host was not heard."""
-        return now - self._heard.get(name, now - SILENCE_S)
+        heard_at = self._heard.get(name)
+        return SILENCE_S if heard_at is None else now - heard_at
 
     def clock_of(self, name: str, now: float) -> float:
         """Return what another host's clock shows at least, by its last heartbeat.
 
-        Infinity without one: that host can't tell how old a message is.
+        Infinity without one: a message to it counts as late.
         """
         beat = self._beats.get(name)
         if beat is None:
@@ -258,6 +252,16 @@
         ages = (self.silent_s(b.host.name, now) + b.upstreams_age_s for b in beats)
         return longest, now - max(ages, default=0.0) - READ_MARGIN_S
 
+    def newest_list_s(self, now: float) -> float:
+        """Return how old the newest list of other hosts is, infinity without one."""
+        return min(
+            (
+                self.silent_s(beat.host.name, now) + beat.upstreams_age_s
+                for beat in self.present_beats(now)
+            ),
+            default=math.inf,
+        )
+
     def live_beats(self, now: float) -> list[HostBeat]:
         """Return the last heartbeats of the other hosts that are alive."""
         return [
