Blame no task for a crash before its start was sent

A healthy job was failed although three of its tasks had ended well and the fourth had never begun: its starts went to two upstreams that had crashed before. The first was refused by the next boot; the second, still open, counted as a task that ran at the crash.

--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -1,6 +1,7 @@
 """All upstreams that the leading host holds, and every run on them."""
 
 import itertools
+import math
 from collections.abc import Iterable
 
 from jackdawspur.leases import (
@@ -335,23 +336,35 @@
         held.restart(boot)
         self._note_crash(held, now)
 
-    def gone(self, held: HeldUpstream, now: float) -> None:
-        """Give up a boot of an upstream that another boot has replaced."""
+    def gone(
+        self, held: HeldUpstream, now: float, replaced_by: float = math.inf
+    ) -> None:
+        """Give up a boot of an upstream that another boot has replaced.
+
+        What was first sent at `replaced_by` or later never ran there.
+        """
         self.notes.add(
             Decision.UPSTREAM_GONE, "", str(held.entry.id), runs=len(held.runs)
         )
-        self._note_crash(held, now)
+        self._note_crash(held, now, replaced_by)
         for run in list(held.runs.values()):
             self.lose(held, run, now)
         self._entries.pop(held.entry.id, None)
         self._forget(held)
 
-    def _note_crash(self, held: HeldUpstream, now: float) -> None:
+    def _note_crash(
+        self, held: HeldUpstream, now: float, replaced_by: float = math.inf
+    ) -> None:
         """Keep what ran under a boot that ended; the list may name it once more."""
         upstream = held.entry.id
         known = held.boot is not None or self.crashes.may_have_crashed(upstream)
         if known and not held.entry.draining:
-            self.crashes.crashed(upstream, held.tasks, now)
+            tasks = {
+                run.id.task
+                for run in held.runs.values()
+                if run.phase is not Phase.STARTING or run.since < replaced_by
+            }
+            self.crashes.crashed(upstream, tasks, now)
 
     def _forget(self, held: HeldUpstream) -> None:
         self._held.pop(held.entry.id, None)
