Take a list that is older than another host's for incomplete

How long lists are was compared, not how old. Where another host has read a newer one by over 0.8 s, what is handed over waits for leases to end.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -46,6 +46,9 @@
 __all__ = ["LeadDriver"]
 
 MS_PER_S = 1000.0
+# Hosts read the list every 0.5 s. Where another one's is newer by more than that, it
+# may know upstreams that this one doesn't.
+BEHIND_S = 0.8
 
 log = logging.getLogger("jackdawspur.decisions")
 
@@ -276,8 +279,10 @@
         self._dispatcher.tick(now)
 
     def _compare_lists(self, now: float) -> None:
-        longest, all_read_at = self._owner.group.others_lists(now)
-        self._dispatcher.compare_lists(longest, all_read_at)
+        group, views = self._owner.group, self._owner.views
+        longest, all_read_at = group.others_lists(now)
+        behind = views.age_s(now) - group.newest_list_s(now) > BEHIND_S
+        self._dispatcher.compare_lists(longest, all_read_at, behind)
 
     def flush(self, now: float) -> None:
         """Carry out what the decisions ask for."""
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -142,9 +142,14 @@
         self._fleet.set_entries(kept, kept if listed is None else tuple(listed), now)
         self._estimates.set_upstreams(kept)
 
-    def compare_lists(self, longest: int, all_read_at: float) -> None:
-        """Take in the longest list of other hosts, and when they had all read one."""
-        self._fleet.listing.compare(longest, all_read_at)
+    def compare_lists(
+        self, longest: int, all_read_at: float, behind: bool = False
+    ) -> None:
+        """Take in the longest list of other hosts, and when they had all read one.
+
+        `behind` tells that another host has read a newer list than this one.
+        """
+        self._fleet.listing.compare(longest, all_read_at, behind)
 
     def offer(self, offer: Offer, now: float) -> None:
         """Take a job, or answer at once that it can't be done in time.
--- a/jackdawspur/runs/_listing.py
+++ b/jackdawspur/runs/_listing.py
@@ -25,6 +25,8 @@
         # Of the other hosts: the longest list, and when they had all read one.
         self._longest = 0
         self._all_read_at = ALWAYS
+        # Whether another host has read a newer list than this one.
+        self._behind = False
         self._listed: tuple[UpstreamEntry, ...] = ()
         self._since: float | None = None
         self._first_listed: dict[UpstreamId, float] = {}
@@ -63,9 +65,10 @@
             self._since = now
         self._listed = listed
 
-    def compare(self, longest: int, all_read_at: float) -> None:
+    def compare(self, longest: int, all_read_at: float, behind: bool) -> None:
         """Take in what the other hosts say of their lists."""
         self._longest = longest
+        self._behind = behind
         self._all_read_at = all_read_at
 
     def complete(self, now: float) -> bool:
@@ -73,11 +76,11 @@
 
         One that vanished may obey another leading host: it may be cut off from the
         store and from this host. So may one that a host which has just started has not
-        found on its list yet, or that another host has on a longer list.
+        found on its list yet, or that another host has on a longer or newer list.
         """
         if self._since is None or now - self._since < SETTLED_S:
             return False
-        if len(self._listed) < self._longest:
+        if self._behind or len(self._listed) < self._longest:
             return False
         return not any(self._zone in (None, one.zone) for one in self._vanished)
 
