--- a/jackdawspur/runs/_effects.py
+++ b/jackdawspur/runs/_effects.py
@@ -123,13 +123,15 @@
     """Say why a job is lost, by what is known then; a usual upstream has a pace of 1.
 
     By its progress it was too long for any usual upstream, would have ended on a usual
-    one, would have ended if begun at once, had a run that began again, or was in time.
+    one, would have ended if begun at once, had a run that began again or one that
+    hardly told any progress, or was in time.
     """
 
     TOO_LONG = "too_long"
     SLOW_UPSTREAM = "slow_upstream"
     LATE_START = "late_start"
     RESTARTED = "restarted"
+    STALLED = "stalled"
     IN_TIME = "in_time"
     NO_PROGRESS = "no_progress"
     NEVER_BEGUN = "never_begun"
--- a/jackdawspur/runs/_losses.py
+++ b/jackdawspur/runs/_losses.py
@@ -8,7 +8,7 @@
 from jackdawspur.runs._fleet import Fleet
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._order import useful_until
-from jackdawspur.runs._progress import project
+from jackdawspur.runs._progress import LEAST_PERCENT, project
 
 __all__ = ["Losses"]
 
@@ -19,11 +19,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Known:
-    """Tell what a task takes at a pace of 1, when it began and when that was told."""
+    """Tell what a task takes at a pace of 1, when it began and when that was told.
+
+    Of a `stalled` one its run has told too little to say more than that it is late.
+    """
 
     whole_ms: float
     began: float
     told_at: float
+    stalled: bool = False
 
 
 class Losses:
@@ -46,12 +50,14 @@
         if not projected:
             return None
         whole_ms = projected.whole_s * MS_PER_S / pace
-        return Known(whole_ms, projected.end - projected.whole_s, run.reported_at)
+        began = projected.end - projected.whole_s
+        stalled = run.percent - run.first_percent < LEAST_PERCENT
+        return Known(whole_ms, began, run.reported_at, stalled)
 
     def of(self, job: Job, now: float) -> JobLost:
         """Return why a job is lost that nobody waits for or that comes too late."""
         known = {task.name: self.known(job, task) for task in job.tasks}
-        told = [one for one in known.values() if one]
+        told = [one for one in known.values() if one and not one.stalled]
         longest = max(told, key=lambda one: one.whole_ms, default=None)
         return JobLost(
             job.id,
@@ -80,6 +86,8 @@
             limit = limit_ms - after_ms[task.step]
             if self._ends_ms(job, task, one, now) <= limit:
                 continue
+            if one and one.stalled:
+                return LossCause.STALLED
             if task.restarted:
                 return LossCause.RESTARTED
             late = True
@@ -151,14 +159,15 @@
 
 
 def _step_ms(job: Job, known: dict[str, Known | None]) -> list[float]:
-    """Return what the longest task of each step takes, expected where none told."""
+    """Return what the longest task of each step takes, as estimated if none told."""
     told: list[list[float]] = [[] for _ in job.request.steps]
     for task in job.tasks:
-        if one := known[task.name]:
+        one = known[task.name]
+        if one and not one.stalled:
             told[task.step].append(one.whole_ms)
     return [
         max(some, default=expected)
-        for some, expected in zip(told, job.expected_ms, strict=True)
+        for some, expected in zip(told, job.first_expected_ms, strict=True)
     ]
 
 
--- a/jackdawspur/runs/_progress.py
+++ b/jackdawspur/runs/_progress.py
@@ -8,6 +8,7 @@
 from jackdawspur.runs._order import objective, useful_until
 
 __all__ = [
+    "LEAST_PERCENT",
     "Projection",
     "Verdict",
     "ends_in_time_anew",
--- a/jackdawspur/runs/tests/test_losses.py
+++ b/jackdawspur/runs/tests/test_losses.py
@@ -114,6 +114,19 @@
     assert 190 <= one.last_start_ms <= 260
 
 
+def test_a_run_that_stands_still_is_not_told_as_a_long_one(leading, notes):
+    # Guards against looking for long jobs where upstreams hang.
+    leading.offer("aa", tasks=2, deadline=leading.now + LIMIT_S)
+    leading.settle()
+    barred(leading, "aa")
+    for upstream in leading.upstreams.values():
+        upstream.percent.update(dict.fromkeys(upstream.running, 0.0))
+    leading.advance(1.0)
+    one = lost(notes, "aa")
+    assert one.cause is LossCause.STALLED
+    assert one.longest_ms is None
+
+
 def test_a_run_that_began_again_is_the_cause_and_no_first_start(leading, notes):
     leading.offer("aa", deadline=leading.now + LIMIT_S)
     leading.settle()
