--- a/jackdawspur/front/tests/test_lead.py
+++ b/jackdawspur/front/tests/test_lead.py
@@ -25,6 +25,9 @@
     entries: tuple = ()
     evacuated: frozenset = frozenset()
 
+    def age_s(self, now: float) -> float:
+        return 0.0
+
 
 class NoUpstreams:
     """Be called by nobody, since there is no upstream."""
