Draw no upstream to be replaced where none is up

A drawn play ended with an error of its own (three at the limit, callers with a limit of 4 s): the number of upstreams to crash came out as -1.

--- a/jackdawspur/front/tests/more_faults.py
+++ b/jackdawspur/front/tests/more_faults.py
@@ -167,7 +167,7 @@
     pairs = {(name, one) if out else (one, name) for one in others}
     world.one_way |= pairs
     world.storeless.add(name)
-    told = play.crash_upstream(0.05)
+    told = play.crash_upstream(0.05) if play._up() else ""
 
     def back() -> None:
         world.one_way -= pairs
@@ -189,7 +189,7 @@
     world.cut |= pairs
     world.storeless |= away
     up = play._up()
-    for one in rng.sample(up, min(len(up) - 1, rng.randint(1, 2))):
+    for one in rng.sample(up, max(0, min(len(up) - 1, rng.randint(1, 2)))):
         world.crash(one.entry.id, rng.choice((0.05, 0.5)))
     # An entry lapses some seconds after its upstream crashed.
     whole_s = max(seconds, rng.choice((0.0, 4.6)))
