--- a/jackdawspur/front/tests/test_drawn_faults.py
+++ b/jackdawspur/front/tests/test_drawn_faults.py
@@ -21,6 +21,7 @@
     ("one group", 1030),
     ("one group", 2027),
     ("roaming callers", 730037),
+    ("roaming in one group", 730130),
 )
 # Above all fences of hosts.
 HIGHEST = 1 << 61
