Leave out of heartbeats what is usual

Each heartbeat named all its fields, also those that nearly always have their default: progress, room, wants_room, by_zone, too_large. Sent ten times a second to each host of a group, a field that is seldom used cost its name each time, and every new one more.

Fields with their default are left out now; whoever reads them, also a host of the version before, fills the default in.

--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -44,7 +44,7 @@
     processor: float = 1.0
 
 
-class HostBeat(msgspec.Struct, frozen=True, tag="beat"):
+class HostBeat(msgspec.Struct, frozen=True, tag="beat", omit_defaults=True):
     """Tell the other hosts how this one is; `sent_at` is on its own clock.
 
     `fence` is its own when it leads, else 0; `follows` is that of the leading host to
