Let the next leading host begin with what the group learned

What callers saw: after each change of the leading host, also a planned one, long jobs that nearly fill their callers' time were late for seconds. Their tasks began on slow upstreams again.

Cause: paces of upstreams and run times of routes were kept by the leading host alone. The next one took every upstream for usual and every route for as long as it declares.

Now the leading host tells its own group every half second what changed, and all again in turn, with the number of tasks it rests on. Paces go as one byte with a key of four bytes for the boot of the upstream, so that one that started again or is not known matches nothing. Routes go as the moments of their history. A host that follows keeps the newest of each; when it leads it believes a pace as its upstream first answers, routes at once, as so many tasks as were seen, less for what is old (half in 60 s). It keeps what it learned itself in an earlier term where that counts for more. Only the host that leads is listened to, and a host that leads listens to none. Values out of bounds are left. A group's first leading host begins as before.

The fake leading host of test_heartbeats has one more method, as the real one has.

--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -27,6 +27,8 @@
 KNOWN_EVERY = 5
 OTHER_LEADS_EVERY = 2
 OUTSIDERS_EVERY = 10
+# By these the own group hears what was learned, in a bound of bytes.
+LEARNED_EVERY = 5
 # Hosts that follow one leading host need each other only when that is lost.
 FOLLOWERS_EVERY = 10
 
@@ -72,12 +74,16 @@
         done = owner.lead.progress_by_host()
         leader = group.leader(now)
         common = self._common(now)
+        tells = group.leads and self._sent % LEARNED_EVERY == 0
+        learned = owner.lead.learned(now) if tells else None
         for peer in group.known:
             if not (to_all or self._is_due(peer.name, leader, now)):
                 continue
             silent_s = group.silent_s(peer.name, now)
             progress = done.get(peer.name, ())
-            beat = replace(common, silent_s=silent_s, progress=progress)
+            beat = replace(
+                common, silent_s=silent_s, progress=progress, learned=learned
+            )
             self._mesh.send(peer.name, beat)
             self.redial_if_silent(peer.name, silent_s, now)
         if group.leads:
--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -31,6 +31,7 @@
     Effect,
     JobBegun,
     JobLost,
+    Learned,
     LookAt,
     Note,
     Offer,
@@ -220,6 +221,16 @@
         place = Place(beat.host.name, beat.fence)
         self._dispatcher.room_offered(place, room, now)
 
+    def learned(self, now: float) -> Learned | None:
+        """Return what to tell the hosts of the own group of upstreams and routes."""
+        return self._dispatcher.estimates.told(now)
+
+    def learned_heard(self, beat: HostBeat, now: float) -> None:
+        """Keep what the host that leads this one has learned."""
+        leads = beat.host.name == self._owner.group.leader(now)
+        if beat.learned is not None and leads:
+            self._dispatcher.estimates.take_in(beat.learned, now)
+
     def room_for(
         self, leaders: list[str], now: float
     ) -> dict[str, tuple[RoomOffered, ...]]:
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -342,6 +342,7 @@
                 self.lead.room_heard(beat, now)
             return
         self._heartbeats.redial_if_silent(beat.host.name, beat.silent_s, now)
+        self.lead.learned_heard(beat, now)
         self.lead.follower_heard(beat.host.name, beat.follows, now)
 
     @handler("signal", channel="*")
--- a/jackdawspur/front/tests/test_heartbeats.py
+++ b/jackdawspur/front/tests/test_heartbeats.py
@@ -51,6 +51,9 @@
     def wants_room(self, now: float) -> bool:
         return False
 
+    def learned(self, now: float) -> None:
+        return None
+
 
 @dataclass
 class Callers:
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -6,7 +6,7 @@
 
 from jackdawspur.exceptions import JackdawspurError
 from jackdawspur.leases import UpstreamEntry
-from jackdawspur.runs import JobOutcome, JobRequest, Progress
+from jackdawspur.runs import JobOutcome, JobRequest, Learned, Progress
 
 __all__ = [
     "ConfigurationPassed",
@@ -53,7 +53,8 @@
     `wants_room` tells that jobs found none in its own.
     `by_zone` tells that its group is its own zone alone, `too_large` that the list of
     a host that leads has too many upstreams for one group of all zones. `upstreams` is
-    how many are listed there.
+    how many are listed there. `learned` is what a leading host tells its own group of
+    upstreams and routes.
     """
 
     host: HostAddress
@@ -74,6 +75,7 @@
     by_zone: bool = False
     too_large: bool = False
     upstreams: int = 0
+    learned: Learned | None = None
 
     def is_before(self, other: "HostBeat") -> bool:
         """Tell whether the same run of a host sent this one before another.
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -17,6 +17,7 @@
 )
 from jackdawspur.runs._elsewhere import Place, SpareRoom, deal
 from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._learned import Learned, LearnedRoute
 from jackdawspur.runs._placer import Placer
 from jackdawspur.runs._types import (
     JobEnd,
@@ -42,6 +43,8 @@
     "JobOutcome",
     "JobRequest",
     "JobStep",
+    "Learned",
+    "LearnedRoute",
     "LookAt",
     "LossCause",
     "Note",
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -116,6 +116,7 @@
         self._jobs.clear()
         self._answers.clear()
         self.leads = True
+        self._estimates.lead(now)
         self._fleet.hold_all(fence, now)
         self._estimates.forget_running(held.entry.id for held in self._fleet.held)
 
@@ -125,6 +126,7 @@
         self._answers.clear()
         self.leads = False
         self._fleet.release_all(now)
+        self._estimates.resign(now)
 
     def set_upstreams(
         self,
@@ -303,6 +305,10 @@
         if job is not None:
             job.reported = True
 
+    def boot_seen(self, upstream: UpstreamId, boot: int) -> None:
+        """Take in which boot of an upstream answers."""
+        self._estimates.boot_seen(upstream, boot)
+
     def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Let a task wait again whose run can't exist any more."""
         self._estimates.lost(upstream, now)
--- a/jackdawspur/runs/_estimates.py
+++ b/jackdawspur/runs/_estimates.py
@@ -1,18 +1,31 @@
 """What is learned of routes' run times and of upstreams."""
 
 from collections.abc import Iterable
+from itertools import islice
 
 from jackdawspur.health import UpstreamHealth
 from jackdawspur.leases import Ending, UpstreamEntry
 from jackdawspur.model import HostId, SubmissionId, UpstreamId
+from jackdawspur.runs._hearsay import Hearsay, weight
 from jackdawspur.runs._job import Job, Task, run_time_spec
+from jackdawspur.runs._learned import (
+    MOST_PACE_TASKS,
+    MOST_ROUTE_TASKS,
+    Learned,
+    LearnedPace,
+    boot_key,
+    pack_route,
+)
 from jackdawspur.runs._paces import Paces
+from jackdawspur.runs._telling import Telling
 from jackdawspur.runs._types import JobStep, Route
 from jackdawspur.scheduling import RunTimes
 
 __all__ = ["Estimates"]
 
 MS_PER_S = 1000.0
+# Services and routes that are told, of more the latest ones.
+MOST_ROUTES = 64
 
 
 class Estimates:
@@ -23,6 +36,13 @@
         self._run_times = RunTimes()
         self._health = UpstreamHealth(own)
         self._paces = Paces()
+        self._keys: dict[UpstreamId, int] = {}
+        self._telling = Telling()
+        self._hearsay = Hearsay()
+        self._leads_since: float | None = None
+        self._led_until: float | None = None
+        # What own tasks of earlier terms count for.
+        self._own_weight = 0.0
 
     def set_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
         """Judge exactly these upstreams."""
@@ -30,6 +50,7 @@
         kept = tuple(labels)
         self._health.set_upstreams(kept)
         self._paces.set_upstreams(kept, labels)
+        self._keys = {one: self._keys[one] for one in kept if one in self._keys}
 
     def forget_running(self, upstreams: Iterable[UpstreamId]) -> None:
         """Judge upstreams anew: what ran under an earlier lead is not counted here.
@@ -40,6 +61,57 @@
         self._health = UpstreamHealth(self._own)
         self._health.set_upstreams(upstreams)
 
+    def lead(self, now: float) -> None:
+        """Begin with what the leading hosts before have told of routes."""
+        if self._leads_since is not None:
+            return
+        self._telling.clear()
+        led_until = now if self._led_until is None else self._led_until
+        self._own_weight = weight(now - led_until)
+        self._leads_since = now
+        for (service, route), moments, tasks in self._hearsay.routes(now):
+            own = min(MOST_ROUTE_TASKS, self._run_times.count(service, route))
+            if round(tasks) and tasks > own * self._own_weight:
+                self._run_times.believe(service, route, moments, round(tasks))
+
+    def resign(self, now: float) -> None:
+        """Hear from now on what the next leading host learns."""
+        self._hearsay.clear()
+        self._leads_since = None
+        self._led_until = now
+
+    def boot_seen(self, upstream: UpstreamId, boot: int) -> None:
+        """Believe what was told of the boot that answers, and of no other one."""
+        key = boot_key(upstream, boot)
+        if self._keys.get(upstream, key) != key:
+            self._paces.started_again(upstream)
+        self._keys[upstream] = key
+        told = self._hearsay.pace(key, self._leads_since or 0.0)
+        if told is None:
+            return
+        level, tasks = told
+        own = min(MOST_PACE_TASKS, self._paces.seen(upstream))
+        if round(tasks) and tasks > own * self._own_weight:
+            self._paces.believe(upstream, level, round(tasks))
+
+    def take_in(self, learned: Learned, now: float) -> None:
+        """Keep what the leading host told, for when this one leads."""
+        if self._leads_since is None:
+            self._hearsay.take_in(learned, now)
+
+    def told(self, now: float) -> Learned | None:
+        """Return what to tell the hosts that follow, None for nothing new."""
+        if self._leads_since is None:
+            return None
+        paces = [
+            LearnedPace(key, self._paces.level(one), min(MOST_PACE_TASKS, seen))
+            for one, key in self._keys.items()
+            if (seen := self._paces.seen(one))
+        ]
+        known = islice(self._run_times.moments(), MOST_ROUTES)
+        routes = [pack_route(*key, moments) for key, moments in known]
+        return self._telling.next(paces, filter(None, routes), now)
+
     def expected_ms(
         self, route: Route, steps: tuple[JobStep, ...]
     ) -> tuple[float, ...]:
--- a/jackdawspur/runs/_looks.py
+++ b/jackdawspur/runs/_looks.py
@@ -138,10 +138,12 @@
         """Take in a report of the present boot, or that there is another."""
         if held.boot is None:
             held.note_boot(report.boot)
+            self._fleet.owner.boot_seen(held.entry.id, report.boot)
         if report.boot == held.boot:
             self._reported(held, order.number, report, now)
         elif not held.is_of_earlier_boot(order.number, report.boot):
             self._fleet.restarted(held, report.boot, now)
+            self._fleet.owner.boot_seen(held.entry.id, report.boot)
 
     def _look_failed(
         self, held: HeldUpstream, order: LookAt, outcome: CallOutcome, now: float
--- a/jackdawspur/runs/_paces.py
+++ b/jackdawspur/runs/_paces.py
@@ -21,6 +21,8 @@
 SURPRISE_STEP = 0.6
 SLOWEST = math.log(20.0)
 FASTEST = math.log(0.5)
+# A log pace in one byte: 1.5 % a level.
+LEVELS = 255
 
 
 class Paces:
@@ -35,6 +37,8 @@
         # By upstream: the logarithm of its own pace, and how many tasks told it.
         self._own: dict[UpstreamId, float] = {}
         self._seen: dict[UpstreamId, int] = {}
+        # Of these, those of the present boot.
+        self._seen_now: dict[UpstreamId, int] = {}
         self._kinds = Kinds()
 
     def set_upstreams(
@@ -45,6 +49,7 @@
         """Keep exactly these upstreams, with their labels."""
         self._own = {one: self._own.get(one, 0.0) for one in upstreams}
         self._seen = {one: self._seen.get(one, 0) for one in self._own}
+        self._seen_now = {one: self._seen_now.get(one, 0) for one in self._own}
         self._kinds.set_upstreams(labels or {})
         self._kinds.learn(self._own, self._seen)
 
@@ -53,8 +58,26 @@
         return math.exp(self._log(upstream))
 
     def seen(self, upstream: UpstreamId) -> int:
-        """Return how many tasks told the pace of an upstream."""
-        return self._seen.get(upstream, 0)
+        """Return how many tasks of its present boot told the pace of an upstream."""
+        return self._seen_now.get(upstream, 0)
+
+    def level(self, upstream: UpstreamId) -> int:
+        """Return what an upstream's tasks told as a number that fits into a byte."""
+        own = self._own.get(upstream, 0.0)
+        share = (own - FASTEST) / (SLOWEST - FASTEST)
+        return round(LEVELS * min(1.0, max(0.0, share)))
+
+    def believe(self, upstream: UpstreamId, level: int, tasks: int) -> None:
+        """Take a pace over as if so many tasks had shown it."""
+        if upstream in self._own:
+            share = min(LEVELS, max(0, level)) / LEVELS
+            self._own[upstream] = FASTEST + share * (SLOWEST - FASTEST)
+            self._seen[upstream] = self._seen_now[upstream] = tasks
+
+    def started_again(self, upstream: UpstreamId) -> None:
+        """Take in that what was seen of an upstream was of an earlier boot."""
+        if upstream in self._seen_now:
+            self._seen_now[upstream] = 0
 
     def learn(self, took: list[tuple[UpstreamId, float]]) -> None:
         """Take in the times in milliseconds of one step's tasks of one job."""
@@ -88,6 +111,7 @@
             self._seen[upstream] = MOST_TASKS
         else:
             self._seen[upstream] = min(MOST_TASKS, seen + 1)
+        self._seen_now[upstream] = min(MOST_TASKS, self._seen_now[upstream] + 1)
         self._own[upstream] += step * (told - self._own[upstream])
 
     def _centre(self) -> None:
--- a/jackdawspur/runs/_run_owner.py
+++ b/jackdawspur/runs/_run_owner.py
@@ -26,6 +26,9 @@
     def run_reported(self, task_name: str) -> None:
         """Take in that a run told its progress."""
 
+    def boot_seen(self, upstream: UpstreamId, boot: int) -> None:
+        """Take in which boot of an upstream answers, first or anew."""
+
     def run_lost(self, run: RunId, upstream: UpstreamId, now: float) -> None:
         """Take in that a run can't exist any more."""
 
--- a/jackdawspur/scheduling/__init__.py
+++ b/jackdawspur/scheduling/__init__.py
@@ -13,7 +13,7 @@
 from jackdawspur.scheduling._elsewhere import Elsewhere, HostLoad, Move
 from jackdawspur.scheduling._job import NextTask, QueuedJob, Reservation
 from jackdawspur.scheduling._queue import JobQueue
-from jackdawspur.scheduling._run_times import RunTimes
+from jackdawspur.scheduling._run_times import Moments, RunTimes
 
 __all__ = [
     "Admission",
@@ -21,6 +21,7 @@
     "Elsewhere",
     "HostLoad",
     "JobQueue",
+    "Moments",
     "LocalLoad",
     "Move",
     "NextTask",
--- a/jackdawspur/scheduling/_run_times.py
+++ b/jackdawspur/scheduling/_run_times.py
@@ -2,12 +2,13 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 from jackdawspur.model import TaskSpec
 
-__all__ = ["RunTimes"]
+__all__ = ["Moments", "RunTimes"]
 
 DEFAULT_RUN_MS = 250.0
 MIN_RUN_MS = 1.0
@@ -33,6 +34,18 @@
 _Key = TypeVar("_Key")
 
 
+@dataclass(frozen=True, slots=True)
+class Moments:
+    """Tell what ended tasks showed of log run time against log declaration."""
+
+    count: int
+    run: float
+    declared: float
+    spread: float
+    covariance: float
+    noise: float
+
+
 class _History:
     """Keep decayed moments of log run time against log declaration."""
 
@@ -46,6 +59,15 @@
         self.covariance = 0.0
         self.noise = 0.0
 
+    def moments(self) -> Moments:
+        """Return what is known."""
+        return Moments(*(getattr(self, name) for name in Moments.__slots__))
+
+    def set(self, moments: Moments) -> None:
+        """Believe this instead of what was known."""
+        for name in Moments.__slots__:
+            setattr(self, name, getattr(moments, name))
+
     def slope(self) -> float:
         """Return how far a run time follows its declaration, from 0 to 1."""
         slope = self.covariance / (self.spread + SLOPE_RIDGE)
@@ -122,6 +144,29 @@
         if history.count <= KNOWN_AFTER or history.count % OVERALL_EVERY == 0:
             self._history(self._customers, customer).add(declared, run)
 
+    def moments(self) -> Iterator[tuple[tuple[str, str], Moments]]:
+        """Yield what is known, the latest first; of all classes under no name."""
+        for customer, overall in reversed(self._customers.items()):
+            yield (customer, ""), overall.moments()
+        for key, history in reversed(self._classes.items()):
+            yield key, history.moments()
+
+    def count(self, customer: str, job_class: str) -> int:
+        """Return how many tasks ended; of all classes for an empty name."""
+        overall = self._customers.get(customer)
+        history = self._classes.get((customer, job_class)) if job_class else overall
+        return history.count if history else 0
+
+    def believe(
+        self, customer: str, job_class: str, moments: Moments, tasks: int
+    ) -> None:
+        """Take moments over as if so many tasks had shown them."""
+        if job_class:
+            history = self._history(self._classes, (customer, job_class))
+        else:
+            history = self._history(self._customers, customer)
+        history.set(replace(moments, count=tasks))
+
     def _history(self, histories: OrderedDict[_Key, _History], key: _Key) -> _History:
         history = histories.get(key)
         if history is None:
