--- a/jackdawspur/bench/_zone.py
+++ b/jackdawspur/bench/_zone.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from jackdawspur.bench._drawn import CALL_S, SLOWER
@@ -124,6 +124,13 @@
         time.every(TICK_S, lambda: self.post(self._tick))
         time.every(LEASES_S, self._end_leases)
 
+    def name_kinds(self) -> None:
+        """Let the list name the kind of each upstream, by its pace, as it may do."""
+        for one in self.upstreams.values():
+            one.entry = replace(one.entry, labels=(f"pace-{one.pace}",))
+        entries = [one.entry for one in self.upstreams.values()]
+        self.dispatcher.set_upstreams(entries, self._time.now)
+
     def _make(self, number: int, tally: Tally) -> FrontUpstream:
         cpu = 48_000 if number % 3 == 2 else 32_000
         pace = SLOWER if number // 3 % 3 == 0 else 1.0
--- a/jackdawspur/bench/tests/test_largest_jobs.py
+++ b/jackdawspur/bench/tests/test_largest_jobs.py
@@ -1,5 +1,7 @@
 """The largest jobs are served where there is room for all."""
 
+import pytest
+
 from jackdawspur.bench._sizes import servable
 from jackdawspur.bench.zones import SCENARIOS, largest_of, play
 
@@ -8,10 +10,11 @@
 LEAST = 0.95
 
 
-def test_the_largest_jobs_that_can_be_served_are_served_where_there_is_room():
-    # Guards against too few of the largest jobs served: those of whose longest task a
-    # usual upstream would have been done in time.
-    (scenario,) = [one for one in SCENARIOS if one.name == "room for all"]
+# Guards against too few of the largest jobs served: those of whose longest task a usual
+# upstream would have been done in time.
+@pytest.mark.parametrize("name", ["room for all", "room for all, kinds named"])
+def test_the_largest_jobs_that_can_be_served_are_served_where_there_is_room(name):
+    (scenario,) = [one for one in SCENARIOS if one.name == name]
     told = servable(largest_of([play(scenario, seed, SHORT_S) for seed in SEEDS]))
     assert told.servable > 10
     assert told.share >= LEAST, told
--- a/jackdawspur/bench/zones.py
+++ b/jackdawspur/bench/zones.py
@@ -55,6 +55,11 @@
     happen: Callable[[ZonesSimulation], None] = lambda _simulation: None
 
 
+def _name_kinds(simulation: ZonesSimulation) -> None:
+    for zone in simulation.zones:
+        zone.name_kinds()
+
+
 def _burst(simulation: ZonesSimulation) -> None:
     """Let more jobs come to the first zone while it loses upstreams."""
     zone = simulation.zones[0]
@@ -92,6 +97,7 @@
 
 SCENARIOS = (
     ZonesScenario("room for all"),
+    ZonesScenario("room for all, kinds named", happen=_name_kinds),
     ZonesScenario("room for all, a pass each", pass_s=0.0),
     ZonesScenario("usual load", kinds=USUAL),
     ZonesScenario("burst and lost upstreams", kinds=USUAL, happen=_burst),
