--- a/jackdawspur/bench/tests/test_largest_jobs.py
+++ b/jackdawspur/bench/tests/test_largest_jobs.py
@@ -10,8 +10,7 @@
 LEAST = 0.95
 
 
-# Guards against too few of the largest jobs served: those of whose longest task a usual
-# upstream would have been done in time.
+# Guards against losing the largest jobs that a usual upstream ends in time.
 @pytest.mark.parametrize("name", ["room for all", "room for all, kinds named"])
 def test_the_largest_jobs_that_can_be_served_are_served_where_there_is_room(name):
     (scenario,) = [one for one in SCENARIOS if one.name == name]
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -128,8 +128,7 @@
 
 
 def test_a_result_that_still_reaches_its_caller_in_time_is_passed_on(owner, service):
-    # A planner's largest jobs end some milliseconds before their time is over, and are
-    # told to be too late: three times what an answer takes from here was kept for it.
+    # Guards against results thrown away that would reach their callers in time.
     service.tick(clock() + ROUTE.timeout_ms / 1000 - ANSWER_TAKES_S)
     service.answered(JobAnswered("aa", 1, 0, JobOutcome(JobEnd.COMPLETE, False)))
     assert [r.status for r in owner.replies] == [200]
--- a/jackdawspur/front/tests/test_changing_hands.py
+++ b/jackdawspur/front/tests/test_changing_hands.py
@@ -49,8 +49,7 @@
 def test_a_job_of_a_host_that_started_again_is_not_run_in_two_zones(
     monkeypatch, down_s: float
 ):
-    # Guards against taking a host that starts again before it was missed for the one
-    # whose callers waited.
+    # Guards against taking a host that is back for the one whose callers waited.
     world = make(monkeypatch, most_upstreams=2, count=3)
     _, host = hosts_of(world, "z1")
     caller = world.ask("z1", 1.4, 1, world.lives[host])
@@ -95,8 +94,7 @@
 def test_an_offer_to_a_host_never_heard_starts_nothing_seconds_later(
     monkeypatch, phase_s: float
 ):
-    # Guards against offers that can't be told to be late: who offers a job that was
-    # passed on has not heard the other zone's leading host since its own start.
+    # Guards against offers to a host never heard that are never late.
     world = FaultyWorld(monkeypatch, most_upstreams=2, seed=1)
     world.late_messages = True
     world.add_upstreams("z1", 1)
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -230,8 +230,7 @@
 
 
 def test_a_lead_that_was_never_heard_is_given_up_at_any_time_of_day():
-    # Guards against a caller that waits until its time is over, where a difference of
-    # times rounds to less than the limit.
+    # Guards against a caller that waits for a rounded difference of times.
     group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0, most_upstreams=2)
     times = [1000.0 + 0.025 * tick for tick in range(200)]
     kept = [now for now in times if group.still_leads(Term("far", 50), 5.0, now)]
--- a/jackdawspur/runs/tests/test_arrivals.py
+++ b/jackdawspur/runs/tests/test_arrivals.py
@@ -24,8 +24,7 @@
 def test_a_long_job_that_comes_with_a_tick_begins_on_idle_upstreams(
     leading: Leading, estimate_ms: float
 ):
-    # A planner's largest jobs are refused beside idle upstreams, but only if a tick
-    # falls into the pass in which they come: estimates are off by half either way.
+    # Guards against refusing a job beside idle upstreams in the pass of a tick.
     offer_long(leading, estimate_ms, tasks=1)
     leading.dispatcher.tick(leading.now)
     leading.settle()
@@ -37,9 +36,7 @@
 def test_a_long_job_that_finds_no_room_goes_where_there_is_some(
     leading: Leading, estimate_ms: float
 ):
-    # A planner's largest jobs are refused at the first tick while they wait for room in
-    # a full zone, though another zone has room for all their tasks: nobody asks that
-    # one before the wait is over.
+    # Guards against refusing a job before another zone is asked.
     leading.offer("full", tasks=4, route=PATIENT, deadline=leading.now + 5.0)
     leading.settle()
     room = {"roster": SpareRoom((14_000, 14_000, 28_000, 28_000))}
@@ -54,8 +51,7 @@
 def test_a_long_job_is_not_kept_in_a_full_zone_beside_room_elsewhere(
     leading: Leading,
 ):
-    # A planner's job of 1.52 s, which its caller thought to take 0.85 s, has 0.02 s to
-    # spare: it waits longer than that in a full zone, before another is asked.
+    # Guards against a wait in a full zone that is longer than the job can spare.
     leading.offer("full", tasks=4, route=PATIENT, deadline=leading.now + 5.0)
     leading.settle()
     room = {"roster": SpareRoom((14_000, 14_000, 28_000, 28_000))}
--- a/jackdawspur/runs/tests/test_begun_anew.py
+++ b/jackdawspur/runs/tests/test_begun_anew.py
@@ -47,9 +47,7 @@
 def test_a_task_on_a_slow_upstream_begins_anew_while_a_fast_one_makes_it_in_time(
     leading: Leading,
 ):
-    # The largest overlays are given up after some tenths of a second, since one of
-    # their tasks is on an upstream slower by a third. Its progress told so after a
-    # tenth of its time, when it could still have begun anew on a fast one with room.
+    # Guards against giving a job up for a slow upstream beside a fast one with room.
     teach(leading, SLOWER)
     fill_fast(leading)
     leading.offer("aa", route=PATIENT, deadline=leading.now + LIMIT_S)
--- a/jackdawspur/runs/tests/test_crashes.py
+++ b/jackdawspur/runs/tests/test_crashes.py
@@ -41,7 +41,7 @@
 
 
 def test_an_upstream_that_answers_again_did_not_crash(crashes: Crashes):
-    # Guards against failing a healthy job whose upstreams were cut off twice.
+    # Guards against failing a job for crashes before its starts came.
     for number in range(3):
         crashes.lost(PLACES[number], {GOOD}, 5.0 * number)
         crashes.answered(PLACES[number])
--- a/jackdawspur/runs/tests/test_elsewhere.py
+++ b/jackdawspur/runs/tests/test_elsewhere.py
@@ -127,8 +127,7 @@
 def test_a_job_repeated_no_more_is_dropped_though_zones_come_and_go(
     leading: Leading,
 ):
-    # Guards against prolonging with each change of the group what a host offers no
-    # more: after SETTLED_S its own leading host starts the job.
+    # Guards against prolonging with each change of the group what is repeated no more.
     entries = [leading.entry(one) for one in leading.upstreams]
     leading.offer("aa", route=PATIENT, deadline=leading.now + 5.0)
     leading.settle()
--- a/jackdawspur/runs/tests/test_flapping.py
+++ b/jackdawspur/runs/tests/test_flapping.py
@@ -50,9 +50,7 @@
 
 
 def test_an_upstream_that_was_down_just_now_is_taken_last(leading: Leading):
-    # Planners' jobs are late by 0.65 s while a tenth of the upstreams goes down by
-    # turns: as soon as one is back it gets tasks like those that never were away, and
-    # each that is under way as it goes down again starts anew when its lease has ended.
+    # Guards against tasks on an upstream that is about to go down again.
     go_down(leading)
     leading.advance(DOWN_S, STEP_S)
     leading.upstreams[FLAPPING].running.clear()
@@ -70,9 +68,7 @@
 def test_a_reply_to_a_look_from_before_the_silence_prolongs_no_lease(
     leading: Leading,
 ):
-    # A task on an upstream that has gone down starts elsewhere 0.1 s later than it
-    # might: the upstream still answered a look from before, and was granted a new lease
-    # by looks that it doesn't take any more.
+    # Guards against waiting longer than needed for the end of a lease.
     early = fall_silent(leading)
     reply_late(leading, early)
     leading.collect()
@@ -82,9 +78,7 @@
 
 
 def test_a_reply_to_a_look_from_before_the_silence_opens_no_room(leading: Leading):
-    # A job waits 0.65 s for a lease to end: an upstream that had gone down for new
-    # calls still answered a look from before, and got the next task at once. Where
-    # replies get lost all the time no look is awaited before a start.
+    # Guards against a start on an upstream that is down.
     leading.dispatcher._replies._lost_share = 2 * LOSSY_SHARE
     early = fall_silent(leading)
     leading.upstreams[FLAPPING].end("aa.0.0.0")
--- a/jackdawspur/runs/tests/test_full_zone.py
+++ b/jackdawspur/runs/tests/test_full_zone.py
@@ -28,8 +28,7 @@
 def test_a_long_job_leaves_a_full_zone_in_the_pass_in_which_it_comes(
     leading: Leading,
 ):
-    # The largest overlays come too late by some milliseconds: they waited 35 to 55 ms
-    # in a zone that was full before they went to one that had room all the while.
+    # Guards against waiting in a full zone beside one with room.
     fill(leading, tasks=4)
     leading.offer("bb", tasks=4, call=7, deadline=leading.now + MAY_TAKE_S)
     # A job that has time waits for an end here, which costs less.
@@ -41,9 +40,7 @@
 def test_a_long_job_is_not_refused_by_a_full_zone_beside_one_with_room(
     leading: Leading,
 ):
-    # Callers of long overlays are refused while the next zone has room: at the first
-    # tick their jobs were judged by what they were expected to take, before the other
-    # zone was asked.
+    # Guards against refusing a job by its estimate before other zones are asked.
     fill(leading, tasks=4)
     leading.offer("bb", tasks=4, call=7, deadline=leading.now + NEARLY_ALL_S)
     leading.settle()
@@ -58,9 +55,7 @@
 def test_a_long_job_does_not_start_in_part_where_the_rest_must_wait(
     leading: Leading, taken: int
 ):
-    # Overlays of many tiles are lost: some of their tasks found room in their zone, the
-    # rest waited up to 0.1 s for more, and another zone had room for all at once. What
-    # has begun can't go elsewhere.
+    # Guards against a job begun in part that can go nowhere else.
     fill(leading, tasks=taken)
     leading.offer("bb", tasks=4, call=7, deadline=leading.now + MAY_TAKE_S)
     leading.settle()
--- a/jackdawspur/runs/tests/test_handed_over.py
+++ b/jackdawspur/runs/tests/test_handed_over.py
@@ -52,8 +52,7 @@
 
 
 def test_a_run_that_was_handed_over_is_not_judged_before_it_is_found():
-    # Guards against giving up jobs that are nearly done as another host takes the lead:
-    # the tick that makes it lead sees them before any upstream has told what runs.
+    # Guards against giving up nearly finished jobs as another host takes the lead.
     leading = Leading()
     upstream = next(iter(leading.upstreams.values()))
     upstream.running["aa.0.0.0"] = 1
--- a/jackdawspur/runs/tests/test_losses.py
+++ b/jackdawspur/runs/tests/test_losses.py
@@ -213,8 +213,7 @@
 
 
 def test_the_last_first_start_of_a_job_is_told_once(leading, notes):
-    # Guards against the delays of jobs that wait for room being told for their first
-    # tasks only.
+    # Guards against telling the wait of the first task as that of all.
     leading.offer("aa", tasks=5, route=PATIENT)
     leading.settle()
     assert not [one for one in notes if isinstance(one, JobBegun)]
--- a/jackdawspur/runs/tests/test_lost_replies.py
+++ b/jackdawspur/runs/tests/test_lost_replies.py
@@ -189,8 +189,7 @@
 
 
 def test_an_end_that_was_heard_of_late_does_not_make_its_upstream_slow():
-    # Long tasks are kept off upstreams that are sound: the reply that told of an end
-    # was lost, and the time until the next one counted as the task's.
+    # Guards against taking a sound upstream for slow when a reply is lost.
     leading = Leading(upstreams=3)
     leading.lead()
     leading.offer("aa", tasks=3, each=1, route=PATIENT, deadline=leading.now + 5.0)
--- a/jackdawspur/runs/tests/test_new_lead.py
+++ b/jackdawspur/runs/tests/test_new_lead.py
@@ -7,8 +7,7 @@
 
 
 def test_no_job_is_refused_before_upstreams_have_answered():
-    # Callers that come back after a loss of power are refused beside idle upstreams:
-    # what has not answered yet counted as no capacity, and the work ahead as hours.
+    # Guards against refusing callers who come back after a loss of power.
     leading = Leading()
     leading.dispatcher.lead(FENCE, leading.now)
     for number in range(JOBS):
--- a/jackdawspur/runs/tests/test_overdue_starts.py
+++ b/jackdawspur/runs/tests/test_overdue_starts.py
@@ -10,8 +10,7 @@
 
 
 def test_a_start_is_settled_at_the_very_moment_that_was_named():
-    # Guards against passes without end: a rounded sum says that it is due by now, the
-    # rounded difference that it is not.
+    # Guards against passes without end by a rounded difference of times.
     settled = []
     starts = Starts(SimpleNamespace(), SimpleNamespace(overdue_s=OVERDUE_S))
     starts._unsure = lambda held, run, now: settled.append(run)
--- a/jackdawspur/runs/tests/test_paces.py
+++ b/jackdawspur/runs/tests/test_paces.py
@@ -54,8 +54,7 @@
 
 
 def test_a_few_jobs_tell_an_upstream_that_is_slower_by_a_third():
-    # Callers with the largest jobs get errors for seconds after each change of the
-    # leading host: a new one knew no paces, and took a dozen jobs an upstream to learn.
+    # Guards against learning slow upstreams over a dozen jobs each.
     rng, off = random.Random(6), []
     for _ in range(40):
         paces = Paces()
--- a/jackdawspur/runs/tests/test_restarts.py
+++ b/jackdawspur/runs/tests/test_restarts.py
@@ -10,9 +10,7 @@
 
 
 def test_no_run_is_stopped_before_the_others_of_its_job_have_told(leading: Leading):
-    # A planner's long job ends 0.17 s later than it might: its caller thought it short,
-    # and the first task to tell of its progress was stopped as if on a slow upstream.
-    # The others were as long, and told so within 0.1 s.
+    # Guards against stopping a run by an estimate that others soon correct.
     step = JobStep(2, TASK, 100.0, most_per_upstream=1)
     request = JobRequest("aa", "spec", (step,), ROUTE)
     offer = Offer(request, "h2", 1, leading.now, leading.now + 1.545)
--- a/jackdawspur/runs/tests/test_slow_room.py
+++ b/jackdawspur/runs/tests/test_slow_room.py
@@ -90,9 +90,7 @@
 
 
 def test_a_long_job_waits_for_a_fast_upstream_where_replies_get_lost(leading: Leading):
-    # Callers with the largest jobs get errors while one reply in a hundred is lost:
-    # three lost ones made their tasks take slow room at once, on which they were given
-    # up. That an upstream is slow was known from before.
+    # Guards against long tasks on slow upstreams while a few replies are lost.
     teach(leading, 1.4)
     fill_fast(leading)
     for _ in range(3):
@@ -103,8 +101,7 @@
 
 
 def test_room_is_offered_while_a_job_waits_for_a_fast_upstream(leading: Leading):
-    # Callers of the next zone are refused beside idle upstreams of this one, as long as
-    # any job here waits for others than those.
+    # Guards against keeping slow room from other groups that no job here wants.
     teach(leading, 1.4)
     fill_fast(leading)
     leading.offer("aa", deadline=leading.now + SOON_S)
--- a/jackdawspur/runs/tests/test_unknown_paces.py
+++ b/jackdawspur/runs/tests/test_unknown_paces.py
@@ -44,9 +44,7 @@
 
 
 def test_a_long_task_starts_on_an_upstream_that_is_known_to_be_usual():
-    # The largest overlays are lost while upstreams are added or a host begins to lead:
-    # their tasks go to upstreams that nobody has seen work yet, a third of which are
-    # slower by a third, beside room on ones that are known to be as fast as any.
+    # Guards against long tasks on upstreams that nobody has seen work.
     leading = Leading(upstreams=3)
     leading.lead()
     *known, unknown = leading.upstreams
@@ -59,9 +57,7 @@
 
 
 def test_an_upstream_counts_as_fast_as_others_of_its_kind_until_it_is_known():
-    # Each upstream's entry on the list names its kind, and all of one kind are slower
-    # by a third. Each of them is taken for usual until some of its own tasks have
-    # ended, which costs the largest overlays a job for every upstream that is added.
+    # Guards against learning the pace of a kind upstream by upstream.
     leading = Leading(upstreams=4)
     small, large, new_large, new_small = leading.upstreams
     kinds = {small: SMALL_KIND, large: LARGE_KIND}
