Ask whether another group has room before counting the own group's

A job that can't wait had all room here counted in each pass while nobody offered any; with many such jobs that would be most of what the leading host's processor does. Decisions are the same.

--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -67,6 +67,18 @@
         """Take in the room of each service."""
         self._offered[place.leader] = _Offered(place, now, dict(room))
 
+    def may_have_room(self, job: Job, now: float) -> bool:
+        """Tell whether another group offers room for the largest task of a job."""
+        service = job.request.route.service
+        needed = max(step.resources.cpu_millis for step in job.request.steps)
+        for offered in self._offered.values():
+            room = offered.free.get(service)
+            if room is None or now - offered.at > OFFER_KEPT_S:
+                continue
+            if any(row >= needed for rows in (room.fast, room.slow) for row in rows):
+                return True
+        return False
+
     def take(
         self, job: Job, now: float, anywhere: bool = False, only_fast: bool = False
     ) -> Place | None:
--- a/jackdawspur/runs/_passing_on.py
+++ b/jackdawspur/runs/_passing_on.py
@@ -18,10 +18,11 @@
         self._effects = effects
         self.elsewhere = Elsewhere()
 
-    @property
-    def possible(self) -> bool:
-        """Tell whether there are other groups."""
-        return self.elsewhere.heard_of
+    def possible(self, job: Job, now: float) -> bool:
+        """Tell at little cost whether another group may take a job."""
+        if not self.elsewhere.heard_of:
+            return False
+        return self._fleet.only_drains or self.elsewhere.may_have_room(job, now)
 
     def send(self, job: Job, now: float, only_fast: bool = False) -> bool:
         """Pass a job on to a group that has room for it; tell whether there is one."""
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -129,7 +129,9 @@
         A job of which some tasks have begun stays, so one that needs all its time goes
         before that, unless all its tasks find room here at once.
         """
-        if not self._passing_on.possible or not may_go(job, now, patience_s(job, now)):
+        if not may_go(job, now, patience_s(job, now)):
+            return False
+        if not self._passing_on.possible(job, now):
             return False
         fast = self._fast_room(job.request.route.service, now)
         only_fast = needs_fast_room(job, fast, now)
