--- a/jackdawspur/runs/_paces.py
+++ b/jackdawspur/runs/_paces.py
@@ -39,6 +39,8 @@
         self._seen: dict[UpstreamId, int] = {}
         # Of these, those of the present boot.
         self._seen_now: dict[UpstreamId, int] = {}
+        # What an earlier leading host told of an upstream; it knew more than its kind.
+        self._told: dict[UpstreamId, float] = {}
         self._kinds = Kinds()
 
     def set_upstreams(
@@ -50,6 +52,8 @@
         self._own = {one: self._own.get(one, 0.0) for one in upstreams}
         self._seen = {one: self._seen.get(one, 0) for one in self._own}
         self._seen_now = {one: self._seen_now.get(one, 0) for one in self._own}
+        told = self._told
+        self._told = {one: told[one] for one in self._own if one in told}
         self._kinds.set_upstreams(labels or {})
         self._kinds.learn(self._own, self._seen)
 
@@ -62,22 +66,23 @@
         return self._seen_now.get(upstream, 0)
 
     def level(self, upstream: UpstreamId) -> int:
-        """Return what an upstream's tasks told as a number that fits into a byte."""
-        own = self._own.get(upstream, 0.0)
-        share = (own - FASTEST) / (SLOWEST - FASTEST)
+        """Return an upstream's pace as a number that fits into a byte."""
+        share = (self._log(upstream) - FASTEST) / (SLOWEST - FASTEST)
         return round(LEVELS * min(1.0, max(0.0, share)))
 
     def believe(self, upstream: UpstreamId, level: int, tasks: int) -> None:
         """Take a pace over as if so many tasks had shown it."""
         if upstream in self._own:
             share = min(LEVELS, max(0, level)) / LEVELS
-            self._own[upstream] = FASTEST + share * (SLOWEST - FASTEST)
+            pace = FASTEST + share * (SLOWEST - FASTEST)
+            self._own[upstream] = self._told[upstream] = pace
             self._seen[upstream] = self._seen_now[upstream] = tasks
 
     def started_again(self, upstream: UpstreamId) -> None:
         """Take in that what was seen of an upstream was of an earlier boot."""
         if upstream in self._seen_now:
             self._seen_now[upstream] = 0
+            self._told.pop(upstream, None)
 
     def learn(self, took: list[tuple[UpstreamId, float]]) -> None:
         """Take in the times in milliseconds of one step's tasks of one job."""
@@ -99,7 +104,9 @@
         if seen >= MOST_TASKS:
             return self._own[upstream]
         own = self._own.get(upstream, 0.0)
-        common = self._kinds.log_pace(upstream)
+        common = self._told.get(upstream)
+        if common is None:
+            common = self._kinds.log_pace(upstream)
         return (seen * own + PRIOR_TASKS * common) / (seen + PRIOR_TASKS)
 
     def _move(self, upstream: UpstreamId, told: float, pace: float) -> None:
