--- a/jackdawspur/runs/_elsewhere.py
+++ b/jackdawspur/runs/_elsewhere.py
@@ -71,13 +71,13 @@
         """Tell whether another group offers room for the largest task of a job."""
         service = job.request.route.service
         needed = max(step.resources.cpu_millis for step in job.request.steps)
-        for offered in self._offered.values():
-            room = offered.free.get(service)
-            if room is None or now - offered.at > OFFER_KEPT_S:
-                continue
-            if any(row >= needed for rows in (room.fast, room.slow) for row in rows):
-                return True
-        return False
+        return any(
+            row >= needed
+            for offered in self._fresh(now)
+            if (room := offered.free.get(service)) is not None
+            for rows in (room.fast, room.slow)
+            for row in rows
+        )
 
     def take(
         self, job: Job, now: float, anywhere: bool = False, only_fast: bool = False
@@ -88,7 +88,7 @@
         may know better by then. With `only_fast` room on slow upstreams is none.
         """
         service = job.request.route.service
-        fresh = [o for o in self._offered.values() if now - o.at <= OFFER_KEPT_S]
+        fresh = self._fresh(now)
         for offered in fresh:
             left = _use(offered.free.get(service), job.request.steps, only_fast)
             if left is not None:
@@ -99,6 +99,9 @@
         self._sent += 1
         return fresh[self._sent % len(fresh)].place
 
+    def _fresh(self, now: float) -> list[_Offered]:
+        return [o for o in self._offered.values() if now - o.at <= OFFER_KEPT_S]
+
 
 def patience_s(job: Job, now: float) -> float:
     """Return how long a job waits for room here before it goes elsewhere."""
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -198,13 +198,6 @@
                 found.setdefault(held.entry.service, []).append(held)
         return found
 
-    def free_cpu_millis(self, now: float) -> dict[str, list[int]]:
-        """Return what each upstream that takes tasks has left, by service."""
-        return {
-            service: [held.free.cpu_millis for held in upstreams]
-            for service, upstreams in self.with_room(now).items()
-        }
-
     def _open(self, held: HeldUpstream, now: float) -> bool:
         return (
             held.held
