Log who stated how long a job's caller waits

Callers of two large deployments get too few answers to their largest jobs. The line of a job's end doesn't tell whether its limit was the caller's own or the route's time-out, so the logs can't tell jobs that nobody waits for any more from jobs whose callers still wait.

Each end now has the limit, who stated it and what each of the two states. No decision changes.

--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from jackdawspur.front._limits import WaitLimit
 from jackdawspur.group import Term
 from jackdawspur.leases import Fence
 from jackdawspur.runs import (
@@ -36,6 +37,7 @@
     request: JobRequest
     arrived: float
     deadline: float
+    limit: WaitLimit
     handed: int = 0
     offered_to: Term | None = None
     offered_at: float = 0.0
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -7,6 +7,7 @@
 from jackdawspur.callers import HttpReply
 from jackdawspur.front._clock import now_s
 from jackdawspur.front._gauges import Gauges
+from jackdawspur.front._limits import wait_limit
 from jackdawspur.front._own_jobs import OwnJob, OwnJobs
 from jackdawspur.front._ports import CallerPort, CallerQuestion, QuestionKind
 from jackdawspur.front._routes import RouteTable
@@ -269,10 +270,8 @@
 
     def _submit(self, call: Call, asked: CallerQuestion) -> None:
         now = now_s()
-        patience = asked.route.timeout_ms / MS_PER_S
-        if asked.patience_s is not None:
-            patience = min(patience, asked.patience_s)
-        ends = now + patience
+        limit = wait_limit(asked.patience_s, asked.route.timeout_ms / MS_PER_S)
+        ends = now + limit.wait_s
         if self._stops_at is not None:
             ends = min(ends, self._stops_at)
         deadline = ends - ANSWER_S
@@ -280,7 +279,7 @@
             reply = self._port.reply_not_ready("this host stops")
             self._owner.reply(call.number, reply)
             return
-        self._jobs.add(OwnJob(call.number, asked.request, now, deadline))
+        self._jobs.add(OwnJob(call.number, asked.request, now, deadline, limit))
         self.offer_waiting(now)
 
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
@@ -358,6 +357,7 @@
                 "took_ms": round(took_ms, 1),
                 "hand_overs": job.handed,
                 "reason": outcome.reason,
+                **job.limit.log_fields(),
             },
         )
         self._owner.reply(job.call, self._port.reply_outcome(outcome))
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -160,3 +160,12 @@
     service.offer_waiting(clock())
     (_, first), (to, second) = owner.sent
     assert (to, first.outranked, second.outranked) == ("second", False, True)
+
+
+# Guards against ends of jobs in time-outs that the log doesn't say who stated.
+def test_the_end_of_a_job_says_who_stated_how_long_its_caller_waits(service, caplog):
+    caplog.set_level("INFO", logger="jackdawspur.callers")
+    service.answered(JobAnswered("aa", 1, 0, JobOutcome(JobEnd.COMPLETE, False)))
+    line = caplog.records[-1]
+    assert (line.limit, line.limit_ms) == ("route", ROUTE.timeout_ms)
+    assert (line.caller_ms, line.route_ms) == (None, ROUTE.timeout_ms)
