--- /dev/null
+++ b/jackdawspur/front/tests/test_callers_waits.py
@@ -0,0 +1,39 @@
+"""How long a job goes on is what its caller states."""
+
+import pytest
+
+from jackdawspur.front.tests.virtual import World
+from jackdawspur.front.tests.virtual_parts import ROUTE
+
+ROUTE_S = ROUTE.timeout_ms / 1000.0
+LONG_S = 1.6
+STATED_S = (2.2, 5.1, 11.4)
+
+
+@pytest.fixture
+def world(monkeypatch) -> World:
+    """Return two hosts of one zone that have begun to serve."""
+    one = World(monkeypatch, 64)
+    one.add_upstreams("z1", 3)
+    for name in ("h0", "h1"):
+        one.start(name, "z1")
+    one.run(3.0)
+    return one
+
+
+# Guards against giving up jobs whose callers wait longer than the route's time-out.
+def test_a_job_goes_on_for_as_long_as_its_caller_says_that_it_waits(world: World):
+    sent = [world.submit("h0", LONG_S, 2, states_s) for states_s in STATED_S]
+    world.run(max(STATED_S))
+    assert [asked.reply.status for asked in sent] == [200, 200, 200]
+    assert all(asked.answered_at - asked.sent_at < 1.1 * LONG_S for asked in sent)
+    assert world.tally.two_at_once == 0
+
+
+# Guards against holding jobs whose callers have gone.
+@pytest.mark.parametrize(("states_s", "ends_s"), [(0.7, 0.7), (None, ROUTE_S)])
+def test_a_job_ends_when_its_caller_waits_no_longer(world: World, states_s, ends_s):
+    sent = world.submit("h0", 3.0, 1, states_s)
+    world.run(ends_s + 0.1)
+    assert sent.reply.status == 504
+    assert sent.answered_at - sent.sent_at <= ends_s
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -45,12 +45,13 @@
 
 @dataclass
 class Asked:
-    """Keep what a caller asked and was answered."""
+    """Keep what a caller asked and was answered; `states_s` is how long it waits."""
 
     request: JobRequest
     sent_at: float
     reply: HttpReply | None = None
     answered_at: float = 0.0
+    states_s: float | None = None
 
 
 class World:
@@ -149,12 +150,19 @@
 
     # Callers.
 
-    def submit(self, host: str, seconds: float, tasks: int = 1) -> Asked:
-        """Send a job to a host."""
+    def submit(
+        self,
+        host: str,
+        seconds: float,
+        tasks: int = 1,
+        states_s: float | None = None,
+    ) -> Asked:
+        """Send a job to a host, and state how long its caller waits."""
         number = next(self._order)
         job = f"{number:016x}"
         step = JobStep(tasks, TASK, seconds * MS_PER_S)
-        asked = Asked(JobRequest(job, "", (step,), ROUTE), self.now)
+        request = JobRequest(job, "", (step,), ROUTE)
+        asked = Asked(request, self.now, states_s=states_s)
         self.asked[f"/q/{job}"] = asked
         life = self.lives[host]
         self._calls[life, number] = asked
--- a/jackdawspur/front/tests/virtual_parts.py
+++ b/jackdawspur/front/tests/virtual_parts.py
@@ -121,7 +121,7 @@
         asked = self._world.asked[call.path]
         request = asked.request
         return CallerQuestion(
-            QuestionKind.SUBMIT, request.route, request.id, request, None
+            QuestionKind.SUBMIT, request.route, request.id, request, asked.states_s
         )
 
     def read_configuration(self, document: bytes) -> RouteTable:
