End a job when its caller waits no longer, not at the route's time-out

What callers saw: 504 after 150 ms to 1.6 s for long jobs, while they would have waited 2.9 to 15.9 s. On two large deployments too few of the largest jobs were served.

Cause: a host took the smaller of the caller's stated wait and the route's time-out as the limit of the job. No caller leaves at the latter. Evidence: logs of 1,495 long jobs name the route as the limit of each; the 272 that ended as out of time had all been given up while their callers waited on, 252 of them within a tenth of that time.

Change: what the caller states counts; the route's time-out where it states nothing.

--- a/jackdawspur/front/_limits.py
+++ b/jackdawspur/front/_limits.py
@@ -36,7 +36,10 @@
 
 
 def wait_limit(caller_s: float | None, route_s: float) -> WaitLimit:
-    """Return how long a caller waits by what it and its route state."""
-    if caller_s is not None and caller_s < route_s:
-        return WaitLimit(caller_s, LimitSource.CALLER, caller_s, route_s)
-    return WaitLimit(route_s, LimitSource.ROUTE, caller_s, route_s)
+    """Return how long a caller waits: what it states, else its route's time-out.
+
+    Only a caller knows when it leaves; a job ended before that is lost to it.
+    """
+    if caller_s is None:
+        return WaitLimit(route_s, LimitSource.ROUTE, None, route_s)
+    return WaitLimit(caller_s, LimitSource.CALLER, caller_s, route_s)
