Read a caller's stated wait strictly

What callers saw: no reply to a request whose header states its wait in digits that are no ASCII number or in thousands of digits: reading it raised an error. The tests with these two values failed before. What can't be read counts as not stated, so the route's time-out holds.

--- a/jackdawspur/platform/_callers.py
+++ b/jackdawspur/platform/_callers.py
@@ -22,6 +22,7 @@
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 10_000
 JOB_ID_DIGITS = 16
+MOST_WAIT_DIGITS = 9
 MS_PER_S = 1000.0
 STATUS_OF_END = {
     JobEnd.COMPLETE: 200,
@@ -177,9 +178,10 @@
 
 
 def _patience_s(text: str | None) -> float | None:
-    if text is None or not text.strip().isdigit():
+    digits = (text or "").strip()
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= MOST_WAIT_DIGITS):
         return None
-    return int(text) / MS_PER_S
+    return int(digits) / MS_PER_S
 
 
 def _error(status: int, text: str) -> HttpReply:
--- a/jackdawspur/platform/tests/test_callers.py
+++ b/jackdawspur/platform/tests/test_callers.py
@@ -68,6 +68,14 @@
     assert asked.request.route.margin_ms == 60
 
 
+# Guards against a request without any reply, for a header that is no number.
+@pytest.mark.parametrize("stated", ["", "soon", "-5", "1.5", "\u00b2", "9" * 5000])
+def test_an_unreadable_wait_counts_as_none_stated(callers, routes, stated):
+    headers = {"X-Deadline-Ms": stated}
+    asked = callers.read_call(call("POST", f"/p/{ID}", JOB, **headers), routes)
+    assert asked.patience_s is None
+
+
 def test_the_longest_prefix_wins(callers, routes):
     asked = callers.read_call(call("GET", "/p/deep/"), routes)
     assert asked.route.name == "r-2"
