Know what began for as long as its caller may wait

What callers may see: a job that began, was dropped and is offered again after 10 s is refused as not run, though a task of it was started. 10 s was longer than any caller waited while the route's time-out cut all waits; callers state up to 15.9 s.

The record of a job now lasts for its caller's wait and 10 s more. The test (a caller that waits 15 s) failed before: the outcome said that the job had not run.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -14,6 +14,7 @@
 from jackdawspur.model import HostId, UpstreamId
 from jackdawspur.runs._admission import Admission, retry_after_s
 from jackdawspur.runs._answers import Answers
+from jackdawspur.runs._begun import BegunJobs
 from jackdawspur.runs._effects import (
     AnswerJob,
     Decision,
@@ -44,9 +45,6 @@
 
 # Hosts offer their jobs again within this time of a change of the leading host.
 FOUND_KEPT_S = 2.0
-# Longer than any caller waits, so that a job which was dropped and is offered again is
-# never refused as one that did not run.
-BEGUN_KEPT_S = 10.0
 
 
 class Dispatcher:
@@ -67,9 +65,8 @@
         self._looks = Looks(self._fleet, self._replies)
         self._review_of = Review(self._fleet, self._estimates, self._notes)
         self._jobs = OpenJobs()
-        self._found_done = Remembered(FOUND_KEPT_S)
-        # Kept over changes of the lead: what began is never refused as not run.
-        self._begun = Remembered(BEGUN_KEPT_S)
+        self._found_done = Remembered()
+        self._begun = BegunJobs()
         self._passing_on = PassingOn(self._jobs, self._fleet, self._effects)
         self._placer = Placer(
             self._fleet, self._starts, self._estimates, self._begun, self._passing_on
@@ -172,7 +169,9 @@
         request = offer.request
         expected = self._estimates.expected_ms(request.route, request.steps)
         job = Job(offer, expected, now)
-        job.started = job.started or job.id in self._begun
+        if job.id in self._begun:
+            job.started = True
+            self._begun.note(offer)
         self._jobs[job.id] = job
         self._placer.due = True
         for name in [name for name in job.by_name if name in self._found_done]:
@@ -288,7 +287,7 @@
         """
         job = self.job_of(task_name)
         if job is None:
-            self._found_done.add(task_name, now)
+            self._found_done.add(task_name, now + FOUND_KEPT_S)
         elif task_name in job.by_name:
             self._end_found(job, job.by_name[task_name])
 
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from jackdawspur.leases import HeldUpstream, Resources
+from jackdawspur.runs._begun import BegunJobs
 from jackdawspur.runs._crashes import Crashes
 from jackdawspur.runs._elsewhere import SpareRoom, fill, may_go, patience_s
 from jackdawspur.runs._estimates import Estimates
@@ -19,7 +20,6 @@
     is_slow,
     needs_fast_room,
 )
-from jackdawspur.runs._remembered import Remembered
 from jackdawspur.runs._starts import Starts
 
 __all__ = ["Placer"]
@@ -47,7 +47,7 @@
         fleet: Fleet,
         starts: Starts,
         estimates: Estimates,
-        begun: Remembered,
+        begun: BegunJobs,
         passing_on: PassingOn,
     ) -> None:
         self._fleet = fleet
@@ -212,7 +212,7 @@
         task.run += 1
         job.place(task, held.entry.id, now)
         self._fleet.notes.started(job, task, now)
-        self._begun.add(job.id, now)
+        self._begun.note(job.offer)
         self._estimates.started(held.entry.id)
         self._starts.start(held, task, job.request.spec, now)
 
