Draw callers that state long waits among the faults on whole hosts

Why tests missed the limit: no caller of theirs stated how long it waits, and none waited longer than the route's time-out. In three new layouts nine of ten state it, 1.5 s and one to three times the objective, and some jobs take longer than the route's time-out. The check that every caller gets its answer goes by what it states.

--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -5,7 +5,7 @@
 
 from jackdawspur.front.tests.faulty import FaultyWorld
 from jackdawspur.front.tests.faulty_parts import Caller
-from jackdawspur.front.tests.findings import PATIENCE_S, Finding, find
+from jackdawspur.front.tests.findings import Finding, find
 from jackdawspur.front.tests.more_faults import MORE_STILL
 
 __all__ = ["LAYOUTS", "Play", "play"]
@@ -21,22 +21,31 @@
     "roaming in one group": (("z1", "z2", "z3"), 2, 3, 64),
     "three at the limit": (("z1", "z2", "z3"), 2, 3, 9),
     "one host a zone": (("z1", "z2", "z3"), 1, 3, 4),
+    "long waits": (("z1", "z2"), 2, 4, 2),
+    "long waits in one group": (("z1", "z2", "z3"), 2, 3, 64),
+    "long waits at the limit": (("z1", "z2", "z3"), 2, 3, 9),
 }
 # In these layouts more kinds of faults are drawn; the seeds of the others keep theirs.
 STUTTERING = "stuttering hosts"
+# In these callers state how long they wait, longer than the route's time-out, and some
+# jobs take longer than it.
+WAITING = ("long waits", "long waits in one group", "long waits at the limit")
 # In these still more, and callers ask again in other zones too.
 ROAMING = (
     "roaming callers",
     "roaming in one group",
     "three at the limit",
     "one host a zone",
+    *WAITING,
 )
 ROAMS = 0.7
 STARTED_S = 2.5
 FAULTS_S = 6.0
 HEALED_S = 3.0
+LAST_S = 3.0
 JOB_EVERY_S = 0.07
 SHORT_S, LONG_S = 0.05, 0.9
+LONGEST_S = 2.2
 LEAST_FAULTS, MOST_FAULTS = 3, 9
 
 
@@ -48,6 +57,7 @@
 
     def __init__(self, monkeypatch, layout: str, seed: int) -> None:
         self.rng = random.Random(f"{layout} {seed}")
+        self.waits_long = layout in WAITING
         self.zones, hosts, upstreams, most = LAYOUTS[layout]
         self.world = FaultyWorld(monkeypatch, most, seed)
         self.kinds = FAULTS + MORE_FAULTS if layout == STUTTERING else FAULTS
@@ -76,7 +86,7 @@
         self._heal()
         world.run(HEALED_S)
         last = [self._ask_host(name) for name in world.lives]
-        world.run(2 * PATIENCE_S)
+        world.run(LAST_S)
         return find(world, last)
 
     def _draw(self) -> list[Strike]:
@@ -97,11 +107,21 @@
 
     def _ask(self) -> None:
         rng, world = self.rng, self.world
-        seconds = rng.choice((SHORT_S, 0.2, 0.4, LONG_S)) * rng.uniform(0.9, 1.1)
-        caller = world.ask(rng.choice(self.zones), seconds, rng.randint(1, 4))
+        usual = (SHORT_S, 0.2, 0.4, LONG_S)
+        choice = (*usual, LONGEST_S) if self.waits_long else usual
+        seconds = rng.choice(choice) * rng.uniform(0.9, 1.1)
+        zone, tasks = rng.choice(self.zones), rng.randint(1, 4)
+        states_s = self._stated_s(seconds) if self.waits_long else None
+        caller = world.ask(zone, seconds, tasks, states_s=states_s)
         if rng.random() < 0.04:
             world.after(rng.uniform(0.0, 1.0), lambda: world.leave(caller))
 
+    def _stated_s(self, seconds: float) -> float | None:
+        """Draw how long a caller says that it waits; one in ten says nothing."""
+        if self.rng.random() < 0.1:
+            return None
+        return 1.5 + self.rng.uniform(1.0, 3.0) * (1.6 * seconds + 0.06)
+
     def _ask_host(self, name: str) -> Caller:
         world = self.world
         return world.ask(world.zones[name], SHORT_S, 1, world.lives[name])
--- a/jackdawspur/front/tests/faulty.py
+++ b/jackdawspur/front/tests/faulty.py
@@ -8,12 +8,7 @@
 
 from jackdawspur.adapters import Call
 from jackdawspur.front import _process
-from jackdawspur.front.tests.faulty_parts import (
-    Attempt,
-    Caller,
-    FaultyUpstream,
-    Starts,
-)
+from jackdawspur.front.tests.faulty_parts import Caller, FaultyUpstream, Starts
 from jackdawspur.front.tests.virtual import CALL_S, LINK_S, MS_PER_S, ROOM, TASK, World
 from jackdawspur.front.tests.virtual_parts import ROUTE, Life, VirtualDeadlines
 from jackdawspur.group import decode_message
@@ -24,8 +19,8 @@
 __all__ = ["FaultyWorld"]
 
 ASKS_AGAIN_S = 1.3
-# A caller's time limit, and some for the ways and a host's ticks.
-PATIENCE_S = 1.6
+# For the ways of a request and its answer, and a host's ticks.
+WAYS_S = 0.1
 ASKS_AGAIN_AFTER = (502, 504)
 MOST_ATTEMPTS = 3
 # The balancer sends nobody to a host that missed two looks at readiness.
@@ -196,13 +191,18 @@
     # Callers.
 
     def ask(
-        self, zone: str, seconds: float, tasks: int, life: Life | None = None
+        self,
+        zone: str,
+        seconds: float,
+        tasks: int,
+        life: Life | None = None,
+        states_s: float | None = None,
     ) -> Caller:
         """Let a caller of a zone send a job, to a host if one is named."""
         job = f"{next(self._order):016x}"
         step = JobStep(tasks, TASK, seconds * MS_PER_S)
         request = JobRequest(job, "", (step,), ROUTE)
-        caller = Caller(zone, request)
+        caller = Caller(zone, request, states_s)
         self.callers.append(caller)
         self._send(caller, life)
         return caller
@@ -227,16 +227,15 @@
         if life is None:
             self.after(0.2, lambda: self._send(caller))
             return
-        asked = Attempt(caller.request, self.now, caller=caller, life=life)
+        asked = caller.ask(life, self.now)
         path = f"/q/{caller.request.id}"
         self.asked[path] = asked
-        caller.attempts.append(asked)
         number = next(self._order)
         self._calls[life, number] = asked
         life.process._web.open_calls += 1
         call = Call(number, "POST", path, "", None, b"")
         self.after(CALL_S, lambda: life.process.callers.called(call), life)
-        self.after(PATIENCE_S, lambda: self._give_up(life, number))
+        self.after(asked.waits_s + WAYS_S, lambda: self._give_up(life, number))
         logging.getLogger("caller").info("%s asks %s", caller.request.id, life.name)
 
     def _give_up(self, life: Life, number: int) -> None:
--- a/jackdawspur/front/tests/faulty_parts.py
+++ b/jackdawspur/front/tests/faulty_parts.py
@@ -33,14 +33,25 @@
 
 @dataclass(eq=False)
 class Caller:
-    """Keep a job and its attempts; `again` counts those still to come."""
+    """Keep a job and its attempts; `again` counts those still to come.
+
+    `states_s` is how long its caller says that it waits with each attempt.
+    """
 
     zone: str
     request: JobRequest
+    states_s: float | None = None
     attempts: list[Attempt] = field(default_factory=list)
     left: bool = False
     again: int = 0
 
+    def ask(self, life: Life, now: float) -> Attempt:
+        """Begin another attempt, at a host."""
+        asked = Attempt(self.request, now, states_s=self.states_s)
+        asked.caller, asked.life = self, life
+        self.attempts.append(asked)
+        return asked
+
     @property
     def tasks(self) -> set[str]:
         """Return the names of the job's tasks."""
--- a/jackdawspur/front/tests/findings.py
+++ b/jackdawspur/front/tests/findings.py
@@ -5,9 +5,8 @@
 from jackdawspur.front.tests.faulty import FaultyWorld
 from jackdawspur.front.tests.faulty_parts import Attempt, Caller
 
-__all__ = ["PATIENCE_S", "Finding", "find"]
+__all__ = ["Finding", "find"]
 
-PATIENCE_S = 1.5
 REFUSED = (429, 503)
 FAILED = b'{"state":"failed"}'
 
@@ -57,7 +56,7 @@
 
 def _in_time(asked: Attempt) -> bool:
     """Tell whether a caller had its answer, as far as its host could give one."""
-    ends = asked.sent_at + PATIENCE_S
+    ends = asked.sent_at + asked.waits_s
     stood_still = any(
         froze < ends and thawed > asked.sent_at
         for froze, thawed in asked.life.stood_still
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -53,6 +53,12 @@
     answered_at: float = 0.0
     states_s: float | None = None
 
+    @property
+    def waits_s(self) -> float:
+        """Return how long the caller waits."""
+        route_s = self.request.route.timeout_ms / MS_PER_S
+        return route_s if self.states_s is None else self.states_s
+
 
 class World:
     """Run hosts; tests break what they like."""
