Name a wait that nobody stated as assumed

The log passed off the 1.5 s that stand in for a missing time-out of a route as stated by the route. A route without one is read as such; where its caller states nothing either, the wait is assumed and logged as assumed. No job of a route with a time-out is decided differently.

--- a/jackdawspur/front/_limits.py
+++ b/jackdawspur/front/_limits.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["LimitSource", "WaitLimit", "wait_limit"]
+__all__ = ["LimitSource", "WaitLimit"]
 
 MS_PER_S = 1000.0
+# Of a caller that says nothing, over a route without a time-out.
+ASSUMED_WAIT_S = 1.5
 
 
 class LimitSource(Enum):
@@ -13,33 +15,45 @@
 
     CALLER = "caller"
     ROUTE = "route"
+    NOBODY = "assumed"
 
 
 @dataclass(frozen=True, slots=True)
 class WaitLimit:
-    """Tell how long a caller waits, who said so, and what each has stated."""
+    """Keep what a caller and its route state, None for nothing, in seconds."""
 
-    wait_s: float
-    source: LimitSource
     caller_s: float | None
-    route_s: float
+    route_s: float | None
+
+    @property
+    def source(self) -> LimitSource:
+        """Tell who said how long the caller waits.
+
+        Only a caller knows when it leaves; a job ended before that is lost to it.
+        """
+        if self.caller_s is not None:
+            return LimitSource.CALLER
+        return LimitSource.NOBODY if self.route_s is None else LimitSource.ROUTE
+
+    @property
+    def wait_s(self) -> float:
+        """Return how long the caller waits."""
+        stated = {
+            LimitSource.CALLER: self.caller_s,
+            LimitSource.ROUTE: self.route_s,
+            LimitSource.NOBODY: ASSUMED_WAIT_S,
+        }
+        return stated[self.source]
 
     def log_fields(self) -> dict[str, str | int | None]:
         """Return what the log tells of it, times in milliseconds."""
-        caller_ms = None if self.caller_s is None else round(self.caller_s * MS_PER_S)
         return {
             "limit": self.source.value,
-            "limit_ms": round(self.wait_s * MS_PER_S),
-            "caller_ms": caller_ms,
-            "route_ms": round(self.route_s * MS_PER_S),
+            "limit_ms": _ms(self.wait_s),
+            "caller_ms": _ms(self.caller_s),
+            "route_ms": _ms(self.route_s),
         }
 
 
-def wait_limit(caller_s: float | None, route_s: float) -> WaitLimit:
-    """Return how long a caller waits: what it states, else its route's time-out.
-
-    Only a caller knows when it leaves; a job ended before that is lost to it.
-    """
-    if caller_s is None:
-        return WaitLimit(route_s, LimitSource.ROUTE, None, route_s)
-    return WaitLimit(caller_s, LimitSource.CALLER, caller_s, route_s)
+def _ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * MS_PER_S)
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -7,7 +7,7 @@
 from jackdawspur.callers import HttpReply
 from jackdawspur.front._clock import now_s
 from jackdawspur.front._gauges import Gauges
-from jackdawspur.front._limits import wait_limit
+from jackdawspur.front._limits import WaitLimit
 from jackdawspur.front._own_jobs import OwnJob, OwnJobs
 from jackdawspur.front._ports import CallerPort, CallerQuestion, QuestionKind
 from jackdawspur.front._routes import RouteTable
@@ -270,7 +270,7 @@
 
     def _submit(self, call: Call, asked: CallerQuestion) -> None:
         now = now_s()
-        limit = wait_limit(asked.patience_s, asked.route.timeout_ms / MS_PER_S)
+        limit = WaitLimit(asked.patience_s, asked.route.timeout_s)
         ends = now + limit.wait_s
         if self._stops_at is not None:
             ends = min(ends, self._stops_at)
--- a/jackdawspur/front/tests/test_callers_waits.py
+++ b/jackdawspur/front/tests/test_callers_waits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from jackdawspur.front._limits import ASSUMED_WAIT_S, WaitLimit
 from jackdawspur.front.tests.virtual import World
 from jackdawspur.front.tests.virtual_parts import ROUTE
 
@@ -37,3 +38,11 @@
     world.run(ends_s + 0.1)
     assert sent.reply.status == 504
     assert sent.answered_at - sent.sent_at <= ends_s
+
+
+# Guards against a limit that the log passes off as stated.
+def test_a_limit_that_nobody_stated_is_named_as_assumed():
+    limit = WaitLimit(caller_s=None, route_s=None)
+    assert limit.wait_s == ASSUMED_WAIT_S
+    assert limit.log_fields()["limit"] == "assumed"
+    assert limit.log_fields()["route_ms"] is None
--- a/jackdawspur/platform/_bodies.py
+++ b/jackdawspur/platform/_bodies.py
@@ -54,7 +54,7 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: float = 1500.0
+    timeout_ms: float | None = None
     slo_ms: float = 0.0
     stretch: float = 1.0
     priority: int = 0
--- a/jackdawspur/runs/_types.py
+++ b/jackdawspur/runs/_types.py
@@ -16,25 +16,33 @@
     "TaskTrouble",
 ]
 
+MS_PER_S = 1000.0
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
     """Say how the jobs of one queue are to be run; times in milliseconds.
 
     A job is on time within `stretch` times its longest chain of work and `margin_ms`
-    more. A task that failed `max_attempts` times fails its job.
+    more. A task that failed `max_attempts` times fails its job. `timeout_ms`, None if
+    not stated, is how long callers wait that say nothing themselves.
     """
 
     name: str
     host: str
     path_prefix: str
     service: str
-    timeout_ms: float
+    timeout_ms: float | None
     margin_ms: float
     stretch: float
     priority: int
     max_attempts: int
 
+    @property
+    def timeout_s(self) -> float | None:
+        """Return the time-out in seconds."""
+        return None if self.timeout_ms is None else self.timeout_ms / MS_PER_S
+
 
 @dataclass(frozen=True, slots=True)
 class JobStep:
