Refuse by when room comes free, not by when all runs have ended

What callers saw: 429 in bursts and beside long jobs, with room free moments later. Admission spread the work left of all runs over all upstreams and took that as the wait: with long runs on every place it foresaw a wait of half their length, though one of hundreds of places comes free every few milliseconds. Long jobs run to their end since their callers' own waits count, which made it worse.

Now the wait is until the room that runs leave as they end has done the work ahead. The test of a short job beside three long runs failed before (refused at once).

--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -1,10 +1,11 @@
 """Which of the waiting jobs can be on time, when there is more work than room."""
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from jackdawspur.runs._job import Job
+from jackdawspur.runs._freeing import FreeingRoom
+from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._order import latest_start, objective
 
 __all__ = ["Admission", "Beyond", "retry_after_s"]
@@ -41,24 +42,26 @@
     """
 
     def __init__(self) -> None:
-        self._load = 0.0
-        self._rate = 1.0
+        self._ahead = 0.0
+        self._room = FreeingRoom(0.0, ())
 
     def review(self, jobs: Iterable[Job], cpu_millis: int, now: float) -> list[Beyond]:
         """Mark the jobs that are deferred, and return those that come too late.
 
         `cpu_millis` is the capacity of all upstreams.
         """
-        self._rate = max(1.0, cpu_millis)
-        self._load = 0.0
+        under_way: list[tuple[float, float]] = []
         new: list[Job] = []
+        self._ahead = 0.0
         for job in jobs:
             if job.started:
-                self._load += _left_under_way(job, now)
+                under_way += _ends_under_way(job, now)
+                self._ahead += _waiting_work(job)
             elif job.has_waiting:
                 new.append(job)
         if not new:
             return []
+        self._room = FreeingRoom(cpu_millis, under_way)
         rest = self._keep_on_time(new, now)
         return self._beyond_use(rest, now)
 
@@ -70,11 +73,11 @@
             job.deferred = False
             size = _size(job)
             heapq.heappush(kept, (-size, job.id, job))
-            self._load += size
-            starts = now + (self._load - size) / self._rate
+            starts = now + self._starts_s(job, size)
+            self._ahead += size
             if starts > _latest_on_time(job) + DOUBT_S:
                 large, _, out = heapq.heappop(kept)
-                self._load += large
+                self._ahead += large
                 out.deferred = True
                 rest.append(out)
         return rest
@@ -83,13 +86,20 @@
         """Return the jobs that would end too late after all the others."""
         beyond: list[Beyond] = []
         for job in sorted(rest, key=latest_start):
-            ahead_s = self._load / self._rate
-            if now + ahead_s > latest_start(job):
-                beyond.append(Beyond(job, ahead_s))
+            size = _size(job)
+            starts_s = self._starts_s(job, size)
+            if now + starts_s > latest_start(job):
+                beyond.append(Beyond(job, starts_s))
             else:
-                self._load += _size(job)
+                self._ahead += size
         return beyond
 
+    def _starts_s(self, job: Job, size: float) -> float:
+        """Return when a job's last task starts, after the work ahead of it."""
+        first_s = self._room.begins_s(self._ahead)
+        last_s = self._room.begins_s(self._ahead + size) - job.left_ms() / MS_PER_S
+        return max(first_s, last_s)
+
 
 def retry_after_s(jobs: Iterable[Job], cpu_millis: int) -> float:
     """Return how long the work that waits will keep the upstreams busy."""
@@ -101,18 +111,25 @@
     return min(MOST_RETRY_S, max(LEAST_RETRY_S, waiting_s))
 
 
-def _left_under_way(job: Job, now: float) -> float:
-    """Return the work left of a job that began, in thousandths of a core times s."""
-    left = 0.0
-    for task in job.tasks:
-        if task.is_done:
-            continue
-        most_ms = MOST_OF_EXPECTED * job.first_expected_ms[task.step]
-        run_s = min(job.expected_ms[task.step], most_ms) / MS_PER_S
-        if task.upstream is not None:
-            run_s = max(0.0, run_s - (now - task.placed_at))
-        left += run_s * task.spec.resources.cpu_millis
-    return left
+def _ends_under_way(job: Job, now: float) -> Iterator[tuple[float, float]]:
+    """Return when each run of a job ends, in seconds from now, and its room."""
+    for task in job.placed():
+        run_s = _run_s(job, task) - (now - task.placed_at)
+        yield max(0.0, run_s), task.spec.resources.cpu_millis
+
+
+def _waiting_work(job: Job) -> float:
+    """Return the work of a job's tasks that wait, in thousandths of a core times s."""
+    return sum(
+        _run_s(job, task) * task.spec.resources.cpu_millis
+        for task in job.tasks
+        if task.state is TaskState.WAITING
+    )
+
+
+def _run_s(job: Job, task: Task) -> float:
+    most_ms = MOST_OF_EXPECTED * job.first_expected_ms[task.step]
+    return min(job.expected_ms[task.step], most_ms) / MS_PER_S
 
 
 def _size(job: Job) -> float:
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -113,10 +113,16 @@
         self.settle()
 
     def offer(
-        self, job: str, tasks: int = 1, route: Route = ROUTE, each: int = 0, **changes
+        self,
+        job: str,
+        tasks: int = 1,
+        route: Route = ROUTE,
+        each: int = 0,
+        task_ms: float = TASK_MS,
+        **changes,
     ) -> None:
-        """Offer a job of equal tasks of 200 ms, at most `each` on one upstream."""
-        step = JobStep(tasks, TASK, 200.0, most_per_upstream=each)
+        """Offer a job of equal tasks, at most `each` on one upstream."""
+        step = JobStep(tasks, TASK, task_ms, most_per_upstream=each)
         request = JobRequest(job, "spec", (step,), route)
         values = {"host": "h2", "call": 1, "arrived": self.now}
         values["deadline"] = self.now + 1.5
--- a/jackdawspur/runs/tests/test_admission.py
+++ b/jackdawspur/runs/tests/test_admission.py
@@ -80,3 +80,20 @@
         leading.offer(f"{number:02x}", call=number + 2)
     leading.advance(0.1)
     assert not [a for a in leading.answers if a.outcome.end is JobEnd.REFUSED]
+
+
+# Guards against refusing short jobs for long runs, beside which room comes free.
+def test_a_job_is_not_refused_for_runs_that_end_after_room_came_free(leading: Leading):
+    leading.offer("long", tasks=3, task_ms=3000.0, deadline=leading.now + 9.0)
+    leading.offer("aa", call=2)
+    leading.settle()
+    assert len(leading.running()) == 4
+    leading.offer("bb", call=3)
+    leading.advance(0.15)
+    assert not leading.answers
+    ((upstream,),) = [
+        where for task, where in leading.running().items() if task.startswith("aa.")
+    ]
+    leading.upstreams[upstream].end("aa.0.0.0")
+    leading.settle()
+    assert any(task.startswith("bb.") for task in leading.running())
