Foresee waits by the room that tasks can use and the paces of upstreams

The wait was foreseen as if tasks filled every upstream to the last core and ran on slow upstreams as fast as on others, so jobs were kept that then came late. What is left over on each upstream (0.3 of a task's room on average) counts no more, and room counts by its upstream's pace.

--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -1,9 +1,11 @@
 """Which of the waiting jobs can be on time, when there is more work than room."""
 
 import heapq
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from statistics import fmean
 
+from jackdawspur.model import UpstreamId
 from jackdawspur.runs._freeing import FreeingRoom
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._order import latest_start, objective
@@ -21,6 +23,8 @@
 # counts for no more than this many times what was expected: else one such job would
 # keep out all others.
 MOST_OF_EXPECTED = 2.0
+# On a full upstream this share of a usual task's room is left over, too small for one.
+LEFT_OVER_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,30 +45,53 @@
     it is of use; what would come too late even so is refused at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pace: Callable[[UpstreamId], float]) -> None:
+        self._pace = pace
         self._ahead = 0.0
         self._room = FreeingRoom(0.0, ())
 
-    def review(self, jobs: Iterable[Job], cpu_millis: int, now: float) -> list[Beyond]:
+    def review(
+        self, jobs: Iterable[Job], capacities: Mapping[UpstreamId, int], now: float
+    ) -> list[Beyond]:
         """Mark the jobs that are deferred, and return those that come too late.
 
-        `cpu_millis` is the capacity of all upstreams.
+        `capacities` are those of the upstreams, in thousandths of a core.
         """
         under_way: list[tuple[float, float]] = []
         new: list[Job] = []
         self._ahead = 0.0
         for job in jobs:
             if job.started:
-                under_way += _ends_under_way(job, now)
+                under_way += self._under_way(job, now)
                 self._ahead += _waiting_work(job)
             elif job.has_waiting:
                 new.append(job)
         if not new:
             return []
-        self._room = FreeingRoom(cpu_millis, under_way)
+        self._room = FreeingRoom(self._usable(capacities, new), under_way)
         rest = self._keep_on_time(new, now)
         return self._beyond_use(rest, now)
 
+    def _usable(self, capacities: Mapping[UpstreamId, int], new: list[Job]) -> float:
+        """Return the work in a second that all upstreams can do for new jobs."""
+        left_over = LEFT_OVER_SHARE * fmean(
+            step.resources.cpu_millis for job in new for step in job.request.steps
+        )
+        return sum(
+            max(0.0, cpu_millis - left_over) / self._pace(upstream)
+            for upstream, cpu_millis in capacities.items()
+        )
+
+    def _under_way(self, job: Job, now: float) -> Iterator[tuple[float, float]]:
+        """Return when each run of a job ends, in seconds from now, and its room.
+
+        The room is that which it would take on an upstream of pace 1.
+        """
+        for task in job.placed():
+            pace = self._pace(task.upstream)
+            run_s = _run_s(job, task) * pace - (now - task.placed_at)
+            yield max(0.0, run_s), task.spec.resources.cpu_millis / pace
+
     def _keep_on_time(self, new: list[Job], now: float) -> list[Job]:
         """Return the jobs left out so that all others are on time."""
         rest: list[Job] = []
@@ -111,13 +138,6 @@
     return min(MOST_RETRY_S, max(LEAST_RETRY_S, waiting_s))
 
 
-def _ends_under_way(job: Job, now: float) -> Iterator[tuple[float, float]]:
-    """Return when each run of a job ends, in seconds from now, and its room."""
-    for task in job.placed():
-        run_s = _run_s(job, task) - (now - task.placed_at)
-        yield max(0.0, run_s), task.spec.resources.cpu_millis
-
-
 def _waiting_work(job: Job) -> float:
     """Return the work of a job's tasks that wait, in thousandths of a core times s."""
     return sum(
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -71,7 +71,7 @@
         self._placer = Placer(
             self._fleet, self._starts, self._estimates, self._begun, self._passing_on
         )
-        self._admission = Admission()
+        self._admission = Admission(self._estimates.pace)
         self._answers = Answers()
         self._now = now
         self.leads = False
@@ -380,8 +380,8 @@
 
     def _refuse_beyond_use(self, now: float) -> None:
         """Refuse what the work ahead of it makes too late, or pass it on at once."""
-        jobs, cpu_millis = self._jobs.values(), self._fleet.cpu_millis
-        for beyond in self._admission.review(jobs, cpu_millis, now):
+        jobs, capacities = self._jobs.values(), self._fleet.capacities
+        for beyond in self._admission.review(jobs, capacities, now):
             goes = may_go(beyond.job, now, longest_s=0.0)
             if not (goes and self._passing_on.send(beyond.job, now)):
                 self._refuse(beyond.job, now, beyond.ahead_s)
--- a/jackdawspur/runs/_fleet.py
+++ b/jackdawspur/runs/_fleet.py
@@ -62,15 +62,20 @@
 
     @property
     def cpu_millis(self) -> int:
-        """Return the processor capacity of all upstreams that take tasks.
+        """Return the processor capacity of all upstreams that take tasks."""
+        return sum(self.capacities.values())
+
+    @property
+    def capacities(self) -> dict[UpstreamId, int]:
+        """Return the processor capacity of each upstream that takes tasks.
 
         One that was not heard yet counts: it mostly answers within milliseconds.
         """
-        return sum(
-            held.entry.capacity.cpu_millis
+        return {
+            held.entry.id: held.entry.capacity.cpu_millis
             for held in self._held.values()
             if (held.held or held.answered) and not held.entry.draining
-        )
+        }
 
     @property
     def only_drains(self) -> bool:
