--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -57,18 +57,14 @@
 
         `capacities` are those of the upstreams, in thousandths of a core.
         """
-        under_way: list[tuple[float, float]] = []
-        new: list[Job] = []
-        self._ahead = 0.0
-        for job in jobs:
-            if job.started:
-                under_way += self._under_way(job, now)
-                self._ahead += _waiting_work(job)
-            elif job.has_waiting:
-                new.append(job)
+        everything = list(jobs)
+        new = [job for job in everything if job.has_waiting and not job.started]
         if not new:
             return []
-        self._room = FreeingRoom(self._usable(capacities, new), under_way)
+        begun = [job for job in everything if job.started]
+        self._ahead = sum(_waiting_work(job) for job in begun if job.has_waiting)
+        runs = [run for job in begun for run in self._under_way(job, now)]
+        self._room = FreeingRoom(self._usable(capacities, new), runs)
         rest = self._keep_on_time(new, now)
         return self._beyond_use(rest, now)
 
