Let the stand-in's callers wait longer than their route's time-out

Real processes met only callers that say nothing over a route of 5 s. Now the route's time-out is 1.5 s and callers state 5 s, so soak and whole-path tests fail where a host ends jobs by the route. Their checks and times stay.

--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -15,7 +15,12 @@
 from jackdawspur.soak._link_proxy import LinkProxy
 from jackdawspur.soak._ports import PortBlock
 from jackdawspur.soak._proxy import Proxy
-from jackdawspur.standins import PLATFORM_ROUTE, PlatformReport, platform_job
+from jackdawspur.standins import (
+    PLATFORM_HEADERS,
+    PLATFORM_ROUTE,
+    PlatformReport,
+    platform_job,
+)
 
 __all__ = ["Answer", "Deployment", "wait_until"]
 
@@ -238,7 +243,7 @@
     connection = HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
     try:
         data = None if body is None else json.dumps(body)
-        connection.request(method, path, data, {"Host": "a.example"})
+        connection.request(method, path, data, PLATFORM_HEADERS)
         response = connection.getresponse()
         text = response.read().decode()
         retry = response.getheader("Retry-After")
--- a/jackdawspur/standins/__init__.py
+++ b/jackdawspur/standins/__init__.py
@@ -8,7 +8,11 @@
 )
 from jackdawspur.standins._log import LogFaults, LogSettings
 from jackdawspur.standins._log_service import LogService, make_log, run_log
-from jackdawspur.standins._platform_caller import PLATFORM_ROUTE, platform_job
+from jackdawspur.standins._platform_caller import (
+    PLATFORM_HEADERS,
+    PLATFORM_ROUTE,
+    platform_job,
+)
 from jackdawspur.standins._platform_service import (
     PlatformReport,
     PlatformSettings,
@@ -41,6 +45,7 @@
     "LogFaults",
     "LogService",
     "LogSettings",
+    "PLATFORM_HEADERS",
     "PLATFORM_ROUTE",
     "PlatformReport",
     "PlatformSettings",
--- a/jackdawspur/standins/_platform_caller.py
+++ b/jackdawspur/standins/_platform_caller.py
@@ -2,7 +2,7 @@
 
 import json
 
-__all__ = ["PLATFORM_ROUTE", "platform_job"]
+__all__ = ["PLATFORM_HEADERS", "PLATFORM_ROUTE", "platform_job"]
 
 # The route of the jobs below, as the platform's configuration names it.
 PLATFORM_ROUTE = {
@@ -10,11 +10,13 @@
     "host": "a.example",
     "path_prefix": "/q/",
     "service": "roster",
-    "timeout_ms": 5000,
+    "timeout_ms": 1500,
     "slo_ms": 60,
     "stretch": 1.6,
     "max_attempts": 3,
 }
+# Callers wait longer than the route's time-out, and say so.
+PLATFORM_HEADERS = {"Host": PLATFORM_ROUTE["host"], "X-Deadline-Ms": "5000"}
 # Two such tasks fit into a worker of 32 cores.
 TASK_CPU = 14_000
 TASK_MEMORY_MB = 64
