--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -281,7 +281,8 @@
 
     def drain_upstreams(self, seconds: float) -> str:
         up = self._up()
-        some = self.rng.sample(up, min(len(up) - 2, self.rng.randint(1, 3)))
+        count = min(max(0, len(up) - 2), self.rng.randint(1, 3))
+        some = self.rng.sample(up, count)
         for one in some:
             self.world.drain(one.entry.id, self.rng.uniform(0.5, 2.0))
         return f"{[str(one.entry.id) for one in some]}"
