--- a/jackdawspur/bench/_drawn.py
+++ b/jackdawspur/bench/_drawn.py
@@ -14,7 +14,6 @@
     "HOP_S",
     "LIMIT_S",
     "SLOWER",
-    "USABLE_S",
     "WAY_S",
     "DrawnJob",
     "draw",
@@ -24,10 +23,12 @@
 # Callers wait so long; of that their requests and answers are on the way to a host and
 # back, and calls to an upstream there and back.
 LIMIT_S = 1.548
+# Those that state how long do so for this many times their objective more.
+STATED_OBJECTIVES = 3.0
+STRETCH, MARGIN_MS = 1.6, 60.0
 CALLER_WAY_S = 0.006
 CALL_S = 0.001
 WAY_S = CALLER_WAY_S + 2 * CALL_S
-USABLE_S = LIMIT_S - WAY_S
 # What hosts keep of it for the answer.
 ANSWER_S = 0.012
 # Between hosts, each way.
@@ -42,18 +43,26 @@
 
 @dataclass(frozen=True, slots=True)
 class DrawnJob:
-    """Keep a job and how long its tasks really take."""
+    """Keep a job, how long its tasks really take and how long its caller waits."""
 
     request: JobRequest
     work: Work
+    waits_s: float = LIMIT_S
 
     @property
     def longest_s(self) -> float:
         """Return what its longest task takes at a pace of 1."""
         return max(self.work.seconds.values())
 
+    @property
+    def usable_s(self) -> float:
+        """Return how much of its caller's wait is not on the way."""
+        return self.waits_s - WAY_S
+
 
-def draw(kind: JobKind, job: str, rng: random.Random) -> DrawnJob:
+def draw(
+    kind: JobKind, job: str, rng: random.Random, states_waits: bool = False
+) -> DrawnJob:
     """Draw one job of a kind."""
     work_s = kind.work_s * rng.lognormvariate(-(kind.spread**2) / 2, kind.spread)
     tasks = max(1, round(rng.gauss(kind.tasks, 0.3 * kind.tasks)))
@@ -61,9 +70,15 @@
     declared_ms = work_s * rng.lognormvariate(0, kind.declared) * MS_PER_S
     step = JobStep(tasks, Resources(cpu, 64, 0), declared_ms)
     timeout_ms = LIMIT_S * MS_PER_S
-    route = Route(kind.name, "h", "/", "service", timeout_ms, 60, 1.6, 0, ATTEMPTS)
+    margins = (timeout_ms, MARGIN_MS, STRETCH)
+    route = Route(kind.name, "h", "/", "service", *margins, 0, ATTEMPTS)
     seconds = {
         f"{job}.0.0.{n}": work_s * max(LEAST_TASK, rng.gauss(1.0, TASKS_SPREAD))
         for n in range(tasks)
     }
-    return DrawnJob(JobRequest(job, "", (step,), route), Work(seconds, step.resources))
+    waits_s = LIMIT_S
+    if states_waits:
+        objective_s = STRETCH * max(seconds.values()) + MARGIN_MS / MS_PER_S
+        waits_s += STATED_OBJECTIVES * objective_s
+    request = JobRequest(job, "", (step,), route)
+    return DrawnJob(request, Work(seconds, step.resources), waits_s)
--- a/jackdawspur/bench/_zones.py
+++ b/jackdawspur/bench/_zones.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from jackdawspur.bench._drawn import ANSWER_S, HOP_S, LIMIT_S, USABLE_S, DrawnJob, draw
+from jackdawspur.bench._drawn import ANSWER_S, HOP_S, LIMIT_S, DrawnJob, draw
 from jackdawspur.bench._front_simulation import JobKind
 from jackdawspur.bench._front_upstream import Tally, Work
 from jackdawspur.bench._sizes import JobFate, LostJob
@@ -30,6 +30,8 @@
 MILLIS_PER_CORE = 1000.0
 # Leading hosts offer their room to each other so often.
 ROOM_EVERY_S = 0.2
+# Of callers that state long waits, all have left by then.
+LAST_S = 15.0
 
 
 @dataclass
@@ -73,7 +75,9 @@
         upstreams: int,
         pass_s: float,
         seed: int,
+        states_waits: bool = False,
     ) -> None:
+        self._states_waits = states_waits
         self.time = Timeline()
         self.result = ZonesResult()
         self._kinds = kinds
@@ -96,7 +100,7 @@
     def run(self, until: float) -> ZonesResult:
         """Let callers come until a time, and wait for their answers."""
         self._ends = until
-        self.time.run(until + 2 * LIMIT_S)
+        self.time.run(until + (LAST_S if self._states_waits else 2 * LIMIT_S))
         return self.result
 
     def change_leader(self, zone: Zone) -> None:
@@ -124,9 +128,9 @@
     def _ask(self, zone: Zone, kind: JobKind, arrivals: random.Random) -> None:
         self.result.offered += 1
         call = next(self._calls)
-        drawn = draw(kind, f"{call:016x}", arrivals)
+        drawn = draw(kind, f"{call:016x}", arrivals, self._states_waits)
         came = self.time.now
-        deadline = came + LIMIT_S - ANSWER_S
+        deadline = came + drawn.waits_s - ANSWER_S
         offer = Offer(drawn.request, f"{zone.name}-host", call, came, deadline)
         asked = _Asked(drawn, zone, offer, came)
         self._asked[drawn.request.id] = asked
@@ -234,8 +238,8 @@
         asked = self._asked.pop(job, None)
         if asked is None:
             return
-        served = complete and self.time.now - asked.came <= USABLE_S
         drawn = asked.drawn
+        served = complete and self.time.now - asked.came <= drawn.usable_s
         cores = drawn.work.resources.cpu_millis / MILLIS_PER_CORE
         seconds = drawn.work.seconds.values()
         self.result.fates.append(
@@ -244,7 +248,7 @@
                 sum(seconds) * cores,
                 drawn.longest_s,
                 served,
-                servable=drawn.longest_s <= USABLE_S,
+                servable=drawn.longest_s <= drawn.usable_s,
                 came=asked.came,
                 lost=None if served else self._lost(asked, complete),
             )
@@ -278,9 +282,10 @@
     if len(asked.runs) < len(seconds):
         return "not all begun"
     begun = [(run.at - asked.came, seconds[run.task], run.pace) for run in asked.runs]
-    if all(at + work * pace <= USABLE_S for at, work, pace in begun):
+    usable_s = asked.drawn.usable_s
+    if all(at + work * pace <= usable_s for at, work, pace in begun):
         return "in time where it was"
-    if all(at + work <= USABLE_S for at, work, _ in begun):
+    if all(at + work <= usable_s for at, work, _ in begun):
         return "slow upstream"
     return "late start"
 
--- a/jackdawspur/bench/tests/test_largest_jobs.py
+++ b/jackdawspur/bench/tests/test_largest_jobs.py
@@ -11,7 +11,10 @@
 
 
 # Guards against losing the largest jobs that a usual upstream ends in time.
-@pytest.mark.parametrize("name", ["room for all", "room for all, kinds named"])
+@pytest.mark.parametrize(
+    "name",
+    ["room for all", "room for all, kinds named", "room for all, waits stated"],
+)
 def test_the_largest_jobs_that_can_be_served_are_served_where_there_is_room(name):
     (scenario,) = [one for one in SCENARIOS if one.name == name]
     told = servable(largest_of([play(scenario, seed, SHORT_S) for seed in SEEDS]))
--- a/jackdawspur/bench/zones.py
+++ b/jackdawspur/bench/zones.py
@@ -46,13 +46,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ZonesScenario:
-    """Name what happens in how many zones of what load."""
+    """Name what happens in how many zones of what load.
+
+    With `states_waits` callers say how long they wait, which is longer for long jobs.
+    """
 
     name: str
     zones: int = 1
     kinds: Sequence[JobKind] = ROOMY
     pass_s: float = PASS_S
     happen: Callable[[ZonesSimulation], None] = lambda _simulation: None
+    states_waits: bool = False
 
 
 def _name_kinds(simulation: ZonesSimulation) -> None:
@@ -105,13 +109,22 @@
     ZonesScenario("three zones, one in a burst", 3, USUAL, happen=_burst_beside_room),
     ZonesScenario("three zones, one full", 3, USUAL, happen=_full),
     ZonesScenario("two zones, one full", 2, USUAL, happen=_full),
+    ZonesScenario("room for all, waits stated", states_waits=True),
+    ZonesScenario(
+        "two zones, one full, waits stated", 2, USUAL, happen=_full, states_waits=True
+    ),
 )
 
 
 def play(scenario: ZonesScenario, seed: int, seconds: float = SECONDS) -> ZonesResult:
     """Play a scenario with one seed."""
     simulation = ZonesSimulation(
-        scenario.kinds, scenario.zones, UPSTREAMS, scenario.pass_s, seed
+        scenario.kinds,
+        scenario.zones,
+        UPSTREAMS,
+        scenario.pass_s,
+        seed,
+        scenario.states_waits,
     )
     scenario.happen(simulation)
     return simulation.run(seconds)
--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -25,11 +25,11 @@
     "long waits in one group": (("z1", "z2", "z3"), 2, 3, 64),
     "long waits at the limit": (("z1", "z2", "z3"), 2, 3, 9),
 }
-# In these layouts more kinds of faults are drawn; the seeds of the others keep theirs.
-STUTTERING = "stuttering hosts"
-# In these callers state how long they wait, longer than the route's time-out, and some
-# jobs take longer than it.
+# In these layouts callers state how long they wait, longer than the route's time-out,
+# and some jobs take longer than it.
 WAITING = ("long waits", "long waits in one group", "long waits at the limit")
+# In this one more kinds of faults are drawn; the seeds of the others keep theirs.
+STUTTERING = "stuttering hosts"
 # In these still more, and callers ask again in other zones too.
 ROAMING = (
     "roaming callers",
