--- a/jackdawspur/bench/_drawn.py
+++ b/jackdawspur/bench/_drawn.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from jackdawspur.bench._front_simulation import JobKind
+from jackdawspur.bench._front_simulation import STATED_OBJECTIVES, JobKind
 from jackdawspur.bench._front_upstream import Work
 from jackdawspur.leases import Resources
 from jackdawspur.runs import JobRequest, JobStep, Route
@@ -23,8 +23,6 @@
 # Callers wait so long; of that their requests and answers are on the way to a host and
 # back, and calls to an upstream there and back.
 LIMIT_S = 1.548
-# Those that state how long do so for this many times their objective more.
-STATED_OBJECTIVES = 3.0
 STRETCH, MARGIN_MS = 1.6, 60.0
 CALLER_WAY_S = 0.006
 CALL_S = 0.001
--- a/jackdawspur/bench/_front_simulation.py
+++ b/jackdawspur/bench/_front_simulation.py
@@ -27,7 +27,14 @@
     StopRun,
 )
 
-__all__ = ["PATIENCE_S", "FrontResult", "FrontSimulation", "JobKind", "Policy"]
+__all__ = [
+    "PATIENCE_S",
+    "STATED_OBJECTIVES",
+    "FrontResult",
+    "FrontSimulation",
+    "JobKind",
+    "Policy",
+]
 
 TICK_S = 0.025
 CALL_S = 0.001
