Bound a group by what its leading host's processor and link carry

Cause: how many upstreams one host leads was a constant, 64, whatever its limits.

Change: the settings read `link_mbps` besides `processor`, as stated by the platform. A host leads several zones only up to half of what the scarcer of both carries, at 0.0065 of a core and 0.1 Mbit/s an upstream. `host started` logs the limits, which are assumed, and the result.

Not done: several groups within a zone that one host doesn't carry.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -27,6 +27,7 @@
     GroupMessage,
     HostAddress,
     HostBeat,
+    HostLimits,
     JobAnswered,
     JobDropped,
     JobOffered,
@@ -90,12 +91,14 @@
         self._read_settings = read_settings
         self._reload_asked = False
         now = now_s()
-        self.address = _address(settings)
+        limits = HostLimits(settings.processor, settings.link_mbps)
+        self.address = _address(settings, limits)
         self.routes: RouteTable = NO_ROUTES
         self.gauges = Gauges()
         self._deadlines = Deadlines(now_s).register(self)
         self._ports = make_ports(self, self._deadlines)
-        self.group = Group(self.address, now, settings.most_upstreams)
+        most_upstreams = min(settings.most_upstreams, limits.upstreams)
+        self.group = Group(self.address, now, most_upstreams)
         self.views = StoreView(self)
         self.mesh = Mesh(settings.link, poller, self._on_message).register(self)
         self.lead = LeadDriver(self, self._ports.upstreams, now)
@@ -112,7 +115,8 @@
         self._drain_from: float | None = None
         self._exiting = False
         self._deadlines.call_after(0.0, self._begin)
-        log.info("host started", extra={"host": settings.name, "zone": settings.zone})
+        place = {"host": settings.name, "zone": settings.zone}
+        log.info("host started", extra={**place, **limits.log_fields()})
 
     def _open_web(self, settings: HostSettings) -> None:
         self._web = WebServer(settings.callers, self.callers, "callers").register(self)
@@ -380,9 +384,7 @@
         self.root.stop()
 
 
-def _address(settings: HostSettings) -> HostAddress:
+def _address(settings: HostSettings, limits: HostLimits) -> HostAddress:
     """Return what other hosts learn of this one, and of this run of it."""
     link = settings.announced or settings.link
-    return HostAddress(
-        settings.name, settings.zone, link, unix_ms(), settings.processor
-    )
+    return HostAddress(settings.name, settings.zone, link, unix_ms(), limits.cores)
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -79,6 +79,8 @@
         self.evacuated: set[str] = set()
         # How many upstreams of the list a host reads, where these are not all.
         self.shown: dict[str, int] = {}
+        # What a host's settings state besides, by name.
+        self.stated: dict[str, dict[str, float]] = {}
         self.silent_links: set[tuple[str, str]] = set()
         self.cut: set[frozenset[str]] = set()
         self.waiting: list = []
@@ -124,9 +126,8 @@
         places = ("callers", "ready", "link", "store")
         values = {place: f"127.0.0.1:{port}" for place in places}
         values |= {"name": name, "zone": zone, "metrics": None}
-        settings = check_host_settings(
-            {**values, "most_upstreams": self._most_upstreams}, "test"
-        )
+        values |= {"most_upstreams": self._most_upstreams, **self.stated.get(name, {})}
+        settings = check_host_settings(values, "test")
         life = self._starting = self.lives[name] = self.life_type(name)
         parts = Ports(Callers(self), Upstreams(self, life), Store(self, life))
         process = FrontProcess(settings, None, lambda *_: parts, lambda: settings)
--- a/jackdawspur/group/__init__.py
+++ b/jackdawspur/group/__init__.py
@@ -1,5 +1,6 @@
 """The group of hosts that work under one leading host."""
 
+from jackdawspur.group._carried import HostLimits
 from jackdawspur.group._group import (
     BEAT_S,
     FOLLOWER_SILENCE_S,
@@ -33,6 +34,7 @@
     "GroupMessage",
     "HostAddress",
     "HostBeat",
+    "HostLimits",
     "JobAnswered",
     "JobDropped",
     "JobOffered",
--- a/jackdawspur/platform/_settings.py
+++ b/jackdawspur/platform/_settings.py
@@ -41,6 +41,7 @@
         "store": fields.get("platform.address"),
         "grace_s": fields.get("bounds.grace_s"),
         "processor": _processor(fields),
+        "link_mbps": fields.get("limits.link_mbps"),
     }
     given = {name: value for name, value in data.items() if value}
     return check_host_settings(given, path, shown=_FIELD_OF, text=True)
@@ -56,6 +57,7 @@
     "store": "platform.address",
     "grace_s": "bounds.grace_s",
     "processor": "limits.cpu_share or limits.cores",
+    "link_mbps": "limits.link_mbps",
 }
 
 
--- a/jackdawspur/platform/tests/test_settings.py
+++ b/jackdawspur/platform/tests/test_settings.py
@@ -28,6 +28,13 @@
     assert settings.name == "front-a-1"
     assert settings.link == "127.0.0.1:7720"
     assert settings.grace_s == 6.0
+    assert (settings.processor, settings.link_mbps) == (None, None)
+
+
+def test_limits_of_the_host_are_read(tmp_path):
+    limits = "limits.cpu_share=0.5\nlimits.cores=3\nlimits.link_mbps=12.5\n"
+    settings = read_platform_settings(written(tmp_path, GOOD + limits))
+    assert (settings.processor, settings.link_mbps) == (1.5, 12.5)
 
 
 @pytest.mark.parametrize(
@@ -37,6 +44,8 @@
         ("listen.front=127.0.0.1:8161", "listen.front=nowhere", "listen.front"),
         ("bounds.grace_s=6", "bounds.grace_s=soon", "bounds.grace_s"),
         ("port_range=7720,7735", "port_range=", "port_range"),
+        ("unknown.field", "limits.link_mbps", "limits.link_mbps"),
+        ("unknown.field", "limits.cpu_share", "limits.cpu_share or limits.cores"),
     ],
 )
 def test_a_wrong_value_is_named_by_the_platforms_field(tmp_path, old, new, field):
--- a/jackdawspur/settings/_host.py
+++ b/jackdawspur/settings/_host.py
@@ -25,8 +25,9 @@
 
     `announced` is where other hosts reach the link, if not where it listens.
     `grace_s` is how long after SIGTERM the platform kills, in seconds. `processor` is
-    the host's share of one, in cores: hosts with more of it lead first. Where there are
-    more than `most_upstreams`, each zone has a leading host of its own.
+    the host's share of one, in cores: hosts with more of it lead first. `link_mbps` is
+    what its link carries each way, in Mbit/s. Where there are more than
+    `most_upstreams`, or than the leading host carries, each zone has one of its own.
     """
 
     name: Name
@@ -37,7 +38,8 @@
     metrics: str | None
     store: str
     announced: str | None = None
-    processor: Annotated[float, msgspec.Meta(gt=0, le=1024)] = 1.0
+    processor: Annotated[float, msgspec.Meta(gt=0, le=1024)] | None = None
+    link_mbps: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)] | None = None
     most_upstreams: Annotated[int, msgspec.Meta(ge=1)] = 64
     grace_s: Annotated[float, msgspec.Meta(gt=0, le=600)] = 6.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
--- a/jackdawspur/settings/tests/test_host.py
+++ b/jackdawspur/settings/tests/test_host.py
@@ -36,6 +36,13 @@
     assert (settings.grace_s, settings.most_upstreams) == (6.0, 64)
 
 
+def test_limits_of_a_host_may_be_left_out(written):
+    settings = load_host_settings(written())
+    assert (settings.processor, settings.link_mbps) == (None, None)
+    settings = load_host_settings(written(processor=0.5, link_mbps=12.5))
+    assert (settings.processor, settings.link_mbps) == (0.5, 12.5)
+
+
 def test_a_host_may_be_reached_elsewhere_than_it_listens(written):
     assert load_host_settings(written()).announced is None
     settings = load_host_settings(written(announced="127.0.0.2:3"))
@@ -62,6 +69,11 @@
         ({"grace_s": "6"}, "grace_s: "),
         ({"grace_s": 0}, "grace_s: "),
         ({"most_upstreams": 1.5}, "most_upstreams: "),
+        ({"processor": 0}, "processor: "),
+        ({"processor": "2"}, "processor: "),
+        ({"link_mbps": 0}, "link_mbps: "),
+        ({"link_mbps": -1.0}, "link_mbps: "),
+        ({"link_mbps": 1e9}, "link_mbps: "),
         ({"log_level": "LOUD"}, "log_level: "),
         ({"graces": 6}, "graces: unknown field"),
     ],
