Hand the lead to a host that carries more

Cause: who leads is chosen by rank among the hosts heard at that moment, and nothing ever moved the lead back.

Change: a leading host gives up in a planned way, as at SIGTERM, when the host that is chosen next has half as much processor again, is settled, follows it and has a fresh list; not within 5 s of the last change, twice as long each further time to the same host, and never while the store or a zone is away or upstreams are contested. The leadership line names the host. What is contested moved to a module of its own, unchanged.

--- a/jackdawspur/front/_lead.py
+++ b/jackdawspur/front/_lead.py
@@ -109,6 +109,7 @@
                 "leads": group.leads,
                 "fence": group.fence,
                 "leader": group.leader(now),
+                "handed_to": group.handed_to,
             },
         )
         if group.leads:
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -255,6 +255,7 @@
             self._reload_asked = False
             self._settings = reloaded(self._settings, self._read_settings)
         self.group.slow = self.late_s > SLOW_LATE_S
+        self.group.store_reached = self.views.reachable
         self.mesh.set_peers(self._heartbeats.peers(now))
         self._follow_leader(now)
         self.callers.tick(now)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -3,17 +3,14 @@
 import math
 
 from jackdawspur.group._candidates import is_fit, rank
+from jackdawspur.group._contest import Contest
 from jackdawspur.group._extent import MOST_UPSTREAMS, Extent
+from jackdawspur.group._handing_over import HandOver
 from jackdawspur.group._messages import HostAddress, HostBeat
 from jackdawspur.group._terms import Term, precedence
 from jackdawspur.leases import FENCE_STEP, Fence, fence_at
 
-__all__ = [
-    "BEAT_S",
-    "FOLLOWER_SILENCE_S",
-    "SILENCE_S",
-    "Group",
-]
+__all__ = ["BEAT_S", "FOLLOWER_SILENCE_S", "SILENCE_S", "Group"]
 
 BEAT_S = 0.1
 # Four heartbeats: a host whose share of the processor is used up stands still for up
@@ -38,11 +35,6 @@
 FIRST_VACANT_S = 0.25
 # As long passes at least from when a host has read the store, which may answer late.
 MEET_S = 0.2
-# Upstreams that obey an unknown fence again within this time show another host that
-# leads; the smaller side then waits, first and at most for these times.
-CONTEST_MEMORY_S = 20.0
-FIRST_YIELD_S = 3.0
-MOST_YIELD_S = 24.0
 # A heartbeat may have waited for this long before it was read: whoever stood still for
 # longer leads no more.
 READ_MARGIN_S = 0.4
@@ -72,19 +64,25 @@
         self._highest: Fence = 0
         self._followed: Fence = 0
         self._extent = Extent(most_upstreams)
-        self._contested_at = now - CONTEST_MEMORY_S
-        self._yields = 0
-        self._yield_until = now
+        self._contest = Contest(now)
+        self._hand_over = HandOver(own)
         self.fence: Fence = 0
         self.leads = False
         self.draining = False
         self.slow = False
+        # Whether the platform's store is within reach.
+        self.store_reached = False
 
     @property
     def by_zone(self) -> bool:
         """Tell whether the group is the own zone alone."""
         return self._extent.by_zone
 
+    @property
+    def handed_to(self) -> str:
+        """Return which stronger host was last given the lead since this one had it."""
+        return self._hand_over.given_to
+
     @property
     def too_large(self) -> bool:
         """Tell whether by the own list there are too many upstreams for one group."""
@@ -196,8 +194,7 @@
         learned = [self.learn(host) for host in (beat.host, *beat.knows)]
         fresh = last is None or not self.alive(beat.host.name, now)
         if fresh and self.includes(beat):
-            self._yields = 0
-            self._yield_until = now
+            self._contest.heard_anew(now)
         self._beats[beat.host.name] = beat
         self._heard[beat.host.name] = self._beat_heard[beat.host.name] = now
         self._highest = max(self._highest, beat.fence)
@@ -306,7 +303,7 @@
         self._choose_zones(now)
         leader = self.leader(now)
         if self.leads:
-            return self._give_up(leader, now)
+            return self._give_up(leader, unix_ms, now)
         if leader is not None:
             self._vacant_since = now
             self._followed = self.term(now).fence
@@ -316,12 +313,12 @@
             # late, all at one moment, would otherwise all lead before they met.
             self._vacant_since = max(self._vacant_since, now + MEET_S - VACANT_S)
             return False
-        if now < self._yield_until or self._leaves_it_to_others(now):
+        if self._contest.waits(now) or self._leaves_it_to_others(now):
             return False
         vacant = now - self._vacant_since >= VACANT_S
         if not vacant or not self._is_first(unix_ms, now):
             return False
-        self._lead(unix_ms)
+        self._lead(unix_ms, now)
         return True
 
     def _leaves_it_to_others(self, now: float) -> bool:
@@ -338,7 +335,7 @@
     @property
     def yielding(self) -> bool:
         """Tell whether this host leaves the lead to one that it can't hear."""
-        return self._yields > 0
+        return self._contest.yielding
 
     def claim(self, fenced_s: float, unix_ms: float, now: float) -> bool:
         """Contest upstreams that have obeyed an unknown fence; tell whether it did."""
@@ -355,16 +352,12 @@
         other and stop each other's work in turn, so the smaller side leaves off, for
         longer each time.
         """
-        again = now - self._contested_at < CONTEST_MEMORY_S
-        self._contested_at = now
-        if again and self._is_smaller_side(now):
+        if self._contest.note(now) and self._is_smaller_side(now):
             self.leads = False
-            self._yields += 1
-            pause_s = min(MOST_YIELD_S, FIRST_YIELD_S * 2 ** (self._yields - 1))
-            self._yield_until = now + pause_s
+            self._contest.leave(now)
             return
         self._highest = max(self._highest, self.fence + CLAIM_STEPS * FENCE_STEP)
-        self._lead(unix_ms)
+        self._lead(unix_ms, now)
 
     def _is_smaller_side(self, now: float) -> bool:
         present = {self._own.name, *(b.host.name for b in self.live_beats(now))}
@@ -373,22 +366,31 @@
             return min(every) not in present
         return 2 * len(present) < len(every)
 
-    def _lead(self, unix_ms: float) -> None:
+    def _lead(self, unix_ms: float, now: float) -> None:
         self.leads = True
+        self._hand_over.lead_began(now)
         self.fence = fence_at(unix_ms, self._own.name, self._highest)
         self._highest = self._followed = self.fence
 
-    def _give_up(self, leader: str | None, now: float) -> bool:
+    def _give_up(self, leader: str | None, unix_ms: float, now: float) -> bool:
         outranked = leader != self._own.name
-        unfit = self.draining or self.slow
-        if not outranked and not (unfit and self._others_fit(now)):
+        unfit = (self.draining or self.slow) and any(map(is_fit, self.live_beats(now)))
+        if not (outranked or unfit or self._hands_over(unix_ms, now)):
             return False
         self.leads = False
         self._vacant_since = now
         return True
 
-    def _others_fit(self, now: float) -> bool:
-        return any(is_fit(beat) for beat in self.live_beats(now))
+    def _hands_over(self, unix_ms: float, now: float) -> bool:
+        """Tell whether a host that carries more is to lead, and nothing is away."""
+        calm = self.store_reached and not self._contest.recent(now)
+        if not calm or self._misses_zone(now):
+            return False
+        return self._hand_over.is_due(self.live_beats(now), self.fence, unix_ms, now)
+
+    def _misses_zone(self, now: float) -> bool:
+        heard = {beat.host.zone for beat in self.present_beats(now)}
+        return not {host.zone for host in self.known} <= heard | {self._own.zone}
 
     def _is_first(self, unix_ms: float, now: float) -> bool:
         fit = [beat.host for beat in self.live_beats(now) if is_fit(beat)]
