--- /dev/null
+++ b/jackdawspur/cli/tests/test_start.py
@@ -0,0 +1,42 @@
+"""A host's start imports what it serves with, and no more."""
+
+import os
+import subprocess
+import sys
+import sysconfig
+from pathlib import Path
+
+import jackdawspur
+
+IMPORTS = """
+import sys
+import jackdawspur.__main__, jackdawspur.cli._front
+from jackdawspur.front import run_front
+from jackdawspur.platform import PlatformCallers, PlatformStore, PlatformUpstreams
+print("\\n".join(sys.modules))
+"""
+# What a host on the customers' platform never calls.
+UNUSED = {
+    "jackdawspur.dispatch",
+    "jackdawspur.entry",
+    "jackdawspur.scheduling._admission",
+    "jackdawspur.scheduling._queue",
+    "jackdawspur.standins",
+    "pydantic",
+    "site",
+}
+
+
+def test_a_host_starts_without_site_packages_and_unused_modules():
+    # Guards against a zone that lost power waiting longer for its hosts: their imports
+    # are most of what they do until they serve.
+    root = Path(jackdawspur.__file__).parent.parent
+    places = (str(root), sysconfig.get_path("purelib"))
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", IMPORTS],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(places)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert UNUSED.isdisjoint(done.stdout.split())
--- a/jackdawspur/scheduling/__init__.py
+++ b/jackdawspur/scheduling/__init__.py
@@ -1,36 +1,25 @@
 """The order of jobs and tasks, learned run times and admission."""
 
-from jackdawspur.scheduling._admission import (
-    Admission,
-    Admit,
-    LocalLoad,
-    Refuse,
-    UpstreamSizes,
-    Verdict,
-    expected_wait_ms,
-    never_fits,
-)
-from jackdawspur.scheduling._elsewhere import Elsewhere, HostLoad, Move
-from jackdawspur.scheduling._job import NextTask, QueuedJob, Reservation
-from jackdawspur.scheduling._queue import JobQueue
-from jackdawspur.scheduling._run_times import Moments, RunTimes
+import lazy_loader
 
-__all__ = [
-    "Admission",
-    "Admit",
-    "Elsewhere",
-    "HostLoad",
-    "JobQueue",
-    "Moments",
-    "LocalLoad",
-    "Move",
-    "NextTask",
-    "QueuedJob",
-    "Refuse",
-    "Reservation",
-    "RunTimes",
-    "UpstreamSizes",
-    "Verdict",
-    "expected_wait_ms",
-    "never_fits",
-]
+# A host on the customers' platform uses the learned run times alone, and the rest would
+# only make its start longer.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "_admission": [
+            "Admission",
+            "Admit",
+            "LocalLoad",
+            "Refuse",
+            "UpstreamSizes",
+            "Verdict",
+            "expected_wait_ms",
+            "never_fits",
+        ],
+        "_elsewhere": ["Elsewhere", "HostLoad", "Move"],
+        "_job": ["NextTask", "QueuedJob", "Reservation"],
+        "_queue": ["JobQueue"],
+        "_run_times": ["Moments", "RunTimes"],
+    },
+)
