Draw faults on hosts of unlike processors

The lead goes back to the strongest host soon after each change, so that hand-overs fall among kills, cuts, freezes and drained hosts.

--- a/jackdawspur/front/tests/drawn.py
+++ b/jackdawspur/front/tests/drawn.py
@@ -7,6 +7,7 @@
 from jackdawspur.front.tests.faulty_parts import Caller
 from jackdawspur.front.tests.findings import Finding, find
 from jackdawspur.front.tests.more_faults import MORE_STILL
+from jackdawspur.group import _handing_over
 
 __all__ = ["LAYOUTS", "Play", "play"]
 
@@ -24,10 +25,16 @@
     "long waits": (("z1", "z2"), 2, 4, 2),
     "long waits in one group": (("z1", "z2", "z3"), 2, 3, 64),
     "long waits at the limit": (("z1", "z2", "z3"), 2, 3, 9),
+    "unlike hosts": (("z1", "z2"), 3, 4, 2),
+    "unlike hosts in one group": (("z1", "z2", "z3"), 2, 3, 64),
 }
 # In these layouts callers state how long they wait, longer than the route's time-out,
 # and some jobs take longer than it.
 WAITING = ("long waits", "long waits in one group", "long waits at the limit")
+# In these the lead goes back to the strongest hosts soon after each change.
+UNLIKE = ("unlike hosts", "unlike hosts in one group")
+UNLIKE_KEPT_S = 0.5
+UNLIKE_CORES = (0.5, 1.0, 2.0)
 # In this one more kinds of faults are drawn; the seeds of the others keep theirs.
 STUTTERING = "stuttering hosts"
 # In these still more, and callers ask again in other zones too.
@@ -37,6 +44,7 @@
     "three at the limit",
     "one host a zone",
     *WAITING,
+    *UNLIKE,
 )
 ROAMS = 0.7
 STARTED_S = 2.5
@@ -69,12 +77,17 @@
             self.world.roams = ROAMS
             self.world.timers_first = self.rng.random() < 0.5
         self.faults = []
+        if layout in UNLIKE:
+            monkeypatch.setattr(_handing_over, "KEPT_S", UNLIKE_KEPT_S)
         for zone in self.zones:
             self.world.add_upstreams(zone, upstreams)
         for number in range(hosts):
             for zone in self.zones:
                 self.world.run(self.rng.uniform(0.0, 0.05))
-                self.world.start(f"{zone}-h{number}", zone)
+                name = f"{zone}-h{number}"
+                if layout in UNLIKE:
+                    self.world.stated[name] = {"processor": UNLIKE_CORES[number]}
+                self.world.start(name, zone)
         self.world.run(STARTED_S)
         self.ends = self.world.now + FAULTS_S
 
