--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -11,7 +11,7 @@
         "_deadlines": ["Deadline", "Deadlines"],
         "_hostlist_http": ["HttpHostList"],
         "_http_client": ["HttpClient", "HttpLimits", "Replied"],
-        "_http_connection": ["HttpReply"],
+        "_reply_reader": ["HttpReply"],
         "_links": ["Links"],
         "_log_http": ["HttpLog", "LogTimeouts"],
         "_queues": ["Inbox", "Outbox"],
--- a/jackdawspur/adapters/_hostlist_http.py
+++ b/jackdawspur/adapters/_hostlist_http.py
@@ -6,8 +6,8 @@
 from result import Result
 
 from jackdawspur.adapters._http_client import HttpClient
-from jackdawspur.adapters._http_connection import HttpReply
 from jackdawspur.adapters._json_reply import MS, reading, success
+from jackdawspur.adapters._reply_reader import HttpReply
 from jackdawspur.external import HostList, ListedHost, PlatformError
 from jackdawspur.wire import HostsBody
 
--- a/jackdawspur/adapters/_http_connection.py
+++ b/jackdawspur/adapters/_http_connection.py
@@ -1,32 +1,17 @@
 """One kept-alive HTTP connection that carries one request at a time."""
 
 from contextlib import suppress
-from dataclasses import dataclass
 from errno import EINPROGRESS
 from socket import SHUT_RDWR, SO_ERROR, SOL_SOCKET, socket
 from typing import Protocol
 
-from circuits.web.parsers import HttpParser
-
 from jackdawspur.adapters._client_sockets import ClientSockets, SocketOwner
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
+from jackdawspur.adapters._reply_reader import HttpReply, ReplyReader, UnreadableReply
 
 __all__ = ["ConnectionOwner", "HttpConnection", "HttpReply"]
 
-MAX_REPLY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 65536
-RESPONSES_ONLY = 1
-END_OF_HEAD = b"\r\n\r\n"
-MAX_HEAD_BYTES = 65536
-FOREIGN = -1
-
-
-@dataclass(frozen=True, slots=True)
-class HttpReply:
-    """Carry one complete reply."""
-
-    status: int
-    body: bytes
 
 
 class ConnectionOwner(Protocol):
@@ -68,9 +53,7 @@
         self._left = False
         self._connecting = False
         self._connected = False
-        self._parser = HttpParser(RESPONSES_ONLY)
-        self._received = 0
-        self._head: bytes | None = b""
+        self._reader = ReplyReader()
 
     @property
     def connected(self) -> bool:
@@ -107,9 +90,7 @@
         """Send a request; the owner hears of the reply or of the loss."""
         self._in_flight = True
         self._left = False
-        self._received = 0
-        self._head = b""
-        self._parser = HttpParser(RESPONSES_ONLY)
+        self._reader = ReplyReader()
         self._write(request)
 
     def abandon(self) -> None:
@@ -163,29 +144,18 @@
         self._take(data)
 
     def _take(self, data: bytes) -> None:
-        self._received += len(data)
-        reply = self._parse(data)
+        try:
+            reply = self._reader.feed(data)
+        except UnreadableReply:
+            self._close()
+            return
         if reply is not None:
             # A connection that is to be closed stays busy, so nothing is sent on it.
-            reusable = self._parser.should_keep_alive()
+            reusable = self._reader.keeps_alive
             self._in_flight = not reusable
             self._owner.replied(self, reply)
             if not reusable:
                 self._close()
-        elif self._parser.errno is not None or self._received > MAX_REPLY_BYTES:
-            self._close()
-
-    def _parse(self, data: bytes) -> HttpReply | None:
-        # The parser never ends a first line whose CR and LF come in two reads: the
-        # reply would look lost. So it is fed only once the head is complete.
-        if self._head is not None:
-            self._head += data
-            if END_OF_HEAD not in self._head:
-                if len(self._head) > MAX_HEAD_BYTES:
-                    self._parser.errno = FOREIGN
-                return None
-            data, self._head = self._head, None
-        return _parse(self._parser, data)
 
     def _close(self) -> None:
         self._stop_connecting()
@@ -220,22 +190,3 @@
         self._sockets.ignore_writes(self._sock)
         self._sockets.watch_reads(self._sock)
         self._owner.connection_ready(self)
-
-
-def _parse(parser: HttpParser, data: bytes) -> HttpReply | None:
-    """Feed the parser; return a complete reply or None, with `errno` on nonsense."""
-    try:
-        parser.execute(data, len(data))
-    except Exception:
-        # On foreign bytes the parser raises whatever its regular expressions,
-        # decoders and sums run into; any of them means that this isn't HTTP.
-        parser.errno = FOREIGN
-        return None
-    if parser.errno is not None or not parser.is_message_complete():
-        return None
-    body = parser.recv_body()
-    if parser.get_headers().get("Content-Length", str(len(body))) != str(len(body)):
-        # More came than was declared, and the parser took all of it for the body.
-        parser.errno = FOREIGN
-        return None
-    return HttpReply(parser.get_status_code(), body)
--- a/jackdawspur/adapters/_json_reply.py
+++ b/jackdawspur/adapters/_json_reply.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from jackdawspur.adapters._http_connection import HttpReply
+from jackdawspur.adapters._reply_reader import HttpReply
 from jackdawspur.external import OutcomeUnknown, PlatformError
 from jackdawspur.model import InvalidId
 
--- a/jackdawspur/adapters/_log_http.py
+++ b/jackdawspur/adapters/_log_http.py
@@ -8,8 +8,8 @@
 from result import Result
 
 from jackdawspur.adapters._http_client import HttpClient
-from jackdawspur.adapters._http_connection import HttpReply
 from jackdawspur.adapters._json_reply import MS, reading, success
+from jackdawspur.adapters._reply_reader import HttpReply
 from jackdawspur.external import Log, LogRecord, LogTrimmed, PlatformError, Unavailable
 from jackdawspur.wire import AppendReply, ReadReply, TrimmedReply
 
