--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -17,18 +17,15 @@
 
 # A caller refused for want of a leading host may find one after this.
 RETRY_AFTER_S = 1.0
-# Answers to most jobs come sooner. Each repeat waits twice as long as the one before:
-# a leading host that can't keep up would get more offers the later it is.
+# Answers to most jobs come sooner; repeating an offer costs a message and nothing else.
 OFFER_AGAIN_S = 0.4
-MOST_DOUBLINGS = 2
 
 
 @dataclass(eq=False, slots=True)
 class OwnJob:
     """Keep one waiting caller; times in seconds of this host's clock.
 
-    `attempt` counts the offers of its job, to whomever, and `repeats` those to the
-    present term after the first.
+    `attempt` counts the offers of its job, to whomever.
     `far` is the term of another group that has the job since `far_since`: one that it
     was passed on to, or that this host belonged to when it offered the job.
     `all_zones` tells that some term that had the job covered all zones, and
@@ -47,7 +44,6 @@
     done: set[str] = field(default_factory=set)
     troubles: dict[str, TaskTrouble] = field(default_factory=dict)
     attempt: int = 0
-    repeats: int = 0
     far: Term | None = None
     far_since: float = 0.0
     all_zones: bool = False
@@ -60,12 +56,6 @@
         """Return what the leading host must know of the job's tasks."""
         return Progress(tuple(self.done), tuple(self.troubles.values()))
 
-    @property
-    def again_at(self) -> float:
-        """Return when to repeat the last offer, if no answer comes."""
-        doublings = min(self.repeats, MOST_DOUBLINGS)
-        return self.offered_at + OFFER_AGAIN_S * 2**doublings
-
     @property
     def passed_on(self) -> bool:
         """Tell whether the own group passed the job on to another."""
@@ -119,7 +109,8 @@
         return [
             job
             for job in self._by_call.values()
-            if job.far is None and (job.offered_to != term or now > job.again_at)
+            if job.far is None
+            and (job.offered_to != term or now - job.offered_at > OFFER_AGAIN_S)
         ]
 
     def note_reach(self, term: Term) -> None:
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -219,7 +219,6 @@
         for job in self._jobs.to_offer(term, now):
             if job.offered_to not in (None, term):
                 self._hand_over(job, term)
-            job.repeats = job.repeats + 1 if job.offered_to == term else 0
             job.offered_to = term
             job.all_zones |= not term.by_zone
             job.highest = max(job.highest, term.fence)
--- a/jackdawspur/front/tests/test_callers_waits.py
+++ b/jackdawspur/front/tests/test_callers_waits.py
@@ -8,6 +8,7 @@
 
 ROUTE_S = ROUTE.timeout_ms / 1000.0
 LONG_S = 1.6
+LONGEST_S = 5.0
 STATED_S = (2.2, 5.1, 11.4)
 
 
@@ -31,6 +32,15 @@
     assert world.tally.two_at_once == 0
 
 
+# Guards against a long job dropped and begun anew because its host seemed to have
+# forgotten it.
+def test_a_job_of_many_seconds_runs_once_through(world: World):
+    sent = [world.submit(name, LONGEST_S, 1, 11.4) for name in world.lives]
+    world.run(11.4)
+    assert [asked.reply.status for asked in sent] == [200, 200]
+    assert all(asked.answered_at - asked.sent_at < 1.1 * LONGEST_S for asked in sent)
+
+
 # Guards against holding jobs whose callers have gone.
 @pytest.mark.parametrize(("states_s", "ends_s"), [(0.7, 0.7), (None, ROUTE_S)])
 def test_a_job_ends_when_its_caller_waits_no_longer(world: World, states_s, ends_s):
