Keep short heads of replies only; list other groups' hosts once a pass

Heads of up to 64 KB were kept, 1,024 of them, so foreign upstreams could fill a host's memory; and a host that follows built a list of outsiders that it does not dial, 40 times a second.

Change: heads of up to 1 KB are kept, longer ones parsed each time, with a test; the list is built once, and only where it is used. No change of what is decided.

--- a/jackdawspur/adapters/_reply_reader.py
+++ b/jackdawspur/adapters/_reply_reader.py
@@ -16,6 +16,7 @@
 # Upstreams' heads differ by little more than the length of the body, and parsing one
 # takes a tenth of what the leading host's processor does.
 HEADS_KEPT = 1024
+KEPT_HEAD_BYTES = 1024
 
 
 class UnreadableReply(JackdawspurError):
@@ -83,7 +84,9 @@
                 raise UnreadableReply("its head has no end")
             return False
         self._body_at = end + len(END_OF_HEAD)
-        self._head = _read_head(bytes(self._data[: self._body_at]))
+        short = self._body_at <= KEPT_HEAD_BYTES
+        read = _read_known_head if short else _read_head
+        self._head = read(bytes(self._data[: self._body_at]))
         return True
 
     def _read_body(self) -> HttpReply | None:
@@ -95,7 +98,6 @@
         return HttpReply(self._head.status, bytes(self._data[self._body_at :]))
 
 
-@lru_cache(maxsize=HEADS_KEPT)
 def _read_head(head: bytes) -> _Head:
     parser = HttpParser(RESPONSES_ONLY)
     _execute(parser, head)
@@ -103,6 +105,9 @@
     return _Head(parser.get_status_code(), length, parser.should_keep_alive())
 
 
+_read_known_head = lru_cache(maxsize=HEADS_KEPT)(_read_head)
+
+
 def _length(parser: HttpParser) -> int | None:
     headers = parser.get_headers()
     text = headers.get("Content-Length", "")
--- a/jackdawspur/adapters/tests/test_reply_reader.py
+++ b/jackdawspur/adapters/tests/test_reply_reader.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from jackdawspur.adapters._reply_reader import HttpReply, ReplyReader, UnreadableReply
+from jackdawspur.adapters._reply_reader import (
+    KEPT_HEAD_BYTES,
+    HttpReply,
+    ReplyReader,
+    UnreadableReply,
+    _read_known_head,
+)
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 BODY = b'{"clock_ms":482113}'
@@ -33,6 +39,14 @@
     assert read(CHUNKED) == HttpReply(200, BODY)
 
 
+def test_long_heads_are_not_kept():
+    # Guards against a host whose memory foreign heads fill.
+    kept = _read_known_head.cache_info().currsize
+    padding = b"X-Padding: " + b"x" * KEPT_HEAD_BYTES + b"\r\n\r\n"
+    assert read(WHOLE.replace(b"\r\n\r\n", b"\r\n" + padding)).body == BODY
+    assert _read_known_head.cache_info().currsize == kept
+
+
 def test_a_connection_that_is_to_be_closed_is_not_kept():
     reader = ReplyReader()
     reader.feed(WHOLE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -63,9 +63,12 @@
         group = self._owner.group
         leads = {beat.host.name for beat in group.other_leads(now)}
         leads |= self._owner.callers.far_leaders()
-        leading = tuple(h for h in group.outsiders if h.name in leads)
-        others = tuple(h for h in group.outsiders if h.name not in leads)
-        return group.known + leading + (others if group.leads else ())
+        outsiders = group.outsiders
+        leading = tuple(host for host in outsiders if host.name in leads)
+        if not group.leads:
+            return group.known + leading
+        others = tuple(host for host in outsiders if host.name not in leads)
+        return group.known + leading + others
 
     def send(self, now: float, to_all: bool = False) -> None:
         """Send what is due to each host, `to_all` when the leading host has changed."""
