--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -11,6 +11,7 @@
     UNHEARD_S,
     VACANT_S,
 )
+from jackdawspur.group.tests.beats import beat_of
 
 UNIX_MS = 1_800_000_000_000
 # Links over which a cut healed stand again half a second later.
@@ -32,21 +33,7 @@
         self.cut: set[frozenset[str]] = set()
 
     def beat(self, name: str) -> HostBeat:
-        group = self.groups[name]
-        term = group.term(self.now)
-        return HostBeat(
-            host=address(name),
-            sent_at=self.now,
-            leads=group.leads,
-            fence=group.fence if group.leads else 0,
-            ready=True,
-            draining=group.draining,
-            slow=group.slow,
-            configuration=1,
-            upstreams_age_s=0.0,
-            knows=(),
-            follows=term.fence if term else 0,
-        )
+        return beat_of(self.groups[name], address(name), self.now)
 
     def advance(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.05)):
--- a/jackdawspur/group/tests/test_handing_over.py
+++ b/jackdawspur/group/tests/test_handing_over.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from jackdawspur.group import Group, HostAddress, HostBeat
+from jackdawspur.group import Group, HostAddress
 from jackdawspur.group._group import FIRST_VACANT_S
 from jackdawspur.group._handing_over import KEPT_S
+from jackdawspur.group.tests.beats import beat_of
 
 UNIX_MS = 1_800_000_000_000.0
 STEP_S = 0.05
@@ -37,7 +38,10 @@
         """Let time pass."""
         for _ in range(round(seconds / STEP_S)):
             self.now += STEP_S
-            beats = {name: self._beat(name) for name in self.groups}
+            beats = {
+                name: beat_of(group, self.addresses[name], self.now)
+                for name, group in self.groups.items()
+            }
             for name, group in self.groups.items():
                 for other in beats.keys() - {name}:
                     group.heard(beats[other], self.now)
@@ -56,23 +60,6 @@
         """Return the hosts that lead."""
         return [name for name, group in self.groups.items() if group.leads]
 
-    def _beat(self, name: str) -> HostBeat:
-        group = self.groups[name]
-        term = group.term(self.now)
-        return HostBeat(
-            host=self.addresses[name],
-            sent_at=self.now,
-            leads=group.leads,
-            fence=group.fence if group.leads else 0,
-            ready=True,
-            draining=group.draining,
-            slow=group.slow,
-            configuration=1,
-            upstreams_age_s=0.0,
-            knows=(),
-            follows=term.fence if term else 0,
-        )
-
 
 @pytest.fixture
 def zone() -> Zone:
