--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -62,6 +62,7 @@
         folder: Path,
         zone: str = "z1",
         most_upstreams: int = 64,
+        processor: float = 1.0,
     ) -> None:
         callers, ready, link, announced, metrics, passage = ports.take(6)
         self.name = name
@@ -75,6 +76,7 @@
             "name": name,
             "zone": zone,
             "most_upstreams": most_upstreams,
+            "processor": processor,
             "callers": f"127.0.0.1:{callers}",
             "ready": f"127.0.0.1:{ready}",
             "link": f"127.0.0.1:{link}",
@@ -126,6 +128,7 @@
         workers: int = 4,
         zones: tuple[str, ...] = ("z1",),
         most_upstreams: int = 64,
+        processors: tuple[float, ...] = (1.0,),
     ) -> None:
         self._ports = PortBlock()
         store, *ports = self._ports.take(2 * workers + 1)
@@ -149,9 +152,14 @@
         self._next_job = 0x1000
         try:
             for number in range(hosts):
-                zone = zones[number % len(zones)]
                 host = Host(
-                    f"h{number}", store, self._ports, folder, zone, most_upstreams
+                    f"h{number}",
+                    store,
+                    self._ports,
+                    folder,
+                    zones[number % len(zones)],
+                    most_upstreams,
+                    processors[number % len(processors)],
                 )
                 self.hosts.append(host)
             wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
--- a/jackdawspur/soak/_plan.py
+++ b/jackdawspur/soak/_plan.py
@@ -42,18 +42,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Layout:
-    """Say how the hosts and workers of a deployment are dealt out."""
+    """Say how the hosts and workers of a deployment are dealt out.
+
+    `processors` are what the hosts state in turn, in cores.
+    """
 
     name: str
     zones: tuple[str, ...]
     most_upstreams: int
     crosses_limit: bool = False
+    processors: tuple[float, ...] = (1.0,)
 
 
 # For six workers: with one group, with two that stay so, and with two that become one
 # when three workers are off the list, and two again when they are back.
 LAYOUTS = (
-    Layout("one group", ("z1",), 64),
+    Layout("one group", ("z1",), 64, processors=(1.0, 1.0, 1.0, 2.0)),
     Layout("two groups", ("z1", "z2"), 2),
     Layout("about the limit", ("z1", "z2"), 4, crosses_limit=True),
 )
--- a/jackdawspur/soak/_soak.py
+++ b/jackdawspur/soak/_soak.py
@@ -57,7 +57,14 @@
     """Run a deployment under the faults of a seed and check all that came of it."""
     plan = plan_faults(seed, seconds, HOSTS * WORKERS)
     layout = layout_of(seed)
-    deployment = Deployment(folder, HOSTS, WORKERS, layout.zones, layout.most_upstreams)
+    deployment = Deployment(
+        folder,
+        HOSTS,
+        WORKERS,
+        layout.zones,
+        layout.most_upstreams,
+        layout.processors,
+    )
     try:
         faults = Strikes(deployment)
         opened = _load(deployment, faults, plan, seed, seconds)
