--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -131,30 +131,14 @@
         processors: tuple[float, ...] = (1.0,),
     ) -> None:
         self._ports = PortBlock()
-        store, *ports = self._ports.take(2 * workers + 1)
-        self._store_port = store
-        listening, announced = ports[:workers], ports[workers:]
-        self.to_workers = [
-            Proxy(*pair) for pair in zip(announced, listening, strict=True)
-        ]
-        settings = {
-            "store": f"127.0.0.1:{store}",
-            "workers": [f"127.0.0.1:{port}" for port in listening],
-            "announced": [f"127.0.0.1:{port}" for port in announced],
-            "zones": list(zones),
-            "configuration": {"version": 3, "routes": [PLATFORM_ROUTE]},
-        }
-        file = folder / "platform.json"
-        file.write_text(json.dumps(settings))
-        words = ["standin", f"--settings={file}", "platform"]
-        self._platform = _run(words, folder / "platform.log")
+        self._start_platform(folder, workers, zones)
         self.hosts: list[Host] = []
         self._next_job = 0x1000
         try:
             for number in range(hosts):
                 host = Host(
                     f"h{number}",
-                    store,
+                    self._store_port,
                     self._ports,
                     folder,
                     zones[number % len(zones)],
@@ -167,6 +151,27 @@
             self.close()
             raise
 
+    def _start_platform(
+        self, folder: Path, workers: int, zones: tuple[str, ...]
+    ) -> None:
+        store, *ports = self._ports.take(2 * workers + 1)
+        self._store_port = store
+        listening, announced = ports[:workers], ports[workers:]
+        self.to_workers = [
+            Proxy(*pair) for pair in zip(announced, listening, strict=True)
+        ]
+        settings = {
+            "store": f"127.0.0.1:{store}",
+            "workers": [f"127.0.0.1:{port}" for port in listening],
+            "announced": [f"127.0.0.1:{port}" for port in announced],
+            "zones": list(zones),
+            "configuration": {"version": 3, "routes": [PLATFORM_ROUTE]},
+        }
+        file = folder / "platform.json"
+        file.write_text(json.dumps(settings))
+        words = ["standin", f"--settings={file}", "platform"]
+        self._platform = _run(words, folder / "platform.log")
+
     def next_job(self) -> str:
         """Return the id of a job not sent yet."""
         self._next_job += 1
