Let callers wait for a configuration that is about to come

Cause: a host that has just started answered callers with 503 until it had read the configuration, 0.05 s on a small host. After a loss of power all callers come in these moments.

Their callers' time counts from when they came. Then, at a drain, or beyond the bound they are refused as before.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -209,6 +209,7 @@
             )
             services = self.routes.services
             self.routes = routes
+            self.callers.configured()
             if routes.services != services:
                 self.upstreams_changed()
 
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -6,6 +6,7 @@
 from jackdawspur.adapters import Call, WebService
 from jackdawspur.callers import HttpReply
 from jackdawspur.front._clock import now_s
+from jackdawspur.front._early_calls import EarlyCalls
 from jackdawspur.front._gauges import Gauges
 from jackdawspur.front._limits import WaitLimit
 from jackdawspur.front._own_jobs import OwnJob, OwnJobs
@@ -95,6 +96,7 @@
         self._owner = owner
         self._port = port
         self._jobs = OwnJobs()
+        self._early = EarlyCalls()
         self._stops_at: float | None = None
 
     @property
@@ -104,10 +106,22 @@
 
     def called(self, call: Call) -> None:
         """Take one request."""
-        if not self._owner.routes.version:
-            reply = self._port.reply_not_ready("no configuration yet")
-            self._owner.reply(call.number, reply)
-            return
+        now = now_s()
+        if self._owner.routes.version:
+            self._read(call, now)
+        elif self._stops_at is not None or not self._early.add(call, now):
+            self._refuse_early(call)
+
+    def configured(self) -> None:
+        """Take the requests that waited for a configuration."""
+        for early in self._early.take_all():
+            self._read(early.call, early.arrived)
+
+    def _refuse_early(self, call: Call) -> None:
+        reply = self._port.reply_not_ready("no configuration yet")
+        self._owner.reply(call.number, reply)
+
+    def _read(self, call: Call, arrived: float) -> None:
         asked = self._port.read_call(call, self._owner.routes)
         if isinstance(asked, HttpReply):
             log.info(
@@ -116,10 +130,11 @@
             )
             self._owner.reply(call.number, asked)
             return
-        self._asked(call, asked)
+        self._asked(call, asked, arrived)
 
     def closed(self, number: int) -> None:
         """Stop the job of a caller that left, at once."""
+        self._early.drop(number)
         job = self._jobs.take(number)
         if job is None:
             return
@@ -135,6 +150,8 @@
         """
         self._stops_at = stops_at
         self._jobs.end_by(stops_at - ANSWER_S)
+        for early in self._early.take_all():
+            self._refuse_early(early.call)
 
     def answered(self, answer: JobAnswered) -> None:
         """Pass the leading host's answer on to the caller.
@@ -180,6 +197,8 @@
 
     def tick(self, now: float) -> None:
         """Answer callers whose time is over."""
+        for early in self._early.take_late(now):
+            self._refuse_early(early.call)
         group = self._owner.group
         leaderless = group.leader(now) is None
         patience_s = 0.0 if group.yielding else LEADERLESS_S
@@ -257,9 +276,9 @@
             },
         )
 
-    def _asked(self, call: Call, asked: CallerQuestion) -> None:
+    def _asked(self, call: Call, asked: CallerQuestion, arrived: float) -> None:
         if asked.kind is QuestionKind.SUBMIT:
-            self._submit(call, asked)
+            self._submit(call, asked, arrived)
         elif asked.kind is QuestionKind.COUNT:
             waiting = self._owner.waiting_jobs(asked.route.name)
             self._owner.reply(call.number, self._port.reply_count(waiting))
@@ -268,10 +287,10 @@
         else:
             self._owner.reply(call.number, self._port.reply_unknown_job())
 
-    def _submit(self, call: Call, asked: CallerQuestion) -> None:
+    def _submit(self, call: Call, asked: CallerQuestion, arrived: float) -> None:
         now = now_s()
         limit = WaitLimit(asked.patience_s, asked.route.timeout_s)
-        ends = now + limit.wait_s
+        ends = arrived + limit.wait_s
         if self._stops_at is not None:
             ends = min(ends, self._stops_at)
         deadline = ends - ANSWER_S
@@ -279,7 +298,7 @@
             reply = self._port.reply_not_ready("this host stops")
             self._owner.reply(call.number, reply)
             return
-        self._jobs.add(OwnJob(call.number, asked.request, now, deadline, limit))
+        self._jobs.add(OwnJob(call.number, asked.request, arrived, deadline, limit))
         self.offer_waiting(now)
 
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
