--- a/jackdawspur/front/tests/test_full_link.py
+++ b/jackdawspur/front/tests/test_full_link.py
@@ -15,7 +15,7 @@
 UPSTREAMS_A_ZONE = 9
 LINK_MBPS = 2.0
 BITS_A_BYTE = 8
-# As measured at upstreams, heads included.
+# About what whole requests take, heads included.
 ORDER_BYTES = {StartRun: 1000, StopRun: 250, LookAt: 300}
 REPLY_BYTES = 300
 
