--- a/jackdawspur/adapters/_http_connection.py
+++ b/jackdawspur/adapters/_http_connection.py
@@ -9,7 +9,7 @@
 from jackdawspur.adapters._deadlines import Deadline, Deadlines
 from jackdawspur.adapters._reply_reader import HttpReply, ReplyReader, UnreadableReply
 
-__all__ = ["ConnectionOwner", "HttpConnection", "HttpReply"]
+__all__ = ["ConnectionOwner", "HttpConnection"]
 
 READ_BYTES = 65536
 
