Admit jobs past their objective by rank, also without late arrivals

Cause: load shedding knows the late class of a route only once a job arrives late. Jobs mostly become late while they wait. Such a job then counted as a class without a rank, of which only the minimum fraction (0.1) was admitted, and it was refused after 0.1 s beside new jobs of the least urgent priority.

Change: each route with demand has a late class too. One without demand is admitted wholly if its rank has capacity left, otherwise the minimum fraction.

Ruled out: a late class that takes the fraction of its route's class on time. It would rank an answer that is late as high as one on time.

The test failed before with [0.1, 0.1].

--- a/jackdawspur/runs/_admitted_fractions.py
+++ b/jackdawspur/runs/_admitted_fractions.py
@@ -1,14 +1,32 @@
 """Choice of the classes of jobs to admit, by what it costs not to serve them."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 
 from jackdawspur.runs._demand import ClassDemand, ClassKey
 from jackdawspur.runs._overload_policy import OverloadPolicy
 
-__all__ = ["admitted_fractions", "cost_per_work", "ranked"]
+__all__ = ["admitted_fractions", "cost_per_work", "ranked", "with_late_classes"]
 
 # A class whose jobs seem to need no work at all ranks by its cost.
 MIN_MEAN_WORK = 1.0
+# A smaller fraction of the capacity is a rounding error.
+MIN_REMAINING_FRACTION = 1e-9
+
+
+def with_late_classes(classes: Iterable[ClassDemand]) -> list[ClassDemand]:
+    """Return the classes, and one without demand for late jobs of each other route.
+
+    Jobs become late while they wait, so such a class has jobs although none arrive.
+    """
+    found = {item.key: item for item in classes}
+    for item in list(found.values()):
+        late_key = item.key._replace(late=True)
+        if late_key not in found:
+            found[late_key] = replace(
+                item, key=late_key, work=0.0, jobs_per_s=0.0, variance=0.0
+            )
+    return list(found.values())
 
 
 def ranked(classes: Iterable[ClassDemand], policy: OverloadPolicy) -> list[ClassDemand]:
@@ -25,7 +43,8 @@
 ) -> dict[ClassKey, float]:
     """Return the fraction of each class that fits into the capacity, by rank.
 
-    Each class is admitted for at least `min_fraction`, whatever the capacity is.
+    Each class is admitted for at least `min_fraction`, whatever the capacity is; one
+    without demand is admitted wholly if its rank has any capacity left.
     `queued` is the waiting work by priority and route, and `drain` returns the capacity
     that such work needs. A class makes way for what waits of it and of those before it:
     a queue of others is theirs to drain.
@@ -41,7 +60,8 @@
         remaining = capacity - drain(ahead) - admitted_work
         admitted = min(rest, max(0.0, remaining))
         admitted_work += admitted
-        share = admitted / rest if rest > 0.0 else 1.0
+        has_capacity = remaining > MIN_REMAINING_FRACTION * capacity
+        share = admitted / rest if rest > 0.0 else float(has_capacity)
         fractions[item.key] = min_fraction + share * (1.0 - min_fraction)
     return fractions
 
--- a/jackdawspur/runs/_service_shedding.py
+++ b/jackdawspur/runs/_service_shedding.py
@@ -4,7 +4,11 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from jackdawspur.runs._admitted_fractions import admitted_fractions, ranked
+from jackdawspur.runs._admitted_fractions import (
+    admitted_fractions,
+    ranked,
+    with_late_classes,
+)
 from jackdawspur.runs._backlog import Backlog
 from jackdawspur.runs._demand import ClassDemand, ClassKey
 from jackdawspur.runs._overload_policy import OverloadPolicy
@@ -71,7 +75,7 @@
         now: float,
     ) -> None:
         """Choose the admitted fractions, for the demand and what waits."""
-        ordered = ranked(classes, policy)
+        ordered = ranked(with_late_classes(classes), policy)
         self.updated_at = now
         self.demand = sum(item.work for item in ordered)
         self._error = math.sqrt(sum(item.variance for item in ordered))
--- a/jackdawspur/runs/tests/test_load_tracker.py
+++ b/jackdawspur/runs/tests/test_load_tracker.py
@@ -77,6 +77,22 @@
     assert fractions(classes) == {0: 1.0, 1: 0.9, 2: 0.1}
 
 
+def test_jobs_past_their_objective_are_admitted_by_rank_though_none_arrived_late():
+    # Guards against refusing an urgent job as soon as it misses its objective while new
+    # jobs of the least urgent route are admitted: jobs become late while they wait.
+    tracker = LoadTracker(DEFAULT_POLICY)
+    tracker.set_priorities(PRIORITIES)
+    offer_steadily(tracker, {0: 12, 2: 20}, 2.0, waiting=4)
+    shedding = tracker.shedding("roster")
+    on_time, late = (
+        [shedding.fraction(ClassKey("roster", f"r{n}", late)) for n in (0, 2)]
+        for late in (False, True)
+    )
+    assert shedding.active
+    assert on_time[0] == 1.0 > on_time[1] > 0.1
+    assert late == [1.0, 0.1]
+
+
 def test_a_cheap_class_goes_before_an_urgent_one_that_needs_much_work():
     # Strict levels would refuse a hundred short jobs for one long job.
     classes = [make_class(0, 56_000.0, 100 * WORK), make_class(1, 28_000.0)]
