State in each refusal what capacity was free, here and elsewhere

Change: `job refused` has `free`, `free_elsewhere` (by the last offers of other groups) and `elsewhere_age_ms`.

The cost per refusal was not measured.

--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -37,6 +37,7 @@
 from jackdawspur.runs._pool import UpstreamPool
 from jackdawspur.runs._progress import Verdict
 from jackdawspur.runs._redirector import JobRedirector
+from jackdawspur.runs._refusals import Refusals
 from jackdawspur.runs._replies import Replies
 from jackdawspur.runs._review import Review
 from jackdawspur.runs._started_jobs import StartedJobs
@@ -68,14 +69,12 @@
         self._starts = Starts(self._pool, self._replies)
         self._polls = Polls(self._pool, self._replies)
         self._run_review = Review(self._pool, self._estimates, self._log)
-        self._jobs = OpenJobs()
+        jobs = self._jobs = OpenJobs()
         self._done_tasks = ExpiringSet()
         self._started_jobs = StartedJobs()
-        self._overload = OverloadControl(
-            policy, self._jobs, self._pool, self._estimates
-        )
+        self._overload = OverloadControl(policy, jobs, self._pool, self._estimates)
         self._redirector = JobRedirector(
-            self._jobs, self._pool, self._overload.load_tracker, self._effects
+            jobs, self._pool, self._overload.load_tracker, self._effects
         )
         self._placer = Placer(
             self._pool,
@@ -86,13 +85,16 @@
         )
         self._answers = Answers()
         self._endings = JobEndings(
-            self._jobs,
+            jobs,
             self._pool,
             self._estimates,
             self._run_review,
             self._answers,
             self._effects,
         )
+        self._refusals = Refusals(
+            jobs, self._pool, self._overload, self._redirector, self._endings
+        )
         self.is_leader = False
 
     @property
@@ -247,7 +249,7 @@
             if all_read:
                 self._starts.resolve_overdue(now)
             self._placer.place_if_due(self._jobs.values(), now)
-            self._refuse_by_cost(self._overload.pop_shed(), now)
+            self._refusals.refuse_shed(now)
             if all_read:
                 self._polls.count_overdue(now)
             self._polls.send_due(now)
@@ -267,10 +269,10 @@
         # A job that arrived since the last pass is placed before it is judged.
         self._placer.place_if_due(self._jobs.values(), now)
         self._overload.update(now)
-        self._refuse_by_cost(self._overload.pop_shed(), now)
+        self._refusals.refuse_shed(now)
         for job in list(self._jobs.values()):
             self._end_if_hopeless(job, now)
-        self._refuse_unservable(now)
+        self._refusals.refuse_unservable(now)
         for job in self._jobs.pop_reported():
             if self._run_review.review_job(job, now) is Verdict.GIVE_UP:
                 self._give_up(job, Decision.JOB_HOPELESS, now)
@@ -364,7 +366,7 @@
         start = self._placer.earliest_start(job, now)
         if not job.started:
             if start > latest_start(job):
-                self._refuse(job, now)
+                self._refusals.refuse(job, now)
         elif job.placed() or self._placer.awaits_runs(job, now):
             return
         elif timeliness(job, start) is Timeliness.HOPELESS:
@@ -373,24 +375,3 @@
     def _give_up(self, job: Job, decision: Decision, now: float) -> None:
         retry_s = 0.0 if job.started else self._overload.retry_s(job, now)
         self._endings.give_up(job, decision, retry_s, now)
-
-    def _refuse_unservable(self, now: float) -> None:
-        """Refuse, or redirect at once, jobs that are too late for the work ahead."""
-        for unservable in self._overload.review(now):
-            if not self._redirector.send_refused(unservable.job, now):
-                self._refuse(unservable.job, now, unservable.ahead_s)
-        self._refuse_by_cost(self._overload.overdue_jobs(now), now)
-
-    def _refuse(self, job: Job, now: float, ahead_s: float = 0.0) -> None:
-        fields = self._overload.refusal_fields(job, now)
-        self._log.refused(job, len(self._jobs), ahead_s, now, fields)
-        self._endings.refuse(job, self._overload.retry_s(job, now), now)
-
-    def _refuse_by_cost(self, jobs: Iterable[Job], now: float) -> None:
-        """Redirect the jobs that load shedding leaves out, or else refuse them."""
-        for job in jobs:
-            if not self._redirector.send_refused(job, now):
-                fields = self._overload.refusal_fields(job, now)
-                self._log.refused(job, len(self._jobs), 0.0, now, fields, by_cost=True)
-                retry_s = self._overload.retry_s(job, now)
-                self._endings.refuse(job, retry_s, now, by_cost=True)
--- a/jackdawspur/runs/_offered_capacity.py
+++ b/jackdawspur/runs/_offered_capacity.py
@@ -70,6 +70,19 @@
         """Return whether there are other groups."""
         return bool(self._offers)
 
+    def total(self, service: str, now: float) -> tuple[int, float | None]:
+        """Return the capacity last offered to a service, and the age of the oldest.
+
+        The age is in seconds, None without offers. Outdated offers are included.
+        """
+        free_millis = sum(
+            sum(spare.fast) + sum(spare.slow)
+            for offer in self._offers.values()
+            if (spare := offer.free.get(service)) is not None
+        )
+        ages_s = [now - offer.at for offer in self._offers.values()]
+        return free_millis, max(ages_s, default=None)
+
     def update(
         self, remote_leader: RemoteLeader, spare: dict[str, SpareCapacity], now: float
     ) -> None:
--- a/jackdawspur/runs/tests/test_shedding.py
+++ b/jackdawspur/runs/tests/test_shedding.py
@@ -14,6 +14,8 @@
     JobLost,
     LossCause,
     OverloadPolicy,
+    RemoteLeader,
+    SpareCapacity,
 )
 from jackdawspur.runs._demand import ClassKey
 from jackdawspur.runs.tests.conftest import LONG_TIMEOUT, ROUTE, Leader
@@ -60,6 +62,34 @@
     assert line.keys() >= {"priority", "class_rank", "admitted", "demand", "capacity"}
 
 
+@pytest.fixture
+def overloaded_leader(shedding_leader: Leader) -> Leader:
+    """Return the leader with four running tasks, which use all but some capacity."""
+    shedding_leader.offer("aa", tasks=4, route=URGENT)
+    shedding_leader.settle()
+    return shedding_leader
+
+
+def test_a_refusal_states_the_free_capacity_here_and_elsewhere(overloaded_leader):
+    # Guards against refusals beside free capacity that the log doesn't show.
+    other = RemoteLeader("h9", 7)
+    offered = {"roster": SpareCapacity((9_000,), (2_000,))}
+    overloaded_leader.dispatcher.update_offered_capacity(
+        other, offered, overloaded_leader.now - 0.2
+    )
+    overloaded_leader.offer("bb", tasks=4, route=BULK)
+    effects = overloaded_leader.collect()
+    (line,) = (
+        dict(effect.inputs)
+        for effect in effects
+        if isinstance(effect, DecisionRecord)
+        and effect.decision is Decision.JOB_REFUSED
+    )
+    assert line["free"] == 2 * (32_000 - 2 * 14_000)
+    assert line["free_elsewhere"] == 11_000
+    assert line["elsewhere_age_ms"] == 200
+
+
 def test_started_jobs_and_those_of_an_earlier_leader_are_not_shed(shedding_leader):
     # An earlier leader may have started it: refused as not run, it would run twice.
     for number in range(3):
