Add the command profile, and times of each stage to answered jobs

Cause: where a served request spends its time could not be read from the logs: `job ended` had its total only, and who was not served had to be joined by hand with the decisions of leaders.

Change: an outcome carries when the job reached its leader, when its first and last initial task started and when it ended; hosts log these with the leader.

Ruled out: a line for each stage; hosts write a bounded number of lines.

--- a/jackdawspur/cli/_main.py
+++ b/jackdawspur/cli/_main.py
@@ -123,6 +123,17 @@
         "run",
         ("load --deployment=examples/ramdenee.json --seconds=20 --load=0.5",),
     ),
+    Command(
+        "profile",
+        "Show the path of requests and who was not served, from hosts' logs.",
+        "_profile",
+        "define",
+        "run",
+        (
+            "profile host-1.log host-2.log",
+            "profile --format=json --span_s=5 --picture=profile.svg *.log",
+        ),
+    ),
     Command(
         "check-settings",
         "Check settings and configuration files.",
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -1,6 +1,6 @@
 """The jobs whose callers wait on this host."""
 
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 from jackdawspur.front._limits import WaitLimit
 from jackdawspur.group import Term
@@ -13,7 +13,7 @@
     TaskFailureCounts,
 )
 
-__all__ = ["OwnJob", "OwnJobs"]
+__all__ = ["OwnJob", "OwnJobs", "end_fields"]
 
 # A caller that is refused because there is no leader may retry after this time.
 RETRY_AFTER_S = 1.0
@@ -157,6 +157,23 @@
         return ended
 
 
+def end_fields(job: OwnJob, outcome: JobOutcome) -> dict[str, object]:
+    """Return the log fields of a job that ended, and of the leader that had it."""
+    term = job.remote_term or job.offered_to
+    return {
+        "job": job.request.id,
+        "route": job.request.route.name,
+        "priority": job.request.route.priority,
+        "end": outcome.end.value,
+        "not_run": outcome.not_run,
+        "hand_overs": job.handovers,
+        "reason": outcome.reason,
+        "leader": term.leader if term else "",
+        **(asdict(outcome.timing) if outcome.timing else {}),
+        **job.limit.log_fields(),
+    }
+
+
 def _outcome(job: OwnJob, gave_up_waiting: bool, now: float) -> JobOutcome | None:
     """Return the outcome of a job that no leader answered in time, else None.
 
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -9,7 +9,7 @@
 from jackdawspur.front._early_calls import EarlyCalls
 from jackdawspur.front._host_metrics import HostMetrics
 from jackdawspur.front._limits import WaitLimit
-from jackdawspur.front._own_jobs import OwnJob, OwnJobs
+from jackdawspur.front._own_jobs import OwnJob, OwnJobs, end_fields
 from jackdawspur.front._ports import CallerPort, CallerRequest, RequestKind
 from jackdawspur.front._routes import RouteTable
 from jackdawspur.group import (
@@ -380,16 +380,6 @@
         self._owner.metrics.record_end(route, outcome.end, took_ms)
         log.info(
             "job ended",
-            extra={
-                "job": job.request.id,
-                "route": route,
-                "priority": job.request.route.priority,
-                "end": outcome.end.value,
-                "not_run": outcome.not_run,
-                "took_ms": round(took_ms, 1),
-                "hand_overs": job.handovers,
-                "reason": outcome.reason,
-                **job.limit.log_fields(),
-            },
+            extra={"took_ms": round(took_ms, 1), **end_fields(job, outcome)},
         )
         self._owner.reply(job.call, self._port.encode_outcome(outcome))
--- /dev/null
+++ b/jackdawspur/profile/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the profiles."""
--- a/jackdawspur/runs/_job_endings.py
+++ b/jackdawspur/runs/_job_endings.py
@@ -1,10 +1,13 @@
 """Ends of jobs on the leader: their answers, and the removal of what they use."""
 
+from dataclasses import replace
+
 from jackdawspur.runs._answers import Answers
 from jackdawspur.runs._decision_log import DecisionLog
 from jackdawspur.runs._effects import AnswerJob, Decision, Effect
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._job import Job
+from jackdawspur.runs._losses import job_timing
 from jackdawspur.runs._open_jobs import OpenJobs
 from jackdawspur.runs._pool import UpstreamPool
 from jackdawspur.runs._review import Review
@@ -79,6 +82,7 @@
 
     def _answer(self, job: Job, outcome: JobOutcome, now: float) -> None:
         offer = job.offer
+        outcome = replace(outcome, timing=job_timing(job, now))
         answer = AnswerJob(offer.host, offer.call, offer.handovers, job.id, outcome)
         self._effects.append(answer)
         self._answers.add(answer, now)
--- a/jackdawspur/runs/_losses.py
+++ b/jackdawspur/runs/_losses.py
@@ -9,8 +9,9 @@
 from jackdawspur.runs._order import useful_until
 from jackdawspur.runs._pool import UpstreamPool
 from jackdawspur.runs._progress import MIN_PERCENT, project
+from jackdawspur.runs._types import JobTiming
 
-__all__ = ["Losses"]
+__all__ = ["Losses", "job_timing"]
 
 MS_PER_S = 1000.0
 # Number of tasks that a log line describes: a job may have hundreds.
@@ -145,6 +146,15 @@
         return f"{task.state.value}:{name}:{round(ms)}{percent}:x{slowdown:.2f}{again}"
 
 
+def job_timing(job: Job, now: float) -> JobTiming:
+    """Return the times of a job that ends now."""
+    first_ms, last_ms, _ = start_times_ms(job)
+    reached_s, ended_s = (at - job.offer.arrived for at in (job.offered_at, now))
+    return JobTiming(
+        round(reached_s * MS_PER_S), first_ms, last_ms, round(ended_s * MS_PER_S)
+    )
+
+
 def start_times_ms(job: Job) -> tuple[int | None, int | None, int]:
     """Return when the first and the last initial task started, and how many did not."""
     started_at = [
--- a/jackdawspur/runs/_types.py
+++ b/jackdawspur/runs/_types.py
@@ -10,6 +10,7 @@
     "JobOutcome",
     "JobRequest",
     "JobStep",
+    "JobTiming",
     "Offer",
     "Progress",
     "Route",
@@ -125,14 +126,30 @@
     LOST = "lost"
 
 
+@dataclass(frozen=True, slots=True)
+class JobTiming:
+    """Times since a job's arrival in milliseconds, by the clock of the leader.
+
+    The job reached the leader, its first and last initial task were started, and it
+    ended. Starts by earlier leaders are not known.
+    """
+
+    reached_ms: int
+    first_start_ms: int | None
+    last_start_ms: int | None
+    ended_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobOutcome:
     """Outcome of a job for its caller; `not_run` is true if no task was started.
 
     `retry_after_s` is the wait before a retry, zero if a retry makes no sense.
+    `timing` is missing if no leader ended the job.
     """
 
     end: JobEnd
     not_run: bool
     retry_after_s: float = 0.0
     reason: str = ""
+    timing: JobTiming | None = None
