Take hosts of a zone that nothing can serve out of rotation

Change: the leader of a group of one zone counts its group as unavailable after 0.5 s in which all its upstreams are draining and no leader of another group was heard from. Its heartbeats tell its hosts; they are not ready and close each connection after its reply, so that callers come in through another zone. The group is available again at once. An upstream that does not respond counts as one that can serve: that may be one host's view only.

Weighed: each host by its own view (hosts that hear no other leader for a second would leave one by one, and a zone with fewer than half of its hosts is used wholly); a hold of callers until the cut ends (nothing says that it will); closing idle connections at once (a request may be on its way).

The test failed before: all four hosts were ready.

--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -161,12 +161,12 @@
         elif connection.half_closed:
             self._sockets.close_when_sent(connection.sock)
 
-    def drain(self) -> None:
-        """Close each connection after its next reply from now on.
+    def set_draining(self, draining: bool) -> None:
+        """Set whether each connection is closed after its next reply.
 
         Idle connections stay open until `close_idle_connections` is called.
         """
-        self._draining = True
+        self._draining = draining
 
     def close_idle_connections(self) -> None:
         """Close the connections without an open or partly received request."""
--- a/jackdawspur/front/_heartbeats.py
+++ b/jackdawspur/front/_heartbeats.py
@@ -197,4 +197,5 @@
             too_large=group.too_large,
             upstreams=len(owner.view.entries),
             wants_room=owner.leader_driver.needs_capacity(now),
+            available=owner.leader_driver.availability.is_available,
         )
--- a/jackdawspur/front/_leader_driver.py
+++ b/jackdawspur/front/_leader_driver.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Protocol
 
+from jackdawspur.front._availability import Availability
 from jackdawspur.front._clock import now_s
 from jackdawspur.front._host_metrics import HostMetrics
 from jackdawspur.front._load_exchange import LoadExchange
@@ -88,6 +89,7 @@
         local_id = HostId(address.zone, address.name, address.started_ms)
         self._dispatcher = Dispatcher(local_id, now, policy)
         self._exchange = LoadExchange(self._dispatcher, owner)
+        self.availability = Availability()
         self._reported_progress: dict[str, Progress] = {}
         self._actions = {
             StartRun: self._start,
@@ -133,6 +135,7 @@
                 self._exchange.take_over_demand(now)
         else:
             self._dispatcher.stop_leading(now)
+            self.availability.clear()
             self._upstreams.close_connections_except(set())
 
     def upstreams_changed(self, now: float) -> None:
@@ -244,6 +247,13 @@
         """Return whether this host leads and recent jobs found no free capacity."""
         return self._dispatcher.is_leader and self._dispatcher.needs_capacity(now)
 
+    def is_group_available(self, now: float) -> bool:
+        """Return whether the group can serve new jobs, by its leader's decision."""
+        leader = self._owner.group.leader_heartbeat(now)
+        if self._owner.group.is_leader or leader is None:
+            return self.availability.is_available
+        return leader.available
+
     def hosts_with_jobs(self) -> set[str]:
         """Return the hosts that have open jobs here."""
         return self._dispatcher.open_jobs.hosts()
@@ -285,6 +295,10 @@
         )
         self._dispatcher.drop_unrefreshed(other_group_hosts, now)
         self._update_peer_lists(now)
+        # Without zones of its own a group has no others that could serve its callers.
+        can_serve = not group.by_zone or self._dispatcher.can_serve(now)
+        upstreams = len(self._dispatcher.upstream_pool.capacities)
+        self.availability.update(can_serve, upstreams, now)
         self._dispatcher.tick(now)
 
     def _update_peer_lists(self, now: float) -> None:
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -140,8 +140,10 @@
     @property
     def ready(self) -> bool:
         """Return whether the host serves: with routes and a leader, not draining."""
-        has_leader = self.group.leader(now_s()) is not None
-        return bool(self.routes.version) and has_leader and not self.group.draining
+        now = now_s()
+        has_leader = self.group.leader(now) is not None
+        serves = has_leader and self.leader_driver.is_group_available(now)
+        return bool(self.routes.version) and serves and not self.group.draining
 
     @property
     def can_lead(self) -> bool:
@@ -279,6 +281,10 @@
         if now >= self._update_due:
             self._update_due = now + UPDATE_INTERVAL_S
             self._peer_updates.send(now)
+        if not self.group.draining:
+            # Refused callers connect anew, and to another zone.
+            available = self.leader_driver.is_group_available(now)
+            self._web.set_draining(not available)
         self._exit_when_drained(now)
         self.flush_soon()
 
@@ -359,7 +365,7 @@
             self._draining_since = now_s()
             self.group.draining = True
             self.callers.stop_by(self._stops_at)
-            self._web.drain()
+            self._web.set_draining(True)
             log.info("draining", extra={"waiting_callers": self.callers.waiting})
 
     def request_reload(self) -> None:
--- a/jackdawspur/front/tests/test_evacuated_zones.py
+++ b/jackdawspur/front/tests/test_evacuated_zones.py
@@ -87,3 +87,78 @@
     world.start("b1", "z2")
     world.run(5.0)
     assert world.nodes["b1"].process.view.evacuated == {"z1"}
+
+
+@pytest.fixture
+def two_groups(monkeypatch) -> World:
+    """Return hosts of two zones that are groups of their own, z1 being evacuated."""
+    simulation = World(monkeypatch, most_upstreams=2)
+    for zone in ("z1", "z2"):
+        simulation.add_upstreams(zone, 2)
+    for name, zone in HOSTS.items():
+        simulation.start(name, zone)
+    simulation.run(3.0)
+    simulation.evacuated.add("z1")
+    simulation.run(1.0)
+    return simulation
+
+
+def ready_hosts(world: World) -> set[str]:
+    return {
+        name
+        for name, node in world.nodes.items()
+        if not node.dead and node.process.ready
+    }
+
+
+def partition(world: World, seconds: float) -> None:
+    """Partition the two zones from each other for a time."""
+    world.partitions.add(frozenset(("z1", "z2")))
+    world.run(seconds)
+
+
+def test_hosts_without_upstreams_and_other_groups_get_no_new_callers(two_groups):
+    # The balancer goes on sending callers to a ready host; those of an evacuated zone
+    # that is partitioned from the others were all refused for as long as that lasted.
+    assert ready_hosts(two_groups) == set(HOSTS)
+    partition(two_groups, 1.5)
+    assert ready_hosts(two_groups) == {"b1", "b2"}
+    two_groups.partitions.clear()
+    two_groups.run(1.5)
+    assert ready_hosts(two_groups) == set(HOSTS)
+
+
+def test_a_new_leader_keeps_such_hosts_from_getting_callers(two_groups):
+    # Guards against hosts that become ready for each change of leader.
+    partition(two_groups, 1.5)
+    (leader,) = (n for n, zone in two_groups.leaders().items() if zone == "z1")
+    two_groups.kill(leader)
+    two_groups.run(2.0)
+    assert ready_hosts(two_groups) == {"b1", "b2"}
+
+
+def test_hosts_stay_ready_during_a_short_partition(two_groups):
+    # Guards against hosts that are not ready for a second after each lost message.
+    partition(two_groups, 0.4)
+    two_groups.partitions.clear()
+    for _ in range(20):
+        two_groups.run(0.1)
+        assert ready_hosts(two_groups) == set(HOSTS)
+
+
+def test_partitioned_hosts_with_upstreams_stay_ready(two_groups):
+    # Guards against refusing callers whose zone can serve them by itself.
+    two_groups.evacuated.clear()
+    two_groups.run(1.0)
+    partition(two_groups, 2.0)
+    assert ready_hosts(two_groups) == set(HOSTS)
+
+
+def test_callers_of_such_hosts_are_refused_at_once_as_not_run(two_groups):
+    # Guards against callers that wait for upstreams which their zone does not have.
+    partition(two_groups, 1.5)
+    request = two_groups.submit("a1", SHORT_S)
+    two_groups.run(0.1)
+    assert request.reply.status == 429
+    assert b'"not_run":true' in request.reply.body
+    assert request.reply.retry_after_s >= 1
--- a/jackdawspur/front/tests/virtual_parts.py
+++ b/jackdawspur/front/tests/virtual_parts.py
@@ -109,7 +109,7 @@
         self.open_calls -= 1
         self._world.replied(self._node, call_id, reply)
 
-    def drain(self) -> None:
+    def set_draining(self, draining: bool) -> None:
         pass
 
     def close_idle_connections(self) -> None:
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -139,7 +139,7 @@
 
     def _choose_zones(self, now: float) -> None:
         """Adopt the zones of the leader's group; decide on them without a leader."""
-        heartbeat = None if self.is_leader else self._leader_heartbeat(now)
+        heartbeat = None if self.is_leader else self.leader_heartbeat(now)
         if heartbeat is not None:
             self._extent.follow(heartbeat.by_zone)
         else:
@@ -276,14 +276,14 @@
 
     def term(self, now: float) -> Term | None:
         """Return the leader's current term, None without a leader."""
-        last = self._leader_heartbeat(now)
+        last = self.leader_heartbeat(now)
         other = last and Term(last.host.name, last.fence, last.by_zone)
         if not self.is_leader:
             return other
         local = Term(self._local.name, self.fence, self._extent.by_zone)
         return max(local, other, key=precedence) if other else local
 
-    def _leader_heartbeat(self, now: float) -> HostHeartbeat | None:
+    def leader_heartbeat(self, now: float) -> HostHeartbeat | None:
         """Return the last heartbeat of the leader if it is another host, else None."""
         leaders = [
             b
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -69,6 +69,8 @@
 
     `loads` is the load of the sender's group, for the leaders of other groups. `demand`
     is what the next leader of the sender's group needs to know of the demand.
+
+    A leader clears `available` while its group can't serve new jobs.
     """
 
     host: HostAddress
@@ -92,6 +94,7 @@
     learned: LearnedStats | None = None
     loads: tuple[ServiceLoad, ...] = ()
     demand: DemandState | None = None
+    available: bool = True
 
     def is_before(self, other: "HostHeartbeat") -> bool:
         """Return whether the same incarnation sent this heartbeat before another.
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -129,6 +129,14 @@
             return {}
         return self._placer.spare_capacity(now)
 
+    def can_serve(self, now: float) -> bool:
+        """Return whether a new job may start, here or in another group.
+
+        Upstreams that do not respond count, since others may still reach them.
+        """
+        offered_capacity = self._redirector.offered_capacity
+        return not self._pool.all_draining or offered_capacity.is_reachable(now)
+
     def needs_capacity(self, now: float) -> bool:
         """Return whether a job found no free capacity here recently."""
         return self._placer.needs_capacity(now)
--- a/jackdawspur/runs/_offered_capacity.py
+++ b/jackdawspur/runs/_offered_capacity.py
@@ -70,6 +70,10 @@
         """Return whether there are other groups."""
         return bool(self._offers)
 
+    def is_reachable(self, now: float) -> bool:
+        """Return whether the leader of another group was heard from recently."""
+        return bool(self._current_offers(now))
+
     def total(self, service: str, now: float) -> tuple[int, float | None]:
         """Return the capacity last offered to a service, and the age of the oldest.
 
