Let late jobs go before those that can wait, unless there is an overload

Cause: all jobs that could be on time went before late ones, also long ones with half a second to spare.

Change: in services that shed load by cost, late jobs are due before their answers become worthless, and cost `late_weight` of an answer on time when jobs are left out. While the demand exceeds the capacity by more than its standard error they yield to all others as before.

--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -7,7 +7,7 @@
 from jackdawspur.model import UpstreamId
 from jackdawspur.runs._capacity_forecast import CapacityForecast
 from jackdawspur.runs._job import Job
-from jackdawspur.runs._order import latest_start, objective
+from jackdawspur.runs._order import due_start, latest_start
 from jackdawspur.runs._usable_capacity import usable_capacity
 from jackdawspur.runs._work import expected_run_s, job_work, waiting_work
 
@@ -40,10 +40,10 @@
     If jobs were served by urgency alone, an overload would make every job slightly
     late, since each waits until its last moment. So as many jobs as possible are kept
     on time (Moore and Hodgson's rule for the fewest late jobs: take jobs by urgency,
-    and when one would be late, leave out the largest so far, or the one of the
-    lowest rank, if ranks are given). The others are served
-    after them while this is still useful; jobs that would be too late even then are
-    refused at once.
+    and when one would be late, leave out the largest so far, or the one of the lowest
+    rank, if ranks are given). The others are served after them while this is still
+    useful; jobs that would be too late even then are refused at once. Late jobs that do
+    not yield are kept as well; they are due before their answers become worthless.
     """
 
     def __init__(self, slowdown: Callable[[UpstreamId], float]) -> None:
@@ -94,17 +94,18 @@
             yield max(0.0, run_s), task.spec.resources.cpu_millis / slowdown
 
     def _defer_late(self, new_jobs: list[Job], now: float) -> list[Job]:
-        """Return the jobs that are deferred so that all others are on time."""
+        """Return the jobs that are deferred so that all others start when due."""
         deferred_jobs: list[Job] = []
-        on_time_jobs: list[tuple[float, float, str, Job]] = []
-        for job in sorted(new_jobs, key=_latest_on_time_start):
+        kept_jobs: list[tuple[float, float, str, Job]] = []
+        due = {job.id: due_start(job, now) for job in new_jobs}
+        for job in sorted(new_jobs, key=lambda job: due[job.id]):
             job.deferred = False
             work = job_work(job)
-            heapq.heappush(on_time_jobs, (self._rank(job), -work, job.id, job))
+            heapq.heappush(kept_jobs, (self._rank(job), -work, job.id, job))
             last_start_at = now + self._last_start_s(job, work)
             self._work_ahead += work
-            if last_start_at > _latest_on_time_start(job) + self._wait_error_s:
-                *_, cheapest = heapq.heappop(on_time_jobs)
+            if last_start_at > due[job.id] + self._wait_error_s:
+                *_, cheapest = heapq.heappop(kept_jobs)
                 self._work_ahead -= job_work(cheapest)
                 cheapest.deferred = True
                 deferred_jobs.append(cheapest)
@@ -142,7 +143,3 @@
         for task in job.waiting()
     ) / (MS_PER_S * max(1, cpu_millis))
     return min(MAX_RETRY_S, max(MIN_RETRY_S, waiting_s))
-
-
-def _latest_on_time_start(job: Job) -> float:
-    return objective(job) - job.remaining_ms() / MS_PER_S
--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -112,6 +112,8 @@
         # whether it has taken part in a placement pass.
         self.admitted: bool | None = None
         self.protected = False
+        # Whether all jobs that can be on time go first once the job is late.
+        self.yields_when_late = True
         # By how much the job gives way to jobs of more urgent priorities.
         self.give_way_s = 0.0
         # Whether the job, which is not admitted, has taken part in a placement pass.
--- a/jackdawspur/runs/_load_tracker.py
+++ b/jackdawspur/runs/_load_tracker.py
@@ -116,6 +116,11 @@
         mean_work = self._demand.mean_work(route.service, route.name)
         return cost_per_work(self.policy.weight(route.priority), mean_work)
 
+    def class_rank(self, job: Job, now: float) -> float:
+        """Return the cost per unit of work of not serving jobs of this class."""
+        late = not job.yields_when_late and class_of(job, now).late
+        return self.rank(job) * (self.policy.late_weight if late else 1.0)
+
     def expected_wait_s(self, service: str, priority: int, now: float) -> float:
         """Return how long a job that arrives now would wait."""
         backlog = self._backlogs.get(service)
--- a/jackdawspur/runs/_order.py
+++ b/jackdawspur/runs/_order.py
@@ -6,7 +6,9 @@
 
 __all__ = [
     "Timeliness",
+    "due_start",
     "latest_start",
+    "may_be_on_time",
     "objective",
     "order_key",
     "spare_s",
@@ -65,6 +67,27 @@
     return useful_until(job) - MIN_DURATION_FACTOR * job.remaining_ms() / MS_PER_S
 
 
+def may_be_on_time(job: Job, now: float) -> bool:
+    """Return whether a job would be on time if it took less long than expected."""
+    return now <= _last_on_time_start(job)
+
+
+def due_start(job: Job, now: float) -> float:
+    """Return when a new job must start for the outcome that it should still reach.
+
+    That is to be on time, or also to be late if late jobs do not yield to others.
+    """
+    on_time = objective(job) - job.remaining_ms() / MS_PER_S
+    if now <= on_time or job.yields_when_late:
+        return on_time
+    last_on_time = _last_on_time_start(job)
+    return last_on_time if now <= last_on_time else latest_start(job)
+
+
+def _last_on_time_start(job: Job) -> float:
+    return objective(job) - MIN_DURATION_FACTOR * job.remaining_ms() / MS_PER_S
+
+
 def spare_s(job: Job, now: float) -> float:
     """Return how long a job can wait, even if it takes longer than expected."""
     return (
@@ -81,16 +104,20 @@
     used. Jobs that load shedding does not admit go last. Then jobs that can still meet
     their objective go before those that can't, and among them the one with the least
     spare time; less urgent priorities give way to more urgent ones by `give_way_s`.
+    Late jobs that do not yield go by their spare time until they would be worthless.
     """
     left_s = job.remaining_ms() / MS_PER_S
-    spare = min(
-        objective(job) - left_s, useful_until(job) - REMAINING_SAFETY_FACTOR * left_s
-    )
+    spare = useful_until(job) - REMAINING_SAFETY_FACTOR * left_s
+    best = timeliness(job, now)
+    if job.yields_when_late or may_be_on_time(job, now):
+        spare = min(spare, objective(job) - left_s)
+    if best is Timeliness.LATE and not job.yields_when_late:
+        best = Timeliness.ON_TIME
     return (
         not job.goes_first,
         job.is_shed,
         job.deferred,
-        timeliness(job, now),
+        best,
         spare + job.give_way_s,
     )
 
--- a/jackdawspur/runs/_overload_control.py
+++ b/jackdawspur/runs/_overload_control.py
@@ -1,7 +1,8 @@
 """Connection of the load tracker with the leader's jobs and upstreams."""
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
+from functools import partial
 
 from jackdawspur.model import UpstreamId
 from jackdawspur.runs._admission import Admission, UnservableJob, retry_after_s
@@ -138,8 +139,9 @@
             if self._initial.is_overloaded(service, now):
                 continue
             jobs = [j for j in self._jobs.values() if _service(j) == service]
+            self._set_order(service, jobs)
             yield from self._admission.review(
-                jobs, capacities, now, self._rank, WAIT_ERROR_S
+                jobs, capacities, now, partial(self._rank, now=now), WAIT_ERROR_S
             )
         jobs = [j for j in self._jobs.values() if _service(j) not in by_cost]
         others = {
@@ -147,6 +149,17 @@
         }
         yield from self._admission.review(jobs, others, now)
 
+    def _set_order(self, service: str, jobs: Iterable[Job]) -> None:
+        """Set whether late jobs of a service yield to those that can be on time.
+
+        If more work arrives than fits, each late job that goes first makes another job
+        late. In a shorter excess they would wait behind jobs that have time to spare,
+        until their answers are worthless.
+        """
+        is_overloaded = self.load_tracker.shedding(service).exceeds_capacity
+        for job in jobs:
+            job.yields_when_late = is_overloaded
+
     def retry_s(self, job: Job, now: float) -> float:
         """Return after how many seconds the caller of a refused job may retry."""
         route = job.request.route
@@ -164,9 +177,11 @@
         shedding = self.load_tracker.shedding(service)
         return refusal_fields(job, class_of(job, now), shedding, now)
 
-    def _rank(self, job: Job) -> float:
+    def _rank(self, job: Job, now: float) -> float:
         """Return the cost per unit of work of not serving a job of this route."""
-        return PROTECTED_RANK if job.protected else self.load_tracker.rank(job)
+        if job.protected:
+            return PROTECTED_RANK
+        return self.load_tracker.class_rank(job, now)
 
     def _is_overdue(self, job: Job, now: float) -> bool:
         if not job.deferred or job.started or job.protected:
--- a/jackdawspur/runs/_service_shedding.py
+++ b/jackdawspur/runs/_service_shedding.py
@@ -120,8 +120,8 @@
                 and now - self._queued_at < NO_QUEUE_S
             )
         else:
-            excess = self.demand - self._error - self.capacity
-            self.active = self.queued_s > QUEUE_TARGET_S and excess > 0.0
+            has_queue = self.queued_s > QUEUE_TARGET_S
+            self.active = has_queue and self.exceeds_capacity
             self._needed_at = self._queued_at = now
 
     def seed(
@@ -134,6 +134,16 @@
         self._min_fraction = min_fraction
         self._needed_at = self._queued_at = now
 
+    @property
+    def exceeds_capacity(self) -> bool:
+        """Return whether the demand exceeds the capacity by over its standard error.
+
+        Until the demand is known, this is what the earlier leader decided.
+        """
+        if self.updated_at is None:
+            return self.active
+        return self.demand - self._error > self.capacity
+
     @property
     def load(self) -> float:
         """Return the demand divided by the capacity."""
--- a/jackdawspur/runs/tests/test_load_tracker.py
+++ b/jackdawspur/runs/tests/test_load_tracker.py
@@ -93,6 +93,17 @@
     assert late == [1.0, 0.1]
 
 
+def test_a_late_job_costs_less_than_one_that_can_be_on_time():
+    # Guards against leaving out jobs that could be on time for ones that can't.
+    tracker = LoadTracker(DEFAULT_POLICY)
+    tracker.set_priorities(PRIORITIES)
+    job = make_job("aa", 0, 100.0)
+    job.yields_when_late = False
+    tracker.record_arrival(job, 100.0)
+    on_time, late = (tracker.class_rank(job, now) for now in (100.0, 100.3))
+    assert late == DEFAULT_POLICY.late_weight * on_time
+
+
 def test_a_cheap_class_goes_before_an_urgent_one_that_needs_much_work():
     # Strict levels would refuse a hundred short jobs for one long job.
     classes = [make_class(0, 56_000.0, 100 * WORK), make_class(1, 28_000.0)]
