Keep hosts ready whose group knows no other zone, and complete the account

Cause: a group of one zone that knows no hosts of other zones took itself out of rotation while its zone was evacuated. Its callers would have reached no host, and learned no time to retry.

Change: such a group stays available. The number of upstreams, which was only logged, is no longer computed each tick.

Measured: the new test fails without the condition; jackdawspur/runs, tests and test_evacuated_zones pass.

--- a/jackdawspur/front/_availability.py
+++ b/jackdawspur/front/_availability.py
@@ -18,11 +18,11 @@
         self._unable_since: float | None = None
         self.is_available = True
 
-    def update(self, can_serve: bool, upstreams: int, now: float) -> None:
+    def update(self, can_serve: bool, now: float) -> None:
         """Record whether any upstream, or another group, can take new jobs now.
 
         The group is unavailable after `UNAVAILABLE_AFTER_S` without any, and available
-        again at once. `upstreams` is their number, for the log.
+        again at once.
         """
         if can_serve:
             self._unable_since = None
@@ -34,11 +34,7 @@
             self.is_available = is_available
             log.info(
                 "availability of the group changed",
-                extra={
-                    "available": is_available,
-                    "upstreams": upstreams,
-                    "unable_s": round(unable_s, 3),
-                },
+                extra={"available": is_available, "unable_s": round(unable_s, 3)},
             )
 
     def clear(self) -> None:
--- a/jackdawspur/front/_leader_driver.py
+++ b/jackdawspur/front/_leader_driver.py
@@ -295,12 +295,20 @@
         )
         self._dispatcher.drop_unrefreshed(other_group_hosts, now)
         self._update_peer_lists(now)
-        # Without zones of its own a group has no others that could serve its callers.
-        can_serve = not group.by_zone or self._dispatcher.can_serve(now)
-        upstreams = len(self._dispatcher.upstream_pool.capacities)
-        self.availability.update(can_serve, upstreams, now)
+        self._update_availability(now)
         self._dispatcher.tick(now)
 
+    def _update_availability(self, now: float) -> None:
+        """Record whether the group can serve new jobs.
+
+        A group without other groups stays available: callers have nowhere else to go,
+        and its refusals tell them when to retry.
+        """
+        group = self._owner.group
+        is_only_group = not (group.by_zone and group.other_group_hosts)
+        can_serve = is_only_group or self._dispatcher.can_serve(now)
+        self.availability.update(can_serve, now)
+
     def _update_peer_lists(self, now: float) -> None:
         group, view = self._owner.group, self._owner.view
         longest, all_read_at = group.peer_list_bounds(now)
--- a/jackdawspur/front/tests/test_evacuated_zones.py
+++ b/jackdawspur/front/tests/test_evacuated_zones.py
@@ -154,6 +154,19 @@
     assert ready_hosts(two_groups) == set(HOSTS)
 
 
+def test_hosts_without_other_zones_stay_ready(monkeypatch):
+    # Guards against callers that reach no host at all, and learn no time to retry.
+    simulation = World(monkeypatch, most_upstreams=1)
+    simulation.add_upstreams("z1", 2)
+    for name in ("a1", "a2"):
+        simulation.start(name, "z1")
+    simulation.run(3.0)
+    simulation.evacuated.add("z1")
+    simulation.run(2.0)
+    assert simulation.nodes["a1"].process.group.by_zone
+    assert ready_hosts(simulation) == {"a1", "a2"}
+
+
 def test_callers_of_such_hosts_are_refused_at_once_as_not_run(two_groups):
     # Guards against callers that wait for upstreams which their zone does not have.
     partition(two_groups, 1.5)
--- a/jackdawspur/runs/_overload_control.py
+++ b/jackdawspur/runs/_overload_control.py
@@ -178,7 +178,7 @@
         return refusal_fields(job, class_of(job, now), shedding, now)
 
     def _rank(self, job: Job, now: float) -> float:
-        """Return the cost per unit of work of not serving a job of this route."""
+        """Return the cost per unit of work of not serving a job of this class."""
         if job.protected:
             return PROTECTED_RANK
         return self.load_tracker.class_rank(job, now)
--- a/jackdawspur/runs/tests/conftest.py
+++ b/jackdawspur/runs/tests/conftest.py
@@ -149,6 +149,14 @@
         self.noted += [e for e in effects if isinstance(e, JobLost | JobNoted)]
         return effects
 
+    def end_tasks(self, started_at: dict[str, float], run_s: float) -> None:
+        """End the tasks that have run for a time; `started_at` keeps their starts."""
+        for upstream in self.upstreams.values():
+            for task in list(upstream.running):
+                started_at.setdefault(task, self.now)
+                if self.now - started_at[task] >= run_s:
+                    upstream.end(task)
+
     def settle(self, passes: int = 6) -> None:
         """Let all open calls succeed, except those to unresponsive upstreams."""
         for _ in range(passes):
--- a/jackdawspur/runs/tests/test_admission.py
+++ b/jackdawspur/runs/tests/test_admission.py
@@ -21,11 +21,7 @@
     end_at = leader.now + seconds
     while leader.now < end_at:
         leader.advance(step_s, step_s)
-        for upstream in leader.upstreams.values():
-            for task in list(upstream.running):
-                started_at.setdefault(task, leader.now)
-                if leader.now - started_at[task] >= TASK_MS / 1000:
-                    upstream.end(task)
+        leader.end_tasks(started_at, TASK_MS / 1000)
         leader.settle(2)
         done = sum(a.outcome.end is JobEnd.COMPLETE for a in leader.answers)
         completed_at += [leader.now] * (done - len(completed_at))
--- a/jackdawspur/runs/tests/test_late_jobs.py
+++ b/jackdawspur/runs/tests/test_late_jobs.py
@@ -45,11 +45,7 @@
             leader.offer(job, route=PATIENT, call=call, deadline=leader.now + 5.0)
             count += 1
         leader.advance(STEP_S, STEP_S)
-        for upstream in leader.upstreams.values():
-            for task in list(upstream.running):
-                started_at.setdefault(task, leader.now)
-                if leader.now - started_at[task] >= TASK_MS / 1000:
-                    upstream.end(task)
+        leader.end_tasks(started_at, TASK_MS / 1000)
         leader.settle(2)
         for answer in leader.answers:
             if answer.outcome.end is JobEnd.COMPLETE:
