--- a/jackdawspur/front/tests/test_heartbeats.py
+++ b/jackdawspur/front/tests/test_heartbeats.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from jackdawspur.front._availability import Availability
 from jackdawspur.front._heartbeats import Heartbeats
 from jackdawspur.group import (
     FOLLOWER_TIMEOUT_S,
@@ -45,6 +46,8 @@
 class IdleLeader:
     """A leader driver without jobs."""
 
+    availability = Availability()
+
     @property
     def exchange(self) -> "IdleLeader":
         return self
