Share drawing, percentiles and names of decisions with the profile

Cause: the profile set up matplotlib and wrote its picture as pictures does, spelled log messages that Decision and JobEnd hold, and listed its percentiles in three places.

Change: pictures has save_figure; the names come from runs; the labels and values of percentiles stand once. One comment reworded. Behaviour is unchanged.

--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -282,7 +282,7 @@
             self._update_due = now + UPDATE_INTERVAL_S
             self._peer_updates.send(now)
         if not self.group.draining:
-            # Refused callers connect anew, and to another zone.
+            # Refused callers reconnect, and the balancer sends them to another zone.
             available = self.leader_driver.is_group_available(now)
             self._web.set_draining(not available)
         self._exit_when_drained(now)
--- a/jackdawspur/pictures/__init__.py
+++ b/jackdawspur/pictures/__init__.py
@@ -1,6 +1,11 @@
 """Pictures of the results of the bench and of other measurements."""
 
-from jackdawspur.pictures._draw import draw_configuration, draw_tail
+from jackdawspur.pictures._draw import (
+    draw_configuration,
+    draw_tail,
+    pyplot,
+    save_figure,
+)
 from jackdawspur.pictures._lines import (
     ChangeLine,
     PictureError,
@@ -15,6 +20,8 @@
     "SteadyLine",
     "draw_configuration",
     "draw_tail",
+    "pyplot",
     "read_changes",
     "read_steady",
+    "save_figure",
 ]
--- a/jackdawspur/pictures/_draw.py
+++ b/jackdawspur/pictures/_draw.py
@@ -16,7 +16,7 @@
     SteadyLine,
 )
 
-__all__ = ["draw_configuration", "draw_tail"]
+__all__ = ["draw_configuration", "draw_tail", "pyplot", "save_figure"]
 
 PRODUCT_POLICY = "own"
 PRODUCT_WIDTH, BASELINE_WIDTH = 3.0, 1.2
@@ -38,7 +38,7 @@
     for axis, deployment in zip(axes[0], deployments, strict=True):
         _draw_policies(axis, [line for line in lines if line.deployment == deployment])
         axis.set_title(deployment)
-    _save(figure, path)
+    save_figure(figure, path)
 
 
 def _draw_policies(axis, lines: Sequence[SteadyLine]) -> None:
@@ -72,10 +72,11 @@
     axis.set_xticks(list(ticks), [f"{line.measure}\n{line.changes}" for line in lines])
     axis.set_ylabel("confirm to in force everywhere, ms")
     axis.legend(fontsize="small")
-    _save(figure, path)
+    save_figure(figure, path)
 
 
-def _save(figure, path: Path) -> None:
+def save_figure(figure, path: Path) -> None:
+    """Write a figure as SVG and close it."""
     path.parent.mkdir(parents=True, exist_ok=True)
     figure.tight_layout()
     figure.savefig(path, format="svg", metadata=METADATA)
--- a/jackdawspur/profile/_records.py
+++ b/jackdawspur/profile/_records.py
@@ -9,15 +9,22 @@
 import msgspec
 
 from jackdawspur.exceptions import JackdawspurError
+from jackdawspur.runs import Decision, JobEnd
 
 __all__ = ["LogError", "LogRecords", "RequestRecord", "read_logs"]
 
 JOB_ENDED = "job ended"
 HOST_STARTED = "host started"
-REDIRECTED = "job passed on to another group"
+REDIRECTED = Decision.JOB_PASSED_ON.value
 # Decisions of a leader that end a job without its result.
 LOSSES = frozenset(
-    {"job refused", "job out of time", "job can't end in time", "job failed"}
+    decision.value
+    for decision in (
+        Decision.JOB_REFUSED,
+        Decision.JOB_OUT_OF_TIME,
+        Decision.JOB_HOPELESS,
+        Decision.JOB_FAILED,
+    )
 )
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
 # Collectors write the time and the host before each line, which starts with a brace.
@@ -55,7 +62,7 @@
     @property
     def served(self) -> bool:
         """Return whether the caller received a result."""
-        return self.end == "complete"
+        return self.end == JobEnd.COMPLETE.value
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,7 +174,7 @@
             first_start_ms=line.first_start_ms,
             last_start_ms=line.last_start_ms,
             ended_ms=line.ended_ms,
-            cause="" if line.end == "complete" else cause,
+            cause="" if line.end == JobEnd.COMPLETE.value else cause,
             redirected=line.job in self._redirected,
             inputs=inputs,
         )
--- a/jackdawspur/profile/_report.py
+++ b/jackdawspur/profile/_report.py
@@ -8,6 +8,7 @@
 from jackdawspur.profile._records import LogRecords, RequestRecord
 
 __all__ = [
+    "PERCENTILE_LABELS",
     "GroupRow",
     "LossRow",
     "Profile",
@@ -17,6 +18,7 @@
 ]
 
 PERCENTILES = (10, 50, 90, 99)
+PERCENTILE_LABELS = tuple(f"{percentile} %" for percentile in PERCENTILES)
 # A caller whose limit leaves this many times what its job needs could wait.
 AMPLE_FACTOR = 3.0
 
@@ -31,6 +33,11 @@
     p90: float | None = None
     p99: float | None = None
 
+    @property
+    def values(self) -> tuple[float | None, ...]:
+        """Return the percentiles, the lowest first."""
+        return self.p10, self.p50, self.p90, self.p99
+
 
 @dataclass(frozen=True, slots=True)
 class StageRow:
--- a/jackdawspur/profile/_text.py
+++ b/jackdawspur/profile/_text.py
@@ -4,29 +4,27 @@
 
 from tabulate import tabulate
 
-from jackdawspur.profile._report import Profile, Quantiles
+from jackdawspur.profile._report import PERCENTILE_LABELS, Profile, Quantiles
 
 __all__ = ["format_profile"]
 
-PERCENTILES = ("10 %", "50 %", "90 %", "99 %")
-
 
 def format_profile(profile: Profile) -> str:
     """Return the tables of a profile; times are in milliseconds."""
     stages = [[row.route, row.stage, *_cells(row.took)] for row in profile.stages]
-    sections = [_table(["route", "stage", "jobs", *PERCENTILES], stages)]
+    sections = [_table(["route", "stage", "jobs", *PERCENTILE_LABELS], stages)]
     for name, rows in profile.groups.items():
         cells = [
             [row.value, row.requests, row.unserved, row.redirected, *_cells(row.took)]
             for row in rows
         ]
-        headers = [name, "jobs", "unserved", "redirected", "served", *PERCENTILES]
+        headers = [name, "jobs", "unserved", "redirected", "served", *PERCENTILE_LABELS]
         sections.append(_table(headers, cells))
     losses = [
-        [row.cause, row.priority, row.requests, row.ample, *_cells(row.waited)[1:]]
+        [row.cause, row.priority, row.requests, row.ample, *row.waited.values]
         for row in profile.losses
     ]
-    headers = ["cause", "priority", "unserved", "with ample time", *PERCENTILES]
+    headers = ["cause", "priority", "unserved", "with ample time", *PERCENTILE_LABELS]
     sections.append(_table(headers, losses))
     sections.append(
         f"{profile.damaged_lines} damaged lines, "
@@ -44,4 +42,4 @@
 
 
 def _cells(took: Quantiles) -> list[object]:
-    return [took.count, took.p10, took.p50, took.p90, took.p99]
+    return [took.count, *took.values]
