Do not lead after a pause before the others' messages are read

Cause, by the hosts' logs: the first tick after a pause comes before the sockets are read, so the leader's last message is 3.6 s old and the host leads under a higher fence, with a list of 4 upstreams that is 3.761 s old (the others have 5). The others follow it and hand their jobs over. It compares its list with those of hosts heard of within 2.5 s, so with none, and only once a tick: a job that arrives before the next tick is started at once. 26 ms later it has read the heartbeats and steps down.

Ruled out: broken links (it reads heartbeats 25 ms after it resumes), contention over fences (its term starts by a vacancy), and the rule that an upstream is used once all hosts know it (a host not heard of for 2.5 s is left out on purpose).

--- a/jackdawspur/front/__init__.py
+++ b/jackdawspur/front/__init__.py
@@ -3,12 +3,12 @@
 from jackdawspur.front._ports import (
     CallerPort,
     CallerRequest,
+    PlatformPorts,
     RequestKind,
     StoreListener,
     StorePort,
     UpstreamPort,
 )
-from jackdawspur.front._process import PlatformPorts
 from jackdawspur.front._routes import ConfigurationDecodeError, RouteTable
 from jackdawspur.front._run import run_front
 
--- a/jackdawspur/front/_leader_driver.py
+++ b/jackdawspur/front/_leader_driver.py
@@ -91,6 +91,8 @@
         self._exchange = LoadExchange(self._dispatcher, owner)
         self.availability = Availability()
         self._reported_progress: dict[str, Progress] = {}
+        # Whether a job was handed over since the peers' lists were last compared.
+        self._handover_received = False
         self._actions = {
             StartRun: self._start,
             StopRun: self._stop,
@@ -180,6 +182,7 @@
         is_current = message.fence == self._owner.group.fence
         if not self._dispatcher.is_leader or not is_current:
             return
+        self._handover_received |= bool(message.handed)
         arrived = now - message.age_ms / MS_PER_S
         deadline = now + message.left_ms / MS_PER_S
         self.accept_offer(
@@ -310,6 +313,7 @@
         self.availability.update(can_serve, now)
 
     def _update_peer_lists(self, now: float) -> None:
+        self._handover_received = False
         group, view = self._owner.group, self._owner.view
         longest, all_read_at = group.peer_list_bounds(now)
         behind = view.age_s(now) - group.newest_peer_list_age_s(now) > MAX_LIST_LAG_S
@@ -318,6 +322,9 @@
 
     def flush(self, now: float) -> None:
         """Carry out the effects that the dispatcher requests."""
+        if self._handover_received:
+            # The job's host may have been unknown to run when lists were last compared.
+            self._update_peer_lists(now)
         for effect in self._dispatcher.flush(now):
             self._carry_out(effect)
         overdue_at = self._dispatcher.overdue_at
--- a/jackdawspur/front/_ports.py
+++ b/jackdawspur/front/_ports.py
@@ -22,6 +22,7 @@
 __all__ = [
     "CallerPort",
     "CallerRequest",
+    "PlatformPorts",
     "RequestKind",
     "StoreListener",
     "StorePort",
@@ -147,3 +148,12 @@
     @abc.abstractmethod
     def decode_configuration(self, document: bytes) -> RouteTable:
         """Decode the routes of a configuration; raise `ConfigurationDecodeError`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformPorts:
+    """The adapter's ports to the platform."""
+
+    callers: CallerPort
+    upstreams: UpstreamPort
+    store: StorePort
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from circuits import Component, Event as LoopEvent, handler
 from circuits.core.pollers import EPoll
@@ -17,7 +16,7 @@
 from jackdawspur.front._overload import assumed_fields, overload_fields, overload_policy
 from jackdawspur.front._pages import OperatorPages
 from jackdawspur.front._peer_updates import PeerUpdates
-from jackdawspur.front._ports import CallerPort, StorePort, UpstreamPort
+from jackdawspur.front._ports import PlatformPorts
 from jackdawspur.front._reload import reload_settings
 from jackdawspur.front._routes import NO_ROUTES, RouteTable
 from jackdawspur.front._service import CallerService, ReadyService
@@ -38,7 +37,7 @@
 )
 from jackdawspur.settings import HostSettings
 
-__all__ = ["FrontProcess", "PlatformPorts"]
+__all__ = ["FrontProcess"]
 
 TICK_S = 0.025
 NEVER_S = float("inf")
@@ -61,15 +60,6 @@
 log = logging.getLogger("jackdawspur.host")
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformPorts:
-    """The adapter's ports to the platform."""
-
-    callers: CallerPort
-    upstreams: UpstreamPort
-    store: StorePort
-
-
 class flush(LoopEvent):
     """Lets the dispatcher handle what arrived during this pass of the loop."""
 
@@ -248,7 +238,11 @@
     @handler("flush")
     def _on_flush(self) -> None:
         self._flush_pending = False
-        self.leader_driver.flush(now_s())
+        now = now_s()
+        if self.group.pause_s(now):
+            # Replies that waited to be read must not cause starts before it resigns.
+            self._follow_leader(now)
+        self.leader_driver.flush(now)
 
     def _start_work(self) -> None:
         self._tick_due = now_s()
@@ -300,6 +294,8 @@
         self._heartbeats.send(now, to_all)
 
     def _follow_leader(self, now: float) -> None:
+        if self.group.pause_s(now):
+            self.view.log_pause(now)
         changed = self.group.update_leadership(self.can_lead, unix_ms(), now)
         if self.group.by_zone != self._by_zone:
             self._zones_changed(now)
--- a/jackdawspur/front/_run.py
+++ b/jackdawspur/front/_run.py
@@ -8,7 +8,8 @@
 from circuits.core.pollers import EPoll
 
 from jackdawspur.adapters import TimerQueue
-from jackdawspur.front._process import FrontProcess, PlatformPorts
+from jackdawspur.front._ports import PlatformPorts
+from jackdawspur.front._process import FrontProcess
 from jackdawspur.settings import HostSettings
 
 __all__ = ["run_front"]
--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -150,6 +150,19 @@
             },
         )
 
+    def log_pause(self, now: float) -> None:
+        """Log that this host was paused, and the current state of its list."""
+        group = self._owner.group
+        log.warning(
+            "host was paused",
+            extra={
+                "paused_s": round(group.pause_s(now), 3),
+                "leads": group.is_leader,
+                "list_age_s": round(self.age_s(now), 3),
+                "upstreams": len(self.entries),
+            },
+        )
+
     def _set_entries(self, entries: tuple[UpstreamEntry, ...]) -> None:
         if entries != self.entries:
             self.entries = entries
--- a/jackdawspur/front/tests/test_leader_driver.py
+++ b/jackdawspur/front/tests/test_leader_driver.py
@@ -39,9 +39,10 @@
 
     entries: tuple = ()
     evacuated: frozenset = frozenset()
+    read_at: float | None = None
 
     def age_s(self, now: float) -> float:
-        return 0.0
+        return 0.0 if self.read_at is None else now - self.read_at
 
 
 class NoUpstreams:
@@ -131,6 +132,28 @@
     assert len(driver.dispatcher.open_jobs) == 1
 
 
+def test_the_first_job_of_a_host_unheard_since_its_list_was_newer_waits(
+    owner: Owner, driver: LeaderDriver, monkeypatch
+):
+    # Guards against starting a job that was handed over before the lists are compared
+    # with that of its host: its runs may be on an upstream that is not on this list.
+    entry = UpstreamEntry(
+        UpstreamId("z1", "u1"), "s", "z1:u1", Resources(1000), (), False
+    )
+    owner.view.entries, owner.view.read_at = (entry,), 5.0
+    driver.upstreams_changed(5.0)
+    host = HostAddress("h2", "z1", "127.0.0.1:2", 1)
+    heartbeat = HostHeartbeat(host, 6.5, False, 0, True, False, False, 1, 0.1, ())
+    owner.group.record_heartbeat(heartbeat, 6.5)
+    driver.tick(9.99)
+    listing = driver.dispatcher.upstream_pool.listing
+    assert listing.is_complete(9.99)
+    driver.receive_offer(offer(owner.group.fence, handed=1, sent_at=10.0), 10.0)
+    monkeypatch.setattr(driver.dispatcher, "flush", lambda _now: [])
+    driver.flush(10.0)
+    assert not listing.is_complete(10.0)
+
+
 def test_an_upstream_of_a_service_that_no_route_names_is_not_used(
     owner: Owner, driver: LeaderDriver
 ):
--- a/jackdawspur/group/_contention.py
+++ b/jackdawspur/group/_contention.py
@@ -1,6 +1,6 @@
 """Contention for upstreams with a leader that this host can't reach."""
 
-__all__ = ["LeadershipContention"]
+__all__ = ["LeadershipContention", "is_smaller_side"]
 
 # If upstreams obey an unknown fence twice within this time, another host leads, and the
 # smaller side of the network partition backs off.
@@ -49,3 +49,10 @@
         """End the backoff, because messages of an unresponsive host arrive again."""
         self._backoffs = 0
         self._backoff_until = now
+
+
+def is_smaller_side(live: set[str], known: set[str]) -> bool:
+    """Return whether the live hosts are the smaller side of a network partition."""
+    if 2 * len(live) == len(known):
+        return min(known) not in live
+    return 2 * len(live) < len(known)
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -3,11 +3,14 @@
 import math
 
 from jackdawspur.group._candidates import is_eligible, rank
-from jackdawspur.group._contention import LeadershipContention
+from jackdawspur.group._contention import LeadershipContention, is_smaller_side
 from jackdawspur.group._extent import MAX_UPSTREAMS, Extent
 from jackdawspur.group._leadership_transfer import LeadershipTransfer
 from jackdawspur.group._messages import HostAddress, HostHeartbeat
+from jackdawspur.group._pauses import PauseDetector
+from jackdawspur.group._peer_lists import list_bounds
 from jackdawspur.group._terms import Term, precedence
+from jackdawspur.group._vacancy import UNHEARD_LEADER_GRACE_S, Vacancy
 from jackdawspur.leases import FENCE_STEP, Fence, next_fence
 
 __all__ = ["FOLLOWER_TIMEOUT_S", "HEARTBEAT_INTERVAL_S", "HEARTBEAT_TIMEOUT_S", "Group"]
@@ -20,22 +23,10 @@
 FOLLOWER_TIMEOUT_S = 2.5
 # Leaders of other groups send heartbeats every second, and offer capacity more often.
 OTHER_LEADER_TIMEOUT_S = 2.5
-# Time without a leader before a takeover, so that all hosts have the same heartbeats.
-VACANCY_S = 0.1
 # New leaders send heartbeats without delay, but links must reconnect after a partition.
 # An upstream that obeys an unknown fence for longer than this obeys an unreachable one.
 # If this is too short, both sides' leaders alternately take upstreams from each other.
 CONTENTION_AFTER_S = 0.6
-# How long a host defers to a leader that others follow and that it can't reach itself:
-# links reconnect within half a second after a network partition ends.
-UNHEARD_LEADER_GRACE_S = 0.6
-# At startup hosts must discover each other before one leads: reading the store, a
-# connection and a heartbeat each way take 0.02 s, and hosts start within 0.3 s.
-INITIAL_VACANCY_S = 0.25
-# Minimum time from the first read of the store, which may be late, to a takeover.
-DISCOVERY_S = 0.2
-# How long a heartbeat may wait to be read; a host that is paused for longer can't lead.
-HEARTBEAT_READ_MARGIN_S = 0.4
 # How far a fence is raised above a refused one; clocks are known to differ by less.
 FENCE_JUMP_MS = 5000
 
@@ -57,12 +48,13 @@
         self._seen_at: dict[str, float] = {}
         self._sampled_at: dict[str, float] = {}
         self._addresses: dict[str, HostAddress] = {}
-        self._vacant_since = now + INITIAL_VACANCY_S - VACANCY_S
+        self._vacancy = Vacancy(now)
         self._max_fence: Fence = 0
         self._followed_fence: Fence = 0
         self._extent = Extent(max_upstreams)
         self._contention = LeadershipContention(now)
         self._transfer = LeadershipTransfer(local)
+        self._pauses = PauseDetector()
         self.fence: Fence = 0
         self.is_leader = False
         self.draining = False
@@ -143,12 +135,12 @@
         if heartbeat is not None:
             self._extent.follow(heartbeat.by_zone)
         else:
-            self._extent.decide(self._zone_group_leaders(now))
+            leaders = [b for b in self._recent_leaders(now) if b.by_zone]
+            self._extent.decide([b for b in leaders if not self._is_in_zone(b)])
 
-    def _zone_group_leaders(self, now: float) -> list[HostHeartbeat]:
-        """Return the heartbeats of leaders of groups of one other zone."""
-        leaders = self._recent_leaders(now)
-        return [b for b in leaders if b.by_zone and b.host.zone != self._local.zone]
+    def _is_in_zone(self, heartbeat: HostHeartbeat) -> bool:
+        """Return whether a host is in this host's zone."""
+        return heartbeat.host.zone == self._local.zone
 
     def covers(self, zone: str) -> bool:
         """Return whether a zone belongs to the group."""
@@ -156,9 +148,8 @@
 
     def includes(self, heartbeat: HostHeartbeat) -> bool:
         """Return whether a host belongs to the group, according to its heartbeat."""
-        if heartbeat.host.zone == self._local.zone:
-            return True
-        return not (self._extent.by_zone or heartbeat.by_zone)
+        by_zone = self._extent.by_zone or heartbeat.by_zone
+        return self._is_in_zone(heartbeat) or not by_zone
 
     def is_in_other_group(self, name: str) -> bool:
         """Return whether a host belongs to another group by its last heartbeat."""
@@ -167,7 +158,7 @@
 
     def _leads_this_group(self, heartbeat: HostHeartbeat) -> bool:
         """Return whether the group led by a host includes this host."""
-        return heartbeat.host.zone == self._local.zone or not heartbeat.by_zone
+        return self._is_in_zone(heartbeat) or not heartbeat.by_zone
 
     def add_host(self, host: HostAddress) -> bool:
         """Record a host's address; return whether this incarnation is new."""
@@ -235,23 +226,22 @@
     def peer_list_bounds(self, now: float) -> tuple[int, float]:
         """Return the maximum length of peers' lists, and when all had read theirs.
 
-        Hosts without a list are left out, since they have just started and can't lead.
-        If they counted, no upstream could be used until they have one.
+        A list ages since the heartbeat that stated its age, whatever arrived since.
         """
-        heartbeats = [b for b in self.running_heartbeats(now) if b.ready]
-        longest = max((b.upstreams for b in heartbeats), default=0)
-        ages = (self.silent_s(b.host.name, now) + b.upstreams_age_s for b in heartbeats)
-        return longest, now - max(ages, default=0.0) - HEARTBEAT_READ_MARGIN_S
+        list_ages = [
+            (b, now - self._sampled_at[b.host.name] + b.upstreams_age_s)
+            for b in self.running_heartbeats(now)
+        ]
+        return list_bounds(list_ages, now)
 
     def newest_peer_list_age_s(self, now: float) -> float:
-        """Return the age of the newest list of a peer; infinity if no peer has one."""
-        return min(
-            (
-                self.silent_s(heartbeat.host.name, now) + heartbeat.upstreams_age_s
-                for heartbeat in self.running_heartbeats(now)
-            ),
-            default=math.inf,
-        )
+        """Return the age of the newest list that a peer may have, infinity if none has.
+
+        A peer may have read its list again until its last message.
+        """
+        running = self.running_heartbeats(now)
+        ages_s = [self.silent_s(b.host.name, now) + b.upstreams_age_s for b in running]
+        return min(ages_s, default=math.inf)
 
     def live_heartbeats(self, now: float) -> list[HostHeartbeat]:
         """Return the last heartbeats of the peers for which `is_alive` holds."""
@@ -294,27 +284,43 @@
 
     def update_leadership(self, ready: bool, unix_ms: float, now: float) -> bool:
         """Start or stop leading if due; return whether that changed."""
+        pause_s = self._pauses.update(now)
+        if pause_s and self._resign_after_pause(pause_s, now):
+            return True
         self._choose_zones(now)
         leader = self.leader(now)
         if self.is_leader:
             return self._step_down(leader, unix_ms, now)
         if leader is not None:
-            self._vacant_since = now
+            self._vacancy.restart(now)
             self._followed_fence = self.term(now).fence
             return False
         if not ready:
-            # The store also lists the other hosts. Without this delay, hosts that read
-            # it late, at the same moment, would each lead before they are connected.
-            self._vacant_since = max(self._vacant_since, now + DISCOVERY_S - VACANCY_S)
+            self._vacancy.wait_for_discovery(now)
             return False
         if self._contention.must_wait(now) or self._defers_to_unheard_leader(now):
             return False
-        vacant = now - self._vacant_since >= VACANCY_S
-        if not vacant or not self._is_first(unix_ms, now):
+        if not self._vacancy.is_over(now) or not self._is_first(unix_ms, now):
             return False
         self._start_leading(unix_ms, now)
         return True
 
+    def pause_s(self, now: float) -> float:
+        """Return for how long this host was paused, 0 if it was not."""
+        return self._pauses.pause_s(now)
+
+    def _resign_after_pause(self, pause_s: float, now: float) -> bool:
+        """Stop leading if another host may lead; return whether this host led.
+
+        The others were silent because their messages were not read. The leader that
+        they have elected may use upstreams that are not on this host's list, so this
+        host must not take over before it has received their heartbeats.
+        """
+        self._vacancy.restart_after_pause(now)
+        resigns = self.is_leader and bool(self.running_heartbeats(now - pause_s))
+        self.is_leader &= not resigns
+        return resigns
+
     def _defers_to_unheard_leader(self, now: float) -> bool:
         """Return whether others follow a leader that this host does not know yet.
 
@@ -322,7 +328,7 @@
         of that side led before it knows the other leader, all jobs would be handed over
         twice. The leader lost last doesn't count: others may notice its loss later.
         """
-        if now - self._vacant_since > UNHEARD_LEADER_GRACE_S:
+        if self._vacancy.lasts_longer_than(UNHEARD_LEADER_GRACE_S, now):
             return False
         return any(b.follows > self._followed_fence for b in self.live_heartbeats(now))
 
@@ -348,20 +354,15 @@
         alternately take the upstreams and stop each other's runs, so the smaller side
         backs off, for longer each time.
         """
-        if self._contention.record(now) and self._is_smaller_side(now):
+        live = {self._local.name, *(b.host.name for b in self.live_heartbeats(now))}
+        known = {self._local.name, *(host.name for host in self.known_peers)}
+        if self._contention.record(now) and is_smaller_side(live, known):
             self.is_leader = False
             self._contention.back_off(now)
             return
         self._max_fence = max(self._max_fence, self.fence + FENCE_JUMP_MS * FENCE_STEP)
         self._start_leading(unix_ms, now)
 
-    def _is_smaller_side(self, now: float) -> bool:
-        live = {self._local.name, *(b.host.name for b in self.live_heartbeats(now))}
-        known = {self._local.name, *(host.name for host in self.known_peers)}
-        if 2 * len(live) == len(known):
-            return min(known) not in live
-        return 2 * len(live) < len(known)
-
     def _start_leading(self, unix_ms: float, now: float) -> None:
         self.is_leader = True
         self._transfer.leadership_started(now)
@@ -376,7 +377,7 @@
         if not (outranked or must_step_down or self._should_transfer(unix_ms, now)):
             return False
         self.is_leader = False
-        self._vacant_since = now
+        self._vacancy.restart(now)
         return True
 
     def _should_transfer(self, unix_ms: float, now: float) -> bool:
@@ -396,5 +397,4 @@
         eligible = [b.host for b in self.live_heartbeats(now) if is_eligible(b)]
         if self.draining or self.slow:
             return not eligible
-        local = rank(self._local, unix_ms)
-        return all(local <= rank(other, unix_ms) for other in eligible)
+        return all(rank(self._local, unix_ms) <= rank(o, unix_ms) for o in eligible)
--- a/jackdawspur/group/tests/test_group.py
+++ b/jackdawspur/group/tests/test_group.py
@@ -3,65 +3,20 @@
 import pytest
 
 from jackdawspur.group import Group, HostAddress, HostHeartbeat, Term
-from jackdawspur.group._group import (
+from jackdawspur.group._group import HEARTBEAT_TIMEOUT_S
+from jackdawspur.group._pauses import MAX_PAUSE_S
+from jackdawspur.group._vacancy import (
     DISCOVERY_S,
-    HEARTBEAT_READ_MARGIN_S,
-    HEARTBEAT_TIMEOUT_S,
     INITIAL_VACANCY_S,
     UNHEARD_LEADER_GRACE_S,
     VACANCY_S,
 )
-from jackdawspur.group.tests.heartbeats import heartbeat_of
+from jackdawspur.group.tests.hosts import UNIX_MS, Hosts
 
-UNIX_MS = 1_800_000_000_000
 # Links reconnect half a second after a network partition ends.
 RECONNECTED_TENTHS = 5
 
 
-def address(name: str, started_ms: int = UNIX_MS - 60_000) -> HostAddress:
-    return HostAddress(name, "z1", f"127.0.0.1:{9000 + len(name)}", started_ms)
-
-
-class Hosts:
-    """Hosts that receive each other's heartbeats, except across partitioned pairs."""
-
-    def __init__(self, *names: str) -> None:
-        self.now = 50.0
-        self.groups = {name: Group(address(name), self.now) for name in names}
-        self.stopped: set[str] = set()
-        self.unready: set[str] = set()
-        self.partitions: set[frozenset[str]] = set()
-
-    def heartbeat(self, name: str) -> HostHeartbeat:
-        return heartbeat_of(self.groups[name], address(name), self.now)
-
-    def advance(self, seconds: float) -> None:
-        for _ in range(round(seconds / 0.05)):
-            self.now += 0.05
-            running = [name for name in self.groups if name not in self.stopped]
-            heartbeats = {name: self.heartbeat(name) for name in running}
-            for name in running:
-                for other in running:
-                    if (
-                        other != name
-                        and frozenset((name, other)) not in self.partitions
-                    ):
-                        self.groups[name].record_heartbeat(heartbeats[other], self.now)
-            for name in running:
-                ready = name not in self.unready
-                self.groups[name].update_leadership(ready, UNIX_MS, self.now)
-
-    def leaders(self) -> list[str]:
-        return [name for name, group in self.groups.items() if group.is_leader]
-
-
-@pytest.fixture
-def hosts() -> Hosts:
-    cluster = Hosts("a", "b", "c")
-    cluster.advance(INITIAL_VACANCY_S + 1.0)
-    return cluster
-
-
 def test_exactly_one_host_leads_and_all_follow_it(hosts: Hosts):
     (leader,) = hosts.leaders()
     assert {g.leader(hosts.now) for g in hosts.groups.values()} == {leader}
@@ -328,10 +283,24 @@
     )
     group.record_heartbeat(heartbeat, 5.0)
     longest, all_read_at = group.peer_list_bounds(5.0)
-    assert (longest, all_read_at) == (8, pytest.approx(4.0 - HEARTBEAT_READ_MARGIN_S))
+    assert (longest, all_read_at) == (8, pytest.approx(4.0 - MAX_PAUSE_S))
     started = HostAddress("started", "z1", "127.0.0.1:3", 1)
     without_list = HostHeartbeat(
         started, 5.0, False, 0, False, False, False, 1, 1e9, ()
     )
     group.record_heartbeat(without_list, 5.0)
     assert group.peer_list_bounds(5.0) == (longest, all_read_at)
+
+
+def test_a_list_ages_until_the_next_heartbeat_whatever_else_arrives():
+    # Guards against counting on a host that was paused to know the new upstreams: its
+    # first messages after the pause are offers of jobs.
+    group = Group(HostAddress("own", "z1", "127.0.0.1:1", 1), 0.0)
+    host = HostAddress("other", "z1", "127.0.0.1:2", 1)
+    heartbeat = HostHeartbeat(
+        host, 5.0, False, 0, True, False, False, 1, 1.0, (), upstreams=8
+    )
+    group.record_heartbeat(heartbeat, 5.0)
+    group.record_message("other", 9.0)
+    _longest, all_read_at = group.peer_list_bounds(9.0)
+    assert all_read_at == pytest.approx(4.0 - MAX_PAUSE_S)
--- a/jackdawspur/group/tests/test_leadership_transfer.py
+++ b/jackdawspur/group/tests/test_leadership_transfer.py
@@ -3,8 +3,8 @@
 import pytest
 
 from jackdawspur.group import Group, HostAddress
-from jackdawspur.group._group import INITIAL_VACANCY_S
 from jackdawspur.group._leadership_transfer import MIN_LEADERSHIP_S
+from jackdawspur.group._vacancy import INITIAL_VACANCY_S
 from jackdawspur.group.tests.heartbeats import heartbeat_of
 
 UNIX_MS = 1_800_000_000_000.0
--- /dev/null
+++ b/jackdawspur/group/tests/test_pauses.py
@@ -0,0 +1,56 @@
+"""Tests of hosts that resume after a pause."""
+
+from jackdawspur.group._vacancy import UNHEARD_LEADER_GRACE_S
+from jackdawspur.group.tests.hosts import UNIX_MS, Hosts
+
+# Longer than the time for which others count a host as running.
+PAUSE_S = 3.5
+
+
+def test_a_paused_follower_does_not_lead_before_it_reads_its_messages(hosts: Hosts):
+    # Guards against taking one's own pause for the loss of the leader: the new term
+    # would start with a list of upstreams from before the pause.
+    (leader,) = hosts.leaders()
+    follower = next(name for name in hosts.groups if name != leader)
+    hosts.stopped.add(follower)
+    hosts.advance(PAUSE_S)
+    group = hosts.groups[follower]
+    assert not group.update_leadership(True, UNIX_MS, hosts.now)
+    hosts.stopped.clear()
+    hosts.advance(1.0)
+    assert hosts.leaders() == [leader]
+
+
+def test_a_paused_follower_leads_if_it_hears_nobody(hosts: Hosts):
+    (leader,) = hosts.leaders()
+    followers = [name for name in hosts.groups if name != leader]
+    hosts.stopped |= set(followers)
+    hosts.advance(PAUSE_S)
+    hosts.stopped = set(hosts.groups) - {followers[0]}
+    hosts.advance(UNHEARD_LEADER_GRACE_S - 0.1)
+    assert not hosts.groups[followers[0]].is_leader
+    hosts.advance(0.2)
+    assert hosts.groups[followers[0]].is_leader
+
+
+def test_a_paused_leader_resigns_before_it_reads_its_messages(hosts: Hosts):
+    # Guards against leading on, or raising the fence, with knowledge from before the
+    # pause while the links to the next leader are still being connected.
+    (leader,) = hosts.leaders()
+    hosts.stopped.add(leader)
+    hosts.advance(PAUSE_S)
+    group = hosts.groups[leader]
+    assert group.update_leadership(True, UNIX_MS, hosts.now)
+    assert not group.is_leader
+    assert not group.contend_for_upstreams(10.0, UNIX_MS, hosts.now)
+
+
+def test_a_paused_leader_without_live_followers_goes_on_leading(hosts: Hosts):
+    # Nobody else can have taken over, and no task would start for 0.6 s.
+    (leader,) = hosts.leaders()
+    hosts.stopped = set(hosts.groups) - {leader}
+    hosts.advance(PAUSE_S)
+    hosts.now += PAUSE_S
+    group = hosts.groups[leader]
+    assert not group.update_leadership(True, UNIX_MS, hosts.now)
+    assert group.is_leader
