Notice callers that close their connection while their job runs

Cause: the end of a caller's data was taken for a half-closed connection, and reading stopped. A socket that is neither read nor written isn't polled, so not even a reset was noticed. Evidence: no host logs "caller left"; the first host logs the job as complete 2.7 s after its caller left. Ruled out: a lost cancellation (none was sent), fences (each side reaches its own upstreams only).

Change: while a caller with an open call can't be read, the server sends it 100 Continue at once and every 0.1 s. The system of a caller that has closed answers with a reset, so that the next probe fails and the job is cancelled; a half-closed caller that still reads ignores it and gets its answer. That covers callers that leave later, in a later pipelined request, or after more pipelined bytes than are read. Callers of HTTP/1.0 aren't probed: their protocol has no interim responses. The line "caller left" states how long the caller had waited.

The raw test callers skip interim replies, as clients of HTTP/1.1 must.

--- a/jackdawspur/adapters/_requests.py
+++ b/jackdawspur/adapters/_requests.py
@@ -22,6 +22,7 @@
 REQUESTS_ONLY = 0
 END_OF_HEAD = b"\r\n\r\n"
 HTTP_1 = 1
+HTTP_1_0 = (1, 0)
 
 
 class RequestError(JackdawspurError):
@@ -34,7 +35,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A complete HTTP request."""
+    """A complete HTTP request.
+
+    `accepts_interim` is set if its caller must accept interim responses: HTTP/1.0 has
+    none.
+    """
 
     method: str
     path: str
@@ -42,6 +47,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    accepts_interim: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +138,7 @@
         raise RequestError(f"the HTTP request could not be read: {parser.errstr}")
     if parser.get_version()[0] != HTTP_1:
         raise RequestError("only HTTP/1.0 and HTTP/1.1 are supported")
-    if parser.get_version() > (1, 0) and not parser.get_headers().get("Host"):
+    if parser.get_version() > HTTP_1_0 and not parser.get_headers().get("Host"):
         raise RequestError("a Host header is required")
     return parser
 
@@ -158,4 +164,5 @@
         parser.get_headers(),
         body,
         parser.should_keep_alive(),
+        parser.get_version() > HTTP_1_0,
     )
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -33,6 +33,8 @@
 # Time to wait for the peer's close after the sending side was shut down.
 LINGER_S = 2.0
 SWEEP_INTERVAL_S = 1.0
+# Interval of probes of callers whose connection isn't read while their call is open.
+PROBE_INTERVAL_S = 0.1
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = logging.getLogger(__name__)
@@ -76,6 +78,10 @@
     """Close connections that send too slowly."""
 
 
+class probe(Event):
+    """Probe the callers whose connection isn't read."""
+
+
 class proceed(Event):
     """Handle the next pipelined request of a connection."""
 
@@ -87,7 +93,7 @@
     `since` is the time when it was accepted, when its unfinished request started or
     when its last reply was sent, whichever is latest. `half_closed` means that the
     peer has shut down its sending side, `lingering` that this side has and only waits
-    for the peer's close.
+    for the peer's close. `paused` means that it isn't read.
     """
 
     sock: socket
@@ -97,6 +103,7 @@
     request: HttpRequest | None = None
     half_closed: bool = False
     lingering: bool = False
+    paused: bool = False
 
     @property
     def idle(self) -> bool:
@@ -123,6 +130,7 @@
         self._draining = False
         self._calls: dict[int, _Connection] = {}
         self._connections: dict[socket, _Connection] = {}
+        self._probe_timer: Timer | None = None
         self._sockets = ServerSockets(bind, self, channel).register(self)
         Timer(SWEEP_INTERVAL_S, sweep(), channel, persist=True).register(self)
 
@@ -156,7 +164,7 @@
             self._finish_connection(connection)
         elif connection.reader.buffered:
             if not connection.half_closed:
-                self._sockets.resume_reading(connection.sock)
+                self._resume_reading(connection)
             self.fire(proceed(connection))
         elif connection.half_closed:
             self._sockets.close_when_sent(connection.sock)
@@ -229,9 +237,44 @@
             self._sockets.close_when_sent(connection.sock)
             return
         # A half-closed socket stays readable, so polling it would spin the loop.
-        self._sockets.pause_reading(connection.sock)
+        self._pause_reading(connection)
         self._advance(connection)
 
+    def _pause_reading(self, connection: _Connection) -> None:
+        """Stop reading from a caller, and probe it instead.
+
+        A caller that has closed its connection looks like one that is half-closed and
+        waits for its answer. Only the first one's host answers a probe with a reset.
+        """
+        connection.paused = True
+        self._sockets.pause_reading(connection.sock)
+        self._probe(connection)
+        if self._probe_timer is None:
+            timer = Timer(PROBE_INTERVAL_S, probe(), self.channel, persist=True)
+            self._probe_timer = timer.register(self)
+
+    def _resume_reading(self, connection: _Connection) -> None:
+        connection.paused = False
+        self._sockets.resume_reading(connection.sock)
+
+    def _probe(self, connection: _Connection) -> None:
+        """Send an interim response, which fails if an earlier one was reset.
+
+        Clients ignore it. Some of them ignore no other interim response than 100.
+        """
+        if connection.request is not None and connection.request.accepts_interim:
+            self._sockets.send(connection.sock, CONTINUE)
+
+    @handler("probe")
+    def _on_probe(self) -> None:
+        """Probe all callers that aren't read, and stop when there are none."""
+        paused = [c for c in self._connections.values() if c.paused]
+        for connection in paused:
+            self._probe(connection)
+        if not paused and self._probe_timer is not None:
+            self._probe_timer.unregister()
+            self._probe_timer = None
+
     @handler("proceed")
     def _advance(self, connection: _Connection) -> None:
         """Handle one request if it is complete and no other is open."""
@@ -239,7 +282,7 @@
             return
         if connection.call_id is not None:
             if connection.reader.buffered > self._max_body_bytes + MAX_HEAD_BYTES:
-                self._sockets.pause_reading(connection.sock)
+                self._pause_reading(connection)
             return
         try:
             request = connection.reader.next_request()
@@ -290,7 +333,7 @@
         connection.lingering = True
         connection.reader = self._new_reader()
         connection.since = self._clock()
-        self._sockets.resume_reading(connection.sock)
+        self._resume_reading(connection)
         self._sockets.shut_down_sending(connection.sock)
 
     @handler("exception", channel="*")
--- a/jackdawspur/entry/tests/raw_callers.py
+++ b/jackdawspur/entry/tests/raw_callers.py
@@ -86,6 +86,7 @@
     def reply(self) -> Reply:
         def is_complete() -> bool:
             self.receive()
+            self._remove_interim_replies()
             head, found, body = self.data.partition(b"\r\n\r\n")
             return bool(found) and len(body) >= _length(head)
 
@@ -96,6 +97,11 @@
         read = json.loads(body[:length])
         return Reply(int(head.split()[1]), read, self.data)
 
+    def _remove_interim_replies(self) -> None:
+        """Ignore replies before the final one, as each client of HTTP/1.1 must."""
+        while self.data.startswith(b"HTTP/1.1 1") and b"\r\n\r\n" in self.data:
+            self.data = self.data.partition(b"\r\n\r\n")[2]
+
     def wait_closed(self) -> None:
         def closed() -> bool:
             self.receive()
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -139,7 +139,8 @@
         if job is None:
             return
         self._owner.metrics.count("callers_left")
-        log.info("caller left", extra={"job": job.request.id})
+        waited_ms = round((now_s() - job.arrived) * MS_PER_S, 1)
+        log.info("caller left", extra={"job": job.request.id, "waited_ms": waited_ms})
         self._cancel_at_leader(job)
 
     def stop_by(self, stops_at: float) -> None:
--- a/jackdawspur/front/tests/test_end_to_end.py
+++ b/jackdawspur/front/tests/test_end_to_end.py
@@ -1,13 +1,19 @@
 """End-to-end tests with processes: callers, hosts, workers and the store."""
 
+import json
 import re
 import time
+from http.client import HTTPConnection
 from pathlib import Path
 from signal import SIGHUP
 
 import pytest
 
 from jackdawspur.soak import Deployment, stop_host, wait_for_answers, wait_until
+from jackdawspur.standins import PLATFORM_HEADERS, platform_job_body
+
+# Callers send a job again this long after their connection broke.
+RESEND_S = 1.3
 
 
 @pytest.fixture
@@ -91,6 +97,36 @@
     assert again[0].status == 200
 
 
+@pytest.mark.parametrize("is_leader", [False, True])
+def test_runs_of_a_caller_that_closes_its_connection_are_stopped(
+    deployment: Deployment, is_leader: bool
+):
+    # Guards against taking a caller that has left for one that is half-closed: when it
+    # sends its job again to a host across a network partition, the job runs twice.
+    host = deployment.leader() if is_leader else follower(deployment)
+    job = deployment.next_job_id()
+    caller = HTTPConnection("127.0.0.1", host.callers_port)
+    body = json.dumps(platform_job_body(4000.0, 2, False))
+    caller.request("POST", f"/q/{job}", body, PLATFORM_HEADERS)
+    wait_until(lambda: deployment.report().starts == 2, "two runs")
+    left_at = time.monotonic()
+    caller.close()
+    leader = deployment.leader()
+    wait_until(lambda: is_dropped(leader, job), "dropped job", RESEND_S)
+    assert time.monotonic() - left_at < RESEND_S
+    time.sleep(0.2)
+    # Eight slots are free again only if both runs have been stopped.
+    (answer,) = wait_for_answers([deployment.submit(host, tasks=8, run_ms=50.0)])
+    assert answer.status == 200
+    assert not deployment.report().lapsed
+
+
+def is_dropped(leader, job: str) -> bool:
+    """Return whether a leader has dropped a job."""
+    lines = leader.log_lines()
+    return any(x["message"] == "job dropped" and x["job"] == job for x in lines)
+
+
 def test_bad_requests_get_clear_errors_and_the_host_goes_on(deployment: Deployment):
     host = deployment.hosts[0]
     assert host.call("POST", "/q/zz", {}).status == 400
