Bound the texts of entries, and read on after a bad key or an exception

Operators of systems like ours saw machines that end again and again, or stop following the list, because of one odd entry of a worker. Tried here on whole processes, 19 entries: nested 100,000 deep, with numbers of 400 and 100,000 digits, ports 0 and 70000 are ignored as before and the list is followed. Found beside them: - an entry with a long port, state or zone: a log line of 100,223 to 200,210 bytes, remembered for up to 1,000 entries. Names are printable ASCII now; - a first page of the store with a key that isn't Unicode was never read, and a nested one or an exception while a record was applied ended the reading for good, as the next read was requested last. Such keys are replaced, and the reading goes on in each case.

Tests: front/tests/test_invalid_entries.py (failed before by the length of a log line), and 9 cases in platform/tests/test_entries.py and 6 in test_reading.py, which failed before.

--- /dev/null
+++ b/jackdawspur/front/tests/test_invalid_entries.py
@@ -0,0 +1,99 @@
+"""Tests with processes of invalid entries of workers, and of what answers there."""
+
+import json
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from jackdawspur.soak import Deployment, wait_for_answers
+from jackdawspur.standins import PLATFORM_ROUTE
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+# Too large for a float, and for the types of most codecs.
+HUGE = b"9" * 400
+ENTRY = {
+    "service": PLATFORM_ROUTE["service"],
+    "address": "127.0.0.1:9",
+    "zone": "z1",
+    "capacity": {"cpu": 32_000, "mem_mb": 1024},
+}
+MAX_LINE_BYTES = 4096
+
+
+def entry(**values) -> bytes:
+    return json.dumps(ENTRY | values).encode()
+
+
+def with_field(name: bytes, value: bytes) -> bytes:
+    """Return an entry with a further field in JSON."""
+    return entry()[:-1] + b',"' + name + b'":' + value + b"}"
+
+
+ENTRIES = {
+    b"nested": NESTED,
+    b"nested-field": with_field(b"slots", NESTED),
+    b"nested-labels": with_field(b"labels", NESTED),
+    b"huge": with_field(b"capacity", b'{"cpu":' + HUGE + b"}"),
+    b"huge-unknown": with_field(b"sequence", b"9" * 100_000),
+    b"port": entry(address="127.0.0.1:70000"),
+    b"port-0": entry(address="127.0.0.1:0"),
+    b"long-port": entry(address="127.0.0.1:" + "9" * 100_000),
+    b"no-peer": entry(address="127.255.255.255:80"),
+    b"any-peer": entry(address="0.0.0.0:9"),
+    b"state": entry(state="x" * 200_000),
+    b"labels": entry(labels=["x" * 1000] * 200),
+    b"zone": entry(zone="z" * 200_000),
+    b"empty": entry(capacity={}),
+    b"full": entry(capacity={"cpu": 1 << 40, "mem_mb": 1 << 40}),
+    b"two\r\nX-Second: lines": entry(),
+    b"not utf-8 \xff\xfe": entry(),
+    "\u00fc\u0661".encode(): entry(),
+    b"": entry(),
+}
+
+
+@pytest.fixture
+def deployment(tmp_path) -> Iterator[Deployment]:
+    cluster = Deployment(tmp_path)
+    yield cluster
+    cluster.close()
+
+
+def check_all_serve(deployment: Deployment, seconds: float) -> None:
+    """Check that all hosts answer jobs and go on."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        sent = [deployment.submit(host, 30.0) for host in deployment.hosts]
+        assert [a.status for a in wait_for_answers(sent)] == [200] * len(sent)
+    for host in deployment.hosts:
+        assert host.process.poll() is None
+        check_log(host)
+
+
+def check_log(host) -> None:
+    """Check that a host logged no exception, and no long line."""
+    lines = host.log_lines()
+    assert not [x for x in lines if "failed" in x["message"] or "exc_info" in x]
+    assert max(len(json.dumps(line)) for line in lines) < MAX_LINE_BYTES
+
+
+def check_list_is_followed(deployment: Deployment) -> None:
+    """Check that hosts use a new entry, with all runs of its worker."""
+    starts = deployment.report().starts
+    deployment.set_faults(unlisted=[0, 1, 2, 3])
+    time.sleep(4.0)
+    deployment.set_faults(unlisted=[])
+    time.sleep(2.0)
+    sent = [deployment.submit(deployment.hosts[0], 200.0, tasks=8)]
+    assert wait_for_answers(sent)[0].status == 200
+    assert deployment.report().starts > starts
+
+
+def test_invalid_entries_disturb_nobody(deployment: Deployment):
+    # Guards against one writer's entry that ends all hosts, or stops their reading of
+    # the list.
+    for name, value in ENTRIES.items():
+        deployment.write_entry(name, value)
+        check_all_serve(deployment, 0.3)
+    check_list_is_followed(deployment)
--- a/jackdawspur/platform/_entries.py
+++ b/jackdawspur/platform/_entries.py
@@ -25,6 +25,9 @@
 # Start of the year 2200, in milliseconds since 1970.
 MAX_STARTED_MS = 7_258_118_400_000
 MAX_PROCESSOR_CORES = 1024.0
+# Bounds of texts, which are passed on between hosts with the list.
+MAX_TEXT_LENGTH = 256
+MAX_LABELS = 64
 
 _decode_server = msgspec.json.Decoder(ServerBody).decode
 _decode_host = msgspec.json.Decoder(HostBody).decode
@@ -37,8 +40,16 @@
 def read_upstream(name: str, value: bytes) -> UpstreamEntry:
     """Return an upstream's entry; raise `EntryDecodeError` if it is invalid."""
     body = _decode(_decode_server, value)
+    if not (name.isascii() and name.isprintable()):
+        # Calls to the upstream state its name in a header.
+        raise EntryDecodeError("name: not printable ASCII")
     if not name or not body.service or not body.zone:
         raise EntryDecodeError("name, service or zone is empty")
+    _check_lengths(service=body.service, zone=body.zone)
+    if len(body.labels) > MAX_LABELS:
+        raise EntryDecodeError(f"labels: more than {MAX_LABELS}")
+    for label in body.labels:
+        _check_lengths(labels=label)
     if body.state not in (READY, DRAINING):
         raise EntryDecodeError(f"state: unknown value {body.state!r}")
     _check_address("address", body.address)
@@ -57,6 +68,7 @@
     body = _decode(_decode_host, value)
     if not body.name or not body.zone:
         raise EntryDecodeError("name or zone is empty")
+    _check_lengths(name=body.name, zone=body.zone)
     _check_address("link", body.link)
     if not 0 <= body.started_ms <= MAX_STARTED_MS:
         raise EntryDecodeError(f"started_ms: {body.started_ms} is out of range")
@@ -81,6 +93,12 @@
     return Resources(capacity.cpu, capacity.mem_mb, capacity.gpus)
 
 
+def _check_lengths(**texts: str) -> None:
+    for field, text in texts.items():
+        if len(text) > MAX_TEXT_LENGTH:
+            raise EntryDecodeError(f"{field}: longer than {MAX_TEXT_LENGTH}")
+
+
 def _check_address(field: str, text: str) -> None:
     try:
         check_address(text, min_port=1)
--- a/jackdawspur/platform/_store.py
+++ b/jackdawspur/platform/_store.py
@@ -20,6 +20,7 @@
 from jackdawspur.leases import UpstreamEntry
 from jackdawspur.platform._bodies import HostBody
 from jackdawspur.platform._entries import EntryDecodeError, read_host, read_upstream
+from jackdawspur.platform._repeated_log import RepeatedErrorLog
 from jackdawspur.platform._topics import KeyedTopic
 
 __all__ = ["PlatformStore"]
@@ -41,10 +42,6 @@
 # entry expired while the store was unavailable writes it again within two seconds after
 # the store is available again.
 MISSING_ENTRY_GRACE_S = 2.5
-# Bounds on the number of invalid entries that are remembered as logged, and on the
-# logged length of names: a faulty writer may write many entries with long names.
-MAX_LOGGED_ENTRIES = 1000
-MAX_NAME_LENGTH = 80
 MAX_CONNECTIONS = 4
 CONNECT_TIMEOUT_S = 0.5
 
@@ -65,8 +62,8 @@
         self._entries: dict[str, UpstreamEntry] = {}
         self._missing_since: dict[str, float] = {}
         self._evacuated: set[str] = set()
-        # The last logged error of each invalid entry, so that each is logged once.
-        self._logged_errors: dict[str, str] = {}
+        # An upstream rewrites its entry every second.
+        self._error_log = RepeatedErrorLog(log, "entry")
         self._reachable = True
         self._pending_announcement: HostAddress | None = None
         self._watch_started_at = timer_queue.now
@@ -171,11 +168,11 @@
             self._missing_since.pop(name, None)
             try:
                 self._entries[name] = read_upstream(name, value)
-                self._logged_errors.pop(name, None)
+                self._error_log.resolve(name)
             except EntryDecodeError as error:
                 # The previous entry may have belonged to another upstream.
                 self._entries.pop(name, None)
-                self._log_once(name, "upstream entry unreadable", str(error))
+                self._error_log.add(name, "upstream entry unreadable", str(error))
         for name, since in list(self._missing_since.items()):
             if now - since > MISSING_ENTRY_GRACE_S:
                 self._entries.pop(name, None)
@@ -190,17 +187,9 @@
             try:
                 hosts.append(read_host(value))
             except EntryDecodeError as error:
-                self._log_once(name, "host entry unreadable", str(error))
+                self._error_log.add(name, "host entry unreadable", str(error))
         self._listener.on_hosts(tuple(hosts))
 
-    def _log_once(self, name: str, text: str, reason: str) -> None:
-        """Log an error once, although an upstream rewrites its entry every second."""
-        if self._logged_errors.get(name) != reason:
-            self._logged_errors[name] = reason
-            log.warning(text, extra={"entry": name[:MAX_NAME_LENGTH], "reason": reason})
-        while len(self._logged_errors) > MAX_LOGGED_ENTRIES:
-            del self._logged_errors[next(iter(self._logged_errors))]
-
 
 class _Version(msgspec.Struct):
     version: int
--- a/jackdawspur/platform/_topics.py
+++ b/jackdawspur/platform/_topics.py
@@ -1,5 +1,6 @@
 """A reader that follows a keyed topic of the platform's store."""
 
+import re
 import struct
 from collections.abc import Callable
 from urllib.parse import quote
@@ -23,6 +24,7 @@
 RETRY_DELAY_S = 0.15
 MS_PER_S = 1000.0
 GONE = 410
+SURROGATE_ESCAPE = re.compile(r"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
 
 OnChange = Callable[[dict[str, bytes], bool], None]
 
@@ -79,8 +81,8 @@
             self._timer_queue.call_later(RETRY_DELAY_S, self.start)
             return
         try:
-            page = _decode_page(result.ok_value.body)
-        except msgspec.DecodeError as error:
+            page = _decode_newest_page(result.ok_value.body)
+        except RecordsDecodeError as error:
             self._on_reachability(False, f"{self._topic}: {error}")
             self._timer_queue.call_later(RETRY_DELAY_S, self.start)
             return
@@ -92,8 +94,11 @@
             self._read_page(page.items[-1].key)
             return
         self._offset = self._page_end
-        self._on_change(self._page, True)
-        self._follow()
+        try:
+            self._on_change(self._page, True)
+        finally:
+            # An exception must not end the reading.
+            self._follow()
 
     def _follow(self) -> None:
         path = (
@@ -117,8 +122,10 @@
             self._timer_queue.call_later(RETRY_DELAY_S, self.start)
             return
         self._offset += record_count
-        self._on_change(changed, False)
-        self._timer_queue.call_later(self._pause_s(), self._follow)
+        try:
+            self._on_change(changed, False)
+        finally:
+            self._timer_queue.call_later(self._pause_s(), self._follow)
 
     def _check_reply(self, result: Result[ClientResponse, PlatformError]) -> bool:
         if result.is_err():
@@ -129,6 +136,22 @@
         return status == 200
 
 
+def _decode_newest_page(data: bytes) -> NewestPage:
+    """Decode a page; raise `RecordsDecodeError` if it is malformed.
+
+    Keys that aren't valid Unicode don't affect the others: they are replaced, as those
+    of `_decode_records` are.
+    """
+    try:
+        return _decode_page(data)
+    except (msgspec.DecodeError, RecursionError):
+        text = SURROGATE_ESCAPE.sub(r"\\ufffd", data.decode(errors="replace"))
+    try:
+        return _decode_page(text.encode())
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise RecordsDecodeError(str(error)) from error
+
+
 def _decode_records(data: bytes) -> tuple[dict[str, bytes], int]:
     """Return the newest value by key and the number of records.
 
--- a/jackdawspur/platform/tests/test_entries.py
+++ b/jackdawspur/platform/tests/test_entries.py
@@ -91,6 +91,10 @@
         ("capacity", [32000]),
         ("labels", "a"),
         ("labels", [1]),
+        ("labels", ["x" * 300]),
+        ("labels", ["x"] * 65),
+        ("service", "x" * 300),
+        ("zone", "x" * 300),
     ],
 )
 def test_invalid_field_raises_an_error_with_its_name(field: str, value):
@@ -98,6 +102,15 @@
         read_upstream("i-1", with_changes(VALID_UPSTREAM_ENTRY, **{field: value}))
 
 
+@pytest.mark.parametrize(
+    "name", ["", "two\r\nX-Other: lines", "\ufffd", "\u0661", "nul\0", "tab\t"]
+)
+def test_a_name_that_no_header_can_state_raises_an_error(name: str):
+    # Guards against calls with further headers, or none at all.
+    with pytest.raises(EntryDecodeError, match="name"):
+        read_upstream(name, with_changes(VALID_UPSTREAM_ENTRY))
+
+
 @pytest.mark.parametrize("field", ["service", "address", "zone"])
 def test_missing_field_raises_an_error_with_its_name(field: str):
     rest = {
--- a/jackdawspur/platform/tests/test_reading.py
+++ b/jackdawspur/platform/tests/test_reading.py
@@ -19,10 +19,11 @@
 
     def __init__(self) -> None:
         self.paths: list[str] = []
+        self.first_page = FIRST_PAGE
 
     def request(self, method: str, path: str, body: bytes, timeout_s: float, done):
         self.paths.append(path)
-        page = FIRST_PAGE if path.startswith("/log-newest") else NOTHING_NEW
+        page = self.first_page if path.startswith("/log-newest") else NOTHING_NEW
         done(Ok(ClientResponse(200, page)))
 
 
@@ -73,3 +74,58 @@
     interval_s[0] = 0.5
     timers.advance(6.1)
     assert 10 <= len(store.paths) - first_reads <= 13
+
+
+def test_a_topic_is_read_further_after_an_error_in_its_user(
+    store: Store, timers: Timers
+):
+    # Guards against a host that stops following the store because of one record.
+    def raise_error(changed: dict[str, bytes], is_snapshot: bool) -> None:
+        raise ValueError("not expected")
+
+    topic = KeyedTopic(
+        "keyed.x", store, timers, raise_error, lambda reachable, reason: None, lambda: 1
+    )
+    for act in (topic.start, lambda: timers.advance(1.0), lambda: timers.advance(1.0)):
+        with pytest.raises(ValueError, match="not expected"):
+            act()
+    assert len(store.paths) == 4
+
+
+@pytest.mark.parametrize(
+    "key", [b"\xff\xfe", b"\\ud800", b"a\\uDFFFb", b"\\udc80\\udc81"]
+)
+def test_a_key_that_is_not_unicode_does_not_affect_the_others(
+    store: Store, timers: Timers, key: bytes
+):
+    # Guards against a first read that fails for ever because of one writer's key.
+    value = b'"value":"eA==","offset":1}'
+    item, odd_item = b'{"key":"good",' + value, b'{"key":"' + key + b'",' + value
+    store.first_page = b'{"items":[' + odd_item + b"," + item + b'],"end":0}'
+    read: list[dict[str, bytes]] = []
+    KeyedTopic(
+        "keyed.x",
+        store,
+        timers,
+        lambda changed, is_snapshot: read.append(changed),
+        lambda reachable, reason: None,
+        lambda: 1.0,
+    ).start()
+    assert read[0]["good"] == b"x"
+    assert len(read[0]) == 2
+
+
+def test_a_nested_page_does_not_end_the_reading(store: Store, timers: Timers):
+    store.first_page = b'{"items":[],"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    reasons: list[tuple[bool, str]] = []
+    KeyedTopic(
+        "keyed.x",
+        store,
+        timers,
+        lambda changed, is_snapshot: None,
+        lambda reachable, reason: reasons.append((reachable, reason)),
+        lambda: 1.0,
+    ).start()
+    timers.advance(1.0)
+    assert len(store.paths) > 2
+    assert not reasons[-1][0]
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -20,6 +20,7 @@
     PLATFORM_ROUTE,
     PlatformReport,
     platform_job_body,
+    write_upstream_entry,
 )
 
 __all__ = ["Answer", "Deployment", "wait_until"]
@@ -222,6 +223,10 @@
         """Replace the faults of the platform stand-in, such as `store_down`."""
         assert _send_request(self._store_port, "POST", "/faults", faults).status == 200
 
+    def write_entry(self, name: bytes, value: bytes) -> None:
+        """Write a record among the entries of the workers, as any writer may."""
+        write_upstream_entry(self._store_port, name, value)
+
     def report(self) -> PlatformReport:
         """Return the counters of the workers."""
         body = _send_request(self._store_port, "GET", "/report", None).body
--- a/jackdawspur/standins/__init__.py
+++ b/jackdawspur/standins/__init__.py
@@ -19,6 +19,7 @@
     make_platform,
     run_platform,
 )
+from jackdawspur.standins._platform_writer import write_upstream_entry
 from jackdawspur.standins._start_costs import (
     BatchCost,
     StartCosts,
@@ -66,4 +67,5 @@
     "run_log",
     "run_platform",
     "run_worker",
+    "write_upstream_entry",
 ]
--- a/jackdawspur/standins/_keyed_store.py
+++ b/jackdawspur/standins/_keyed_store.py
@@ -65,11 +65,13 @@
         (length,) = struct.unpack_from(">I", data, offset)
         record = data[offset + 4 : offset + 4 + length]
         key_end = 1 + record[0]
-        records.append((record[1:key_end].decode(), record[key_end:]))
+        key = record[1:key_end].decode(errors="replace")
+        records.append((key, record[key_end:]))
         offset += 4 + length
     return records
 
 
 def _encode_record(key: str, value: bytes) -> bytes:
-    data = bytes([len(key)]) + key.encode() + value
+    encoded_key = key.encode()
+    data = bytes([len(encoded_key)]) + encoded_key + value
     return struct.pack(">I", len(data)) + data
