Take replies with nested values or numbers out of range for no reply

An entry may name any server, and what it answers was trusted. Callers got 504 where the clock of a worker was 2^70, negative or of 400 digits: the leases of its tasks never expired, so they waited for ever. A nested reply or refusal raised an exception that isn't a decode error: a trace in the log for each poll, and no outcome of the call. Numbers of runs and ends of 1e300 and a progress of nan were taken over.

All numbers of a report are bounded by 2^53, progress is a number from 0, and nested replies count as malformed, also those to the product's own clients. What an upstream answers wrongly is logged once, with its name, until it changes.

Tests: front/tests/test_invalid_entries.py with a server that answers 11 bodies and 3 refusals, to whole processes under full load (4 and 1 of these failed before), 11 cases in platform/tests/test_upstreams.py and 1 in adapters/tests/test_json_reply.py failed before.

--- a/jackdawspur/adapters/_json_reply.py
+++ b/jackdawspur/adapters/_json_reply.py
@@ -50,7 +50,7 @@
 ) -> Result[T, PlatformError]:
     try:
         return Ok(decode(reply))
-    except (msgspec.MsgspecError, InvalidId, MalformedReply) as error:
+    except (msgspec.MsgspecError, RecursionError, InvalidId, MalformedReply) as error:
         return Err(OutcomeUnknown(f"{peer} sent a malformed reply: {error}"))
     except PlatformError as error:
         return Err(error)
--- a/jackdawspur/front/tests/test_invalid_entries.py
+++ b/jackdawspur/front/tests/test_invalid_entries.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from jackdawspur.soak import Deployment, wait_for_answers
+from jackdawspur.front.tests.raw_servers import RawServer
+from jackdawspur.soak import Deployment, wait_for_answers, wait_until
 from jackdawspur.standins import PLATFORM_ROUTE
 
 NESTED = b"[" * 100_000 + b"]" * 100_000
@@ -19,6 +20,8 @@
     "capacity": {"cpu": 32_000, "mem_mb": 1024},
 }
 MAX_LINE_BYTES = 4096
+# Tasks of a job that, sent to each host, use the other workers and the invalid one.
+FULL_LOAD = 4
 
 
 def entry(**values) -> bytes:
@@ -51,6 +54,19 @@
     "\u00fc\u0661".encode(): entry(),
     b"": entry(),
 }
+REPLIES = {
+    "nested": b'{"clock_ms":1,"x":' + NESTED + b"}",
+    "nested-runs": b'{"clock_ms":1,"running":' + NESTED + b"}",
+    "huge-clock": b'{"clock_ms":' + HUGE + b"}",
+    "large-clock": b'{"clock_ms":1180591620717411303424}',
+    "negative-clock": b'{"clock_ms":-1180591620717411303424}',
+    "huge-run": b'{"clock_ms":1,"running":[["aa.0.0.0",1e300,"",1]]}',
+    "nan": b'{"clock_ms":1,"running":[["aa.0.0.0",1,"","nan"]]}',
+    "huge-end": b'{"clock_ms":1,"ended":[[1e300,"aa.0.0.0",1,"done",""]]}',
+    "huge-born": b'{"clock_ms":1,"born":' + HUGE + b"}",
+    "no-object": b"[]",
+    "no-json": b"\x00\xff" * 1000,
+}
 
 
 @pytest.fixture
@@ -60,11 +76,18 @@
     cluster.close()
 
 
-def check_all_serve(deployment: Deployment, seconds: float) -> None:
+@pytest.fixture
+def raw_server() -> Iterator[RawServer]:
+    server = RawServer()
+    yield server
+    server.close()
+
+
+def check_all_serve(deployment: Deployment, seconds: float, tasks: int = 1) -> None:
     """Check that all hosts answer jobs and go on."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        sent = [deployment.submit(host, 30.0) for host in deployment.hosts]
+        sent = [deployment.submit(host, 30.0, tasks) for host in deployment.hosts]
         assert [a.status for a in wait_for_answers(sent)] == [200] * len(sent)
     for host in deployment.hosts:
         assert host.process.poll() is None
@@ -97,3 +120,27 @@
         deployment.write_entry(name, value)
         check_all_serve(deployment, 0.3)
     check_list_is_followed(deployment)
+
+
+@pytest.mark.parametrize("name", REPLIES)
+def test_a_worker_with_malformed_replies_disturbs_nobody(
+    deployment: Deployment, raw_server: RawServer, name: str
+):
+    # Guards against a reply that ends the leader's term: its successors poll the same
+    # worker.
+    raw_server.body = REPLIES[name]
+    deployment.write_entry(b"odd", entry(address=raw_server.address))
+    wait_until(lambda: raw_server.requests > 5, "polls of the worker")
+    check_all_serve(deployment, 1.0, FULL_LOAD)
+    raw_server.silent = True
+    check_all_serve(deployment, 2.0, FULL_LOAD)
+
+
+@pytest.mark.parametrize("status", [409, 421, 500])
+def test_a_worker_with_nested_refusals_disturbs_nobody(
+    deployment: Deployment, raw_server: RawServer, status: int
+):
+    raw_server.status, raw_server.body = status, b'{"reason":"fence","x":' + NESTED
+    deployment.write_entry(b"odd", entry(address=raw_server.address))
+    wait_until(lambda: raw_server.requests, "poll of the worker")
+    check_all_serve(deployment, 1.5)
--- a/jackdawspur/platform/_upstreams.py
+++ b/jackdawspur/platform/_upstreams.py
@@ -14,6 +14,7 @@
     TimerQueue,
     split_address,
 )
+from jackdawspur.exceptions import JackdawspurError
 from jackdawspur.external import OutcomeUnknown, PlatformError
 from jackdawspur.front import UpstreamPort
 from jackdawspur.leases import (
@@ -31,6 +32,7 @@
     RunStartBody,
     RunStopBody,
 )
+from jackdawspur.platform._repeated_log import RepeatedErrorLog
 from jackdawspur.runs import PollUpstream, StartRun, StopRun
 
 __all__ = ["PlatformUpstreamClient"]
@@ -56,13 +58,30 @@
     503: CallOutcome.UNHEALTHY,
 }
 
+# Bound of all numbers in replies: integers that a float represents exactly.
+MAX_INTEGER = 1 << 53
+
 log = logging.getLogger("jackdawspur.platform")
 
+# What decoding raises for malformed, nested, incomplete and too large values.
+DECODE_ERRORS = (
+    msgspec.DecodeError,
+    RecursionError,
+    ValueError,
+    OverflowError,
+    IndexError,
+    TypeError,
+)
+
 _encode = msgspec.json.Encoder().encode
 _decode_refusal = msgspec.json.Decoder(RefusalBody).decode
 _decode_report = msgspec.json.Decoder(HoldReply).decode
 
 
+class ReportDecodeError(JackdawspurError):
+    """Raised when the reply to a poll is malformed."""
+
+
 class PlatformUpstreamClient(UpstreamPort):
     """Calls upstreams over persistent connections, sending each call at most once."""
 
@@ -70,6 +89,7 @@
         self._owner = owner
         self._timer_queue = timer_queue
         self._clients: dict[str, HttpClient] = {}
+        self._error_log = RepeatedErrorLog(log, "upstream")
 
     def start(self, effect: StartRun, done: Callable[[CallOutcome], None]) -> None:
         """Start a run."""
@@ -97,14 +117,25 @@
 
         def on_reply(result: Result[ClientResponse, PlatformError]) -> None:
             outcome = _call_outcome(result)
-            done(
-                _decode_poll_report(result.ok_value)
-                if outcome is CallOutcome.OK
-                else outcome
-            )
+            if outcome is CallOutcome.OK:
+                outcome = self._read_report(effect, result.ok_value)
+            done(outcome)
 
         self._call(effect, "/hold", _encode(body), on_reply)
 
+    def _read_report(
+        self, effect: PollUpstream, reply: ClientResponse
+    ) -> PollReport | CallOutcome:
+        """Return the report in a reply, or that its outcome is unknown."""
+        name = str(effect.upstream)
+        try:
+            report = _decode_poll_report(reply)
+        except ReportDecodeError as error:
+            self._error_log.add(name, "upstream answered nonsense", str(error))
+            return CallOutcome.UNKNOWN
+        self._error_log.resolve(name)
+        return report
+
     def close_connections_except(self, addresses: set[str]) -> None:
         """Close the connections to all addresses except the given ones."""
         for address in [a for a in self._clients if a not in addresses]:
@@ -141,31 +172,40 @@
         return OUTCOME_BY_STATUS.get(reply.status, CallOutcome.UNKNOWN)
     try:
         reason = _decode_refusal(reply.body).reason
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         reason = ""
     return OUTCOME_BY_REFUSAL.get(reason, CallOutcome.UNKNOWN)
 
 
-def _decode_poll_report(reply: ClientResponse) -> PollReport | CallOutcome:
+def _decode_poll_report(reply: ClientResponse) -> PollReport:
     try:
         body = _decode_report(reply.body)
         return PollReport(
-            body.clock_ms,
+            _to_integer(body.clock_ms),
             tuple(_to_running_run(row) for row in body.running),
             tuple(_to_ended_run(row) for row in body.ended),
-            body.born,
+            _to_integer(body.born),
         )
-    except (msgspec.DecodeError, ValueError, IndexError, TypeError) as error:
-        log.warning("upstream answered nonsense", extra={"reason": str(error)})
-        return CallOutcome.UNKNOWN
+    except DECODE_ERRORS as error:
+        raise ReportDecodeError(str(error)) from error
 
 
 def _to_running_run(row: list) -> RunningRun:
     """Decode ``[task, run, checkpoint, percent, ...]``."""
-    return RunningRun(RunId(str(row[0]), int(row[1])), str(row[2]), float(row[3]))
+    run, percent = RunId(str(row[0]), _to_integer(row[1])), float(row[3])
+    if not 0.0 <= percent <= MAX_INTEGER:
+        raise ValueError(f"percent: {percent} is out of range")
+    return RunningRun(run, str(row[2]), percent)
 
 
 def _to_ended_run(row: list) -> EndedRun:
     """Decode ``[number, task, run, result, checkpoint]``."""
-    run = RunId(str(row[1]), int(row[2]))
-    return EndedRun(int(row[0]), run, RunResult(row[3]), str(row[4]))
+    run = RunId(str(row[1]), _to_integer(row[2]))
+    return EndedRun(_to_integer(row[0]), run, RunResult(row[3]), str(row[4]))
+
+
+def _to_integer(value: str | int | float) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError("a number is out of range")
+    return number
--- a/jackdawspur/platform/tests/test_upstreams.py
+++ b/jackdawspur/platform/tests/test_upstreams.py
@@ -53,3 +53,35 @@
 @pytest.mark.parametrize("born", [b'"now"', b"1.5", b"null"])
 def test_report_with_an_invalid_incarnation_is_rejected(poll, born: bytes):
     assert poll(b'{"clock_ms":5,"born":' + born + b"}") is CallOutcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"clock_ms":' + b"9" * 400 + b"}",
+        b'{"clock_ms":18446744073709551616}',
+        b'{"clock_ms":-1}',
+        b'{"clock_ms":5,"born":18446744073709551616}',
+        b'{"clock_ms":5,"running":[["t",18446744073709551616,"",1]]}',
+        b'{"clock_ms":5,"running":[["t","inf","",1]]}',
+        b'{"clock_ms":5,"running":[["t",1,"","nan"]]}',
+        b'{"clock_ms":5,"running":[["t",1,"",-1]]}',
+        b'{"clock_ms":5,"ended":[[1e300,"t",1,"done",""]]}',
+        b'{"clock_ms":5,"ended":[[1,"t",1e300,"done",""]]}',
+        b'{"clock_ms":5,"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    ],
+)
+def test_report_with_a_number_too_large_or_nested_is_rejected(poll, body: bytes):
+    # Guards against leases that never expire, and arithmetic that raises in each tick.
+    assert poll(body) is CallOutcome.UNKNOWN
+
+
+def test_malformed_replies_are_logged_once(monkeypatch, caplog):
+    # Guards against a log that a single upstream fills, ten lines a second.
+    monkeypatch.setattr(_upstreams, "HttpClient", AnsweringClient)
+    client = PlatformUpstreamClient(None, None)
+    for body in (b"[]", b"[]", b'{"clock_ms":5}', b"[]"):
+        monkeypatch.setattr(AnsweringClient, "body", body)
+        client.poll_runs(POLL, lambda report: None)
+    lines = [r for r in caplog.records if r.message == "upstream answered nonsense"]
+    assert [line.upstream for line in lines] == ["z1.u1", "z1.u1"]
