Refuse numbers that can't be passed on between hosts

A configuration with a priority, number of attempts or version of 2^64 was taken over, and no job could be offered.

A message that can't be encoded all the same, or that is nested, is dropped, counted and logged, instead of interrupting a tick or the reading of the messages behind it.

--- a/jackdawspur/front/_mesh.py
+++ b/jackdawspur/front/_mesh.py
@@ -10,6 +10,7 @@
 from jackdawspur.group import (
     GroupMessage,
     GroupMessageDecodeError,
+    GroupMessageEncodeError,
     HostAddress,
     decode_message,
     encode_message,
@@ -70,12 +71,18 @@
             self._dial(known[0])
 
     def send(self, name: str, message: GroupMessage) -> bool:
-        """Queue a message; return False if the host is unknown or its queue is full."""
+        """Queue a message; return False if it is dropped."""
         known = self._outboxes.get(name)
         if known is None:
             self.dropped_messages += 1
             return False
-        data = encode_message(message)
+        try:
+            data = encode_message(message)
+        except GroupMessageEncodeError as error:
+            # Raised here, it would keep all that the caller does next from being done.
+            log.error("message not sent", extra={"to": name, "reason": str(error)})
+            self.dropped_messages += 1
+            return False
         if not known[1].send(data):
             self.dropped_messages += 1
             return False
--- a/jackdawspur/front/tests/test_invalid_entries.py
+++ b/jackdawspur/front/tests/test_invalid_entries.py
@@ -8,7 +8,7 @@
 
 from jackdawspur.front.tests.raw_servers import RawServer
 from jackdawspur.soak import Deployment, wait_for_answers, wait_until
-from jackdawspur.standins import PLATFORM_ROUTE
+from jackdawspur.standins import PLATFORM_ROUTE, platform_job_body
 
 NESTED = b"[" * 100_000 + b"]" * 100_000
 # Too large for a float, and for the types of most codecs.
@@ -144,3 +144,17 @@
     deployment.write_entry(b"odd", entry(address=raw_server.address))
     wait_until(lambda: raw_server.requests, "poll of the worker")
     check_all_serve(deployment, 1.5)
+
+
+@pytest.mark.parametrize("field", ["cpu", "mem_mb", "gpus", "max_per_server"])
+def test_jobs_with_numbers_too_large_disturb_nobody(deployment: Deployment, field: str):
+    # Guards against offers that can't be encoded for the leader: each repetition would
+    # interrupt all that their host does.
+    leader = deployment.leader()
+    host = next(host for host in deployment.hosts if host is not leader)
+    body = platform_job_body(30.0, 1, False)
+    body["steps"][0][field] = 1 << 64
+    for _ in range(25):
+        reply = host.call("POST", f"/q/{deployment.next_job_id()}", body)
+        assert (reply.status, reply.body["not_run"]) == (400, True)
+    check_all_serve(deployment, 0.5)
--- a/jackdawspur/front/tests/test_mesh.py
+++ b/jackdawspur/front/tests/test_mesh.py
@@ -1,18 +1,25 @@
 """Tests of dialling other hosts."""
 
+import msgspec
 import pytest
 
 from jackdawspur.front import _mesh
 from jackdawspur.front._mesh import DIALS_PER_PASS, Mesh
-from jackdawspur.group import HostAddress
+from jackdawspur.group import HostAddress, JobCancellation
 
 
 class FakeOutbox:
     """An outbox without a connection."""
 
+    sent: list[bytes] = []
+
     def __init__(self, *_: object) -> None:
         self.closed = False
 
+    def send(self, data: bytes) -> bool:
+        self.sent.append(data)
+        return True
+
     def close(self) -> None:
         self.closed = True
 
@@ -54,3 +61,24 @@
     mesh.set_peers(hosts(2))
     assert mesh.set_peers(hosts(2)) == []
     assert mesh.set_peers(hosts(2, started_ms=2)) == ["h0", "h1"]
+
+
+@pytest.mark.parametrize("call", [1 << 64, -(1 << 64)])
+def test_a_message_that_cannot_be_encoded_is_dropped(
+    mesh: Mesh, monkeypatch, call: int
+):
+    # Guards against an exception in each tick, which would keep all later parts of the
+    # tick, such as heartbeats, from being done.
+    monkeypatch.setattr(FakeOutbox, "sent", [])
+    mesh.set_peers(hosts(1))
+    assert mesh.send("h0", JobCancellation("h1", "job", 1))
+    assert not mesh.send("h0", JobCancellation("h1", "job", call))
+    assert mesh.dropped_messages == 1
+    assert len(FakeOutbox.sent) == 1
+
+
+def test_a_nested_message_is_dropped(mesh: Mesh):
+    # Guards against an error that ends the reading of the messages behind it.
+    fields = {"type": "drop", "sender": "h1", "job": "job", "call": 1, "x": 0}
+    data = msgspec.msgpack.encode(fields)[:-1] + b"\x91" * 100_000 + b"\x00"
+    mesh._receive(data)
--- a/jackdawspur/group/_messages.py
+++ b/jackdawspur/group/_messages.py
@@ -20,6 +20,7 @@
     "ConfigurationUpdate",
     "GroupMessage",
     "GroupMessageDecodeError",
+    "GroupMessageEncodeError",
     "HostAddress",
     "HostHeartbeat",
     "JobCancellation",
@@ -37,6 +38,10 @@
     """Raised when bytes do not decode as a message between hosts."""
 
 
+class GroupMessageEncodeError(JackdawspurError):
+    """Raised when a message holds a value that its encoding can't represent."""
+
+
 @dataclass(frozen=True, slots=True)
 class HostAddress:
     """Name, zone and link address of a host.
@@ -218,13 +223,16 @@
 
 
 def encode_message(message: GroupMessage) -> bytes:
-    """Encode a message."""
-    return _encoder.encode(message)
+    """Encode a message; raise `GroupMessageEncodeError` for values out of range."""
+    try:
+        return _encoder.encode(message)
+    except (OverflowError, ValueError) as error:
+        raise GroupMessageEncodeError(str(error)) from error
 
 
 def decode_message(data: bytes) -> GroupMessage:
     """Decode a message; raise `GroupMessageDecodeError` if it is malformed."""
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise GroupMessageDecodeError(str(error)) from error
--- a/jackdawspur/platform/_callers.py
+++ b/jackdawspur/platform/_callers.py
@@ -21,6 +21,10 @@
 
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 10_000
+# Upper bound of each resource that a task may need, as of those that upstreams have.
+MAX_RESOURCE = 1 << 40
+# Bound of the numbers of a configuration, which are passed on between hosts.
+MAX_CONFIGURED = (1 << 53) - 1
 JOB_ID_DIGITS = 16
 MAX_TIMEOUT_DIGITS = 9
 MS_PER_S = 1000.0
@@ -128,10 +132,18 @@
         except (msgspec.DecodeError, RecursionError) as error:
             raise ConfigurationDecodeError(str(error)) from error
         routes = tuple(_to_route(route) for route in body.routes)
+        _check_numbers(body.version, body.limits.max_body_bytes)
         return RouteTable(body.version, routes, body.limits.max_body_bytes)
 
 
+def _check_numbers(*numbers: int) -> None:
+    """Raise `ConfigurationDecodeError` for a number that can't be passed on."""
+    if any(abs(number) > MAX_CONFIGURED for number in numbers):
+        raise ConfigurationDecodeError("a number is out of range")
+
+
 def _to_route(body: RouteBody) -> Route:
+    _check_numbers(body.priority, body.max_attempts)
     return Route(
         name=body.name,
         host=body.host,
@@ -165,8 +177,11 @@
 def _to_step(index: int, body: StepBody) -> JobStep:
     if body.count < 1:
         raise ValueError(f"steps[{index}].count: at least 1 expected")
-    if min(body.cpu, body.mem_mb, body.gpus, body.max_per_server) < 0:
+    numbers = (body.cpu, body.mem_mb, body.gpus, body.max_per_server)
+    if min(numbers) < 0:
         raise ValueError(f"steps[{index}]: numbers must not be negative")
+    if max(numbers) > MAX_RESOURCE:
+        raise ValueError(f"steps[{index}]: numbers must be at most {MAX_RESOURCE}")
     if any(not 0 <= earlier < index for earlier in body.after):
         raise ValueError(f"steps[{index}].after: indexes of earlier steps expected")
     return JobStep(
--- a/jackdawspur/platform/tests/test_callers.py
+++ b/jackdawspur/platform/tests/test_callers.py
@@ -91,6 +91,8 @@
         ({**JOB, "steps": [{"count": "x"}]}, "count"),
         ({**JOB, "steps": [{"count": 0}]}, "count"),
         ({**JOB, "steps": [{"count": 1, "cpu": -1}]}, "negative"),
+        ({**JOB, "steps": [{"count": 1, "cpu": 1 << 64}]}, "at most"),
+        ({**JOB, "steps": [{"count": 1, "max_per_server": 1 << 64}]}, "at most"),
         ({**JOB, "steps": [{"count": 1, "after": [0]}]}, "after"),
         ({**JOB, "spec": "x" * 4001}, "spec"),
         ({**JOB, "steps": [{"count": 20_000}]}, "tasks"),
@@ -146,6 +148,16 @@
     assert reply.retry_after_s == (2 if outcome.retry_after_s else 0)
 
 
+@pytest.mark.parametrize("field", ["priority", "max_attempts"])
+def test_a_configuration_with_a_number_too_large_raises_an_error(codec, field):
+    # Guards against jobs that can't be offered to another host.
+    route = {**CONFIGURATION["routes"][0], field: 1 << 64}
+    for changes in ({"routes": [route]}, {"version": 1 << 64}):
+        text = json.dumps(CONFIGURATION | changes).encode()
+        with pytest.raises(ConfigurationDecodeError):
+            codec.decode_configuration(text)
+
+
 @pytest.mark.parametrize("text", [b"", b"[]", b'{"version":"x"}', b'{"routes":[]}'])
 def test_malformed_configuration_raises_an_error(codec, text):
     with pytest.raises(ConfigurationDecodeError):
