Share the bound of resources, and test takeovers after short pauses

Read again as a newcomer: the bound of a step's numbers is that of upstreams' resources, the tests of callers that leave share one fixture, and a comment on probes says which system it means.

A new test guards what the resignation after a pause could have broken: another host leads within 0.3 s after the leader was paused for 0.42 to 1.0 s (it passes on the code before this commit too, which has the resignation).

--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -244,7 +244,7 @@
         """Stop reading from a caller, and probe it instead.
 
         A caller that has closed its connection looks like one that is half-closed and
-        waits for its answer. Only the first one's host answers a probe with a reset.
+        waits for its answer. The system of the former answers a probe with a reset.
         """
         connection.paused = True
         self._sockets.pause_reading(connection.sock)
--- a/jackdawspur/adapters/tests/test_web_disconnects.py
+++ b/jackdawspur/adapters/tests/test_web_disconnects.py
@@ -11,6 +11,7 @@
 from jackdawspur.callers import HttpResponse
 
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+REQUEST = b"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 OK = HttpResponse(200, b"{}")
 # Sends more than the server buffers of pipelined requests.
 FLOOD_ROUNDS = 500
@@ -43,24 +44,27 @@
 
 
 @pytest.fixture
-def connect(loop: Loop, server: WebServer) -> Iterator[Callable[[], socket.socket]]:
-    """Return a function that connects a caller."""
+def start_call(
+    loop: Loop, server: WebServer, service: Service
+) -> Iterator[Callable[..., socket.socket]]:
+    """Return a function that connects a caller and starts a call."""
     socks = []
 
-    def make() -> socket.socket:
-        socks.append(socket.create_connection(("127.0.0.1", server.port)))
-        socks[-1].setblocking(False)
-        return socks[-1]
+    def make(data: bytes = REQUEST, half_close: bool = False) -> socket.socket:
+        sock = socket.create_connection(("127.0.0.1", server.port))
+        socks.append(sock)
+        sock.setblocking(False)
+        sock.send(data)
+        if half_close:
+            sock.shutdown(socket.SHUT_WR)
+        loop.run_until(lambda: service.calls)
+        return sock
 
     yield make
     for sock in socks:
         sock.close()
 
 
-def request(version: str = "1.1") -> bytes:
-    return f"POST /q HTTP/{version}\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encode()
-
-
 def read_until_closed(loop: Loop, sock: socket.socket) -> bytes:
     """Return all bytes of the server until it closes the connection."""
     data = b""
@@ -84,35 +88,27 @@
         loop.root.tick(0.01)
 
 
-def test_a_caller_that_closes_its_connection_is_noticed(loop, service, connect):
+def test_a_caller_that_closes_its_connection_is_noticed(loop, service, start_call):
     # Guards against taking a caller that has left for one that is half-closed: its job
     # would run to the end, beside the job that the caller sends again elsewhere.
-    caller = connect()
-    caller.send(request())
-    loop.run_until(lambda: service.calls)
+    caller = start_call()
     caller.close()
     loop.run_until(lambda: service.left)
     assert service.left == service.calls
 
 
-def test_a_caller_that_closes_right_after_its_request_is_noticed(
-    loop, service, connect
-):
-    caller = connect()
-    caller.send(request())
-    caller.close()
+def test_a_caller_that_closes_right_after_its_request_is_noticed(loop, server, service):
+    with socket.create_connection(("127.0.0.1", server.port)) as caller:
+        caller.send(REQUEST)
     loop.run_until(lambda: service.left)
     assert service.left == service.calls
 
 
 def test_a_half_closed_caller_that_still_reads_is_answered(
-    loop, server, service, connect
+    loop, server, service, start_call
 ):
     # Guards against cancelling the jobs of callers that shut down their sending side.
-    caller = connect()
-    caller.send(request())
-    caller.shutdown(socket.SHUT_WR)
-    loop.run_until(lambda: service.calls)
+    caller = start_call(half_close=True)
     run_for(loop, 50)
     assert not service.left
     server.reply(service.calls[0], OK)
@@ -123,12 +119,9 @@
     assert not service.left
 
 
-def test_a_half_closed_caller_that_leaves_later_is_noticed(loop, service, connect):
+def test_a_half_closed_caller_that_leaves_later_is_noticed(loop, service, start_call):
     # Its second close sends nothing, so one probe at the first one isn't enough.
-    caller = connect()
-    caller.send(request())
-    caller.shutdown(socket.SHUT_WR)
-    loop.run_until(lambda: service.calls)
+    caller = start_call(half_close=True)
     run_for(loop, 30)
     assert not service.left
     # Closing with unread bytes would reset the connection.
@@ -139,14 +132,12 @@
 
 
 def test_a_caller_that_leaves_after_a_flood_of_requests_is_noticed(
-    loop, service, connect
+    loop, service, start_call
 ):
     # Guards against missing the end of a connection that is no longer read because of
     # the bytes that it has buffered.
-    caller = connect()
-    caller.send(request())
-    loop.run_until(lambda: service.calls)
-    flood = request() * 10_000
+    caller = start_call()
+    flood = REQUEST * 10_000
     for _ in range(FLOOD_ROUNDS):
         try:
             caller.send(flood)
@@ -158,12 +149,9 @@
 
 
 def test_a_caller_that_leaves_during_its_second_request_is_noticed(
-    loop, server, service, connect
+    loop, server, service, start_call
 ):
-    caller = connect()
-    caller.send(request() * 2)
-    caller.shutdown(socket.SHUT_WR)
-    loop.run_until(lambda: service.calls)
+    caller = start_call(REQUEST * 2, half_close=True)
     run_for(loop, 30)
     server.reply(service.calls[0], OK)
     loop.run_until(lambda: len(service.calls) == 2)
@@ -172,11 +160,8 @@
     assert service.left == service.calls[1:]
 
 
-def test_a_caller_that_resets_its_connection_is_noticed(loop, service, connect):
-    caller = connect()
-    caller.send(request())
-    caller.shutdown(socket.SHUT_WR)
-    loop.run_until(lambda: service.calls)
+def test_a_caller_that_resets_its_connection_is_noticed(loop, service, start_call):
+    caller = start_call(half_close=True)
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     caller.close()
     loop.run_until(lambda: service.left)
@@ -184,24 +169,18 @@
 
 
 def test_a_half_closed_caller_of_http_1_0_gets_its_answer_only(
-    loop, server, service, connect
+    loop, server, service, start_call
 ):
     # Guards against interim responses to callers whose protocol has none.
-    caller = connect()
-    caller.send(request("1.0"))
-    caller.shutdown(socket.SHUT_WR)
-    loop.run_until(lambda: service.calls)
+    caller = start_call(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"), half_close=True)
     run_for(loop, 30)
     server.reply(service.calls[0], OK)
     assert read_until_closed(loop, caller).startswith(b"HTTP/1.1 200 ")
 
 
-def test_probes_end_with_the_calls_that_need_them(loop, server, service, connect):
+def test_probes_end_with_the_calls_that_need_them(loop, server, service, start_call):
     # Guards against waking up ten times a second for good.
-    caller = connect()
-    caller.send(request())
-    caller.shutdown(socket.SHUT_WR)
-    loop.run_until(lambda: service.calls)
+    caller = start_call(half_close=True)
     server.reply(service.calls[0], OK)
     read_until_closed(loop, caller)
     run_for(loop, 30)
--- a/jackdawspur/front/tests/test_paused_hosts.py
+++ b/jackdawspur/front/tests/test_paused_hosts.py
@@ -9,6 +9,8 @@
 # Longer than the time for which others still count a host as running.
 PAUSE_S = FOLLOWER_TIMEOUT_S + 1.0
 LOAD_INTERVAL_S = 0.07
+# A vacancy, two ticks and a heartbeat interval.
+MAX_TAKEOVER_S = 0.3
 
 
 def make(monkeypatch, timers_first: bool) -> FaultyWorld:
@@ -53,3 +55,22 @@
     world.run(3.0)
     assert world.counters.two_at_once == 0
     assert list(world.leaders()) == [leader]
+
+
+@pytest.mark.parametrize("pause_s", [0.42, 0.46, 0.5, 0.6, 1.0])
+def test_another_host_leads_soon_after_the_leader_was_paused(
+    monkeypatch, pause_s: float
+):
+    # Guards against waiting for a host that ranks first, while that host waits for the
+    # heartbeats of the others.
+    world = make(monkeypatch, timers_first=True)
+    (leader,) = world.leaders()
+    world.freeze(leader, pause_s)
+    world.run(pause_s + 0.05)
+
+    def follow_another_host() -> bool:
+        groups = [node.process.group for node in world.nodes.values()]
+        names = {group.leader(world.now) for group in groups}
+        return len(names) == 1 and not names & {None, leader}
+
+    world.run_until(follow_another_host, MAX_TAKEOVER_S)
--- a/jackdawspur/platform/_callers.py
+++ b/jackdawspur/platform/_callers.py
@@ -15,14 +15,13 @@
 )
 from jackdawspur.leases import Resources
 from jackdawspur.platform._bodies import ConfigurationBody, JobBody, RouteBody, StepBody
+from jackdawspur.platform._entries import MAX_RESOURCE
 from jackdawspur.runs import JobEnd, JobOutcome, JobRequest, JobStep, Route
 
 __all__ = ["PlatformCallerCodec"]
 
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 10_000
-# Upper bound of each resource that a task may need, as of those that upstreams have.
-MAX_RESOURCE = 1 << 40
 # Bound of the numbers of a configuration, which are passed on between hosts.
 MAX_CONFIGURED = (1 << 53) - 1
 JOB_ID_DIGITS = 16
--- a/jackdawspur/platform/_entries.py
+++ b/jackdawspur/platform/_entries.py
@@ -15,7 +15,7 @@
 from jackdawspur.platform._bodies import CapacityBody, HostBody, ServerBody
 from jackdawspur.settings import check_address
 
-__all__ = ["EntryDecodeError", "read_host", "read_upstream"]
+__all__ = ["MAX_RESOURCE", "EntryDecodeError", "read_host", "read_upstream"]
 
 READY = "ready"
 DRAINING = "draining"
