--- a/jackdawspur/front/_leader_driver.py
+++ b/jackdawspur/front/_leader_driver.py
@@ -323,7 +323,7 @@
     def flush(self, now: float) -> None:
         """Carry out the effects that the dispatcher requests."""
         if self._handover_received:
-            # The job's host may have been unknown to run when lists were last compared.
+            # The job's host may not have counted as running at the last comparison.
             self._update_peer_lists(now)
         for effect in self._dispatcher.flush(now):
             self._carry_out(effect)
--- a/jackdawspur/front/tests/test_invalid_entries.py
+++ b/jackdawspur/front/tests/test_invalid_entries.py
@@ -102,7 +102,7 @@
 
 
 def check_list_is_followed(deployment: Deployment) -> None:
-    """Check that hosts use a new entry, with all runs of its worker."""
+    """Check that hosts notice that workers leave the list and come back."""
     starts = deployment.report().starts
     deployment.set_faults(unlisted=[0, 1, 2, 3])
     time.sleep(4.0)
