Check that workers off the list get no tasks beside invalid entries

The check that hosts follow the list passed as well if they kept an old one: it only ran jobs after the workers were back. Now a job that comes while all workers are off the list must start no run. No other assertion changed.

--- a/jackdawspur/front/tests/test_invalid_entries.py
+++ b/jackdawspur/front/tests/test_invalid_entries.py
@@ -103,12 +103,16 @@
 
 def check_list_is_followed(deployment: Deployment) -> None:
     """Check that hosts notice that workers leave the list and come back."""
-    starts = deployment.report().starts
+    host = deployment.hosts[0]
     deployment.set_faults(unlisted=[0, 1, 2, 3])
-    time.sleep(4.0)
+    # A missing entry is dropped after 2.5 s, with the next read, which may take 2 s.
+    time.sleep(6.0)
+    starts = deployment.report().starts
+    assert wait_for_answers([deployment.submit(host, 30.0)])[0].status != 200
+    assert deployment.report().starts == starts
     deployment.set_faults(unlisted=[])
     time.sleep(2.0)
-    sent = [deployment.submit(deployment.hosts[0], 200.0, tasks=8)]
+    sent = [deployment.submit(host, 200.0, tasks=8)]
     assert wait_for_answers(sent)[0].status == 200
     assert deployment.report().starts > starts
 
