--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -139,7 +139,6 @@
             self._extent.decide([b for b in leaders if not self._is_in_zone(b)])
 
     def _is_in_zone(self, heartbeat: HostHeartbeat) -> bool:
-        """Return whether a host is in this host's zone."""
         return heartbeat.host.zone == self._local.zone
 
     def covers(self, zone: str) -> bool:
@@ -397,4 +396,5 @@
         eligible = [b.host for b in self.live_heartbeats(now) if is_eligible(b)]
         if self.draining or self.slow:
             return not eligible
-        return all(rank(self._local, unix_ms) <= rank(o, unix_ms) for o in eligible)
+        local = rank(self._local, unix_ms)
+        return all(local <= rank(other, unix_ms) for other in eligible)
