Read the memory and descriptors that a machine states

Hosts bounded what clients send by constants, whatever their machine has. HostSettings takes memory_mb and max_descriptors; the platform's adapter fills them from limits.memory_mb and limits.max_fds, less the descriptors that are reserved for files. Nothing depends on them yet.

--- a/jackdawspur/platform/_settings.py
+++ b/jackdawspur/platform/_settings.py
@@ -11,6 +11,8 @@
 # Port of the metrics endpoint, as given in the deploy file. Links between hosts use the
 # first port of `port_range`, which hosts may use freely.
 METRICS_PORT = 9464
+# Descriptors of `limits.max_fds` that are reserved for files.
+FILE_DESCRIPTORS = 200
 
 
 def load_platform_settings(path: str | None = None) -> HostSettings:
@@ -45,6 +47,8 @@
         "grace_s": fields.get("bounds.grace_s"),
         "processor": _processor_cores(fields),
         "link_mbps": fields.get("limits.link_mbps"),
+        "memory_mb": fields.get("limits.memory_mb"),
+        "max_descriptors": _socket_descriptors(fields),
         "remote_factor": fields.get("bounds.remote_factor"),
     }
     given_values = {name: value for name, value in values.items() if value}
@@ -64,6 +68,8 @@
     "grace_s": "bounds.grace_s",
     "processor": "limits.cpu_share or limits.cores",
     "link_mbps": "limits.link_mbps",
+    "memory_mb": "limits.memory_mb",
+    "max_descriptors": "limits.max_fds",
     "remote_factor": "bounds.remote_factor",
 }
 
@@ -79,6 +85,14 @@
         return f"{share} x {cores}"
 
 
+def _socket_descriptors(fields: dict[str, str]) -> int | str | None:
+    """Return the descriptors for sockets, or a text that validation will reject."""
+    stated = fields.get("limits.max_fds")
+    if stated and stated.isascii() and stated.isdigit():
+        return int(stated) - FILE_DESCRIPTORS
+    return stated
+
+
 def _parse_fields(text: str) -> dict[str, str]:
     pairs = (line.partition("=") for line in text.splitlines())
     return {
--- a/jackdawspur/settings/_host.py
+++ b/jackdawspur/settings/_host.py
@@ -18,6 +18,8 @@
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Weight = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+MemoryMb = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+Descriptors = Annotated[int, msgspec.Meta(ge=64, le=1_000_000)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +31,8 @@
     the host's processor capacity in cores; hosts with more of it are preferred as
     leader. `link_mbps` is the capacity of its link in each direction, in Mbit/s. With
     more than `most_upstreams` upstreams, or more than the leader can handle, each zone
-    has a leader of its own.
+    has a leader of its own. `memory_mb` and `max_descriptors` are the memory and the
+    file descriptors that the process may use.
 
     `priority_weights` are the costs of not serving a job, by the priority of its route,
     and `late_weight` is the factor for a job that can only be late. Under overload the
@@ -48,6 +51,8 @@
     announced: str | None = None
     processor: Annotated[float, msgspec.Meta(gt=0, le=1024)] | None = None
     link_mbps: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)] | None = None
+    memory_mb: MemoryMb | None = None
+    max_descriptors: Descriptors | None = None
     most_upstreams: Annotated[int, msgspec.Meta(ge=1)] = 64
     priority_weights: Annotated[
         tuple[Weight, ...], msgspec.Meta(min_length=1, max_length=16)
--- a/jackdawspur/soak/_deployment.py
+++ b/jackdawspur/soak/_deployment.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from http.client import HTTPConnection
@@ -65,6 +66,7 @@
         zone: str = "z1",
         most_upstreams: int = 64,
         processor: float = 1.0,
+        limits: Mapping[str, float] | None = None,
     ) -> None:
         callers, ready, link, announced, metrics, store_proxy_port = ports.allocate(6)
         self.name = name
@@ -72,6 +74,7 @@
         self.link_proxy = LinkProxy(announced, link)
         self.store_proxy = Proxy(store_proxy_port, store_port)
         self.callers_port, self.ready_port, self.metrics_port = callers, ready, metrics
+        self.link_port = link
         self._settings_file = folder / f"{name}.json"
         self._log_file = folder / f"{name}.log"
         settings = {
@@ -85,6 +88,7 @@
             "announced": f"127.0.0.1:{announced}",
             "metrics": f"127.0.0.1:{metrics}",
             "store": f"127.0.0.1:{store_proxy_port}",
+            **(limits or {}),
         }
         self._settings_file.write_text(json.dumps(settings))
         self.start()
@@ -119,6 +123,11 @@
         """Return how often the log contains a text."""
         return self._log_file.read_text().count(text)
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log so far."""
+        return self._log_file.stat().st_size
+
     def log_lines(self) -> list[dict]:
         """Return the parsed lines of the log so far."""
         return [json.loads(line) for line in self._log_file.read_text().splitlines()]
@@ -136,6 +145,7 @@
         most_upstreams: int = 64,
         processors: tuple[float, ...] = (1.0,),
         priorities: tuple[int, ...] = (0,),
+        limits: Mapping[str, float] | None = None,
     ) -> None:
         self._ports = PortBlock()
         self._start_platform(folder, workers, zones, priorities)
@@ -151,6 +161,7 @@
                     zones[number % len(zones)],
                     most_upstreams,
                     processors[number % len(processors)],
+                    limits,
                 )
                 self.hosts.append(host)
             wait_until(lambda: all(h.is_ready() for h in self.hosts), "ready hosts")
