Compute the length of a job's chain of steps once

A leader hung under jobs of many steps: each pass computed the longest chain of every open job several times. The values are cached until an expected time changes or a step ends.

--- a/jackdawspur/runs/_job.py
+++ b/jackdawspur/runs/_job.py
@@ -124,7 +124,9 @@
         self._waiting = list(self.tasks)
         # Initial tasks are those without predecessors.
         self.unstarted_initial_tasks = sum(not task.spec.after for task in self.tasks)
-        self.critical_path_ms = self._critical_path_ms(expected_ms)
+        # Cached, as they are read in each pass and take time for jobs of many steps.
+        self._critical_ms: float | None = None
+        self._remaining_ms: float | None = None
         for name in offer.progress.done:
             if name in self.by_name:
                 self.end_task(self.by_name[name])
@@ -145,6 +147,13 @@
         """Return whether any task waits, for capacity or for other steps."""
         return bool(self._waiting)
 
+    @property
+    def critical_path_ms(self) -> float:
+        """Return the expected time of the longest chain of steps."""
+        if self._critical_ms is None:
+            self._critical_ms = self._longest_chain_ms(self.expected_ms)
+        return self._critical_ms
+
     @property
     def is_shed(self) -> bool:
         """Return whether the job is not admitted, and was not started either."""
@@ -192,7 +201,7 @@
     def set_expected_ms(self, step: int, work_ms: float) -> None:
         """Set the expected run time of a step's tasks."""
         self.expected_ms[step] = work_ms
-        self.critical_path_ms = self._critical_path_ms(self.expected_ms)
+        self._critical_ms = self._remaining_ms = None
 
     def place(self, task: Task, upstream: UpstreamId, now: float) -> None:
         """Record that the next run of a task uses capacity on an upstream."""
@@ -222,6 +231,8 @@
                 self.unstarted_initial_tasks -= not task.spec.after
         task.state = TaskState.DONE
         self._open_task_counts[task.step] -= 1
+        if not self._open_task_counts[task.step]:
+            self._remaining_ms = None
 
     def placed(self) -> list[Task]:
         """Return the tasks that use capacity."""
@@ -229,16 +240,13 @@
 
     def remaining_ms(self) -> float:
         """Return the expected time from a start now to the end of the last step."""
-        return self._critical_path_ms(
-            [
-                ms if still_open else 0.0
-                for ms, still_open in zip(
-                    self.expected_ms, self._open_task_counts, strict=True
-                )
-            ]
-        )
-
-    def _critical_path_ms(self, step_ms: Sequence[float]) -> float:
+        if self._remaining_ms is None:
+            counts = zip(self.expected_ms, self._open_task_counts, strict=True)
+            left_ms = [ms if still_open else 0.0 for ms, still_open in counts]
+            self._remaining_ms = self._longest_chain_ms(left_ms)
+        return self._remaining_ms
+
+    def _longest_chain_ms(self, step_ms: Sequence[float]) -> float:
         end_ms: list[float] = []
         for step, duration_ms in zip(self.request.steps, step_ms, strict=True):
             start_ms = max((end_ms[n] for n in step.after), default=0.0)
