--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -135,11 +135,15 @@
         return max(first_s, last_s)
 
 
-def retry_after_s(jobs: Iterable[Job], cpu_millis: int) -> float:
-    """Return how long the waiting work will keep the upstreams busy."""
-    waiting_s = sum(
+def waiting_work_ms(job: Job) -> float:
+    """Return the work of a job's waiting tasks, in thousandths of a core."""
+    return sum(
         job.expected_ms[task.step] * task.spec.resources.cpu_millis
-        for job in jobs
         for task in job.waiting()
-    ) / (MS_PER_S * max(1, cpu_millis))
+    )
+
+
+def retry_after_s(work_ms: float, cpu_millis: int) -> float:
+    """Return how long the waiting work will keep the upstreams busy."""
+    waiting_s = work_ms / (MS_PER_S * max(1, cpu_millis))
     return min(MAX_RETRY_S, max(MIN_RETRY_S, waiting_s))
--- a/jackdawspur/runs/_overload_control.py
+++ b/jackdawspur/runs/_overload_control.py
@@ -5,7 +5,12 @@
 from functools import partial
 
 from jackdawspur.model import UpstreamId
-from jackdawspur.runs._admission import Admission, UnservableJob, retry_after_s
+from jackdawspur.runs._admission import (
+    Admission,
+    UnservableJob,
+    retry_after_s,
+    waiting_work_ms,
+)
 from jackdawspur.runs._demand import class_of
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._initial_backlog import InitialBacklog
@@ -52,6 +57,9 @@
         self._initial = InitialBacklog()
         self._log = SheddingLog(pool.log)
         self._unadmitted: list[Job] = []
+        # Work of the waiting tasks by job, at the time of the pass.
+        self._waiting_ms: dict[str, float] = {}
+        self._waiting_at = -math.inf
 
     def clear(self) -> None:
         """Forget the demand at the end of a term."""
@@ -164,11 +172,23 @@
         """Return after how many seconds the caller of a refused job may retry."""
         route = job.request.route
         if not self.load_tracker.sheds_by_cost(route.service):
-            return retry_after_s(self._jobs.values(), self._pool.cpu_millis)
+            return retry_after_s(self._waiting_work_ms(now), self._pool.cpu_millis)
         ahead_s = self.load_tracker.work_ahead_s(route.service, route.priority, now)
         load = self.load_tracker.shedding(route.service).load
         return spread_retry_s(job.id, ahead_s, load)
 
+    def _waiting_work_ms(self, now: float) -> float:
+        """Return the work of the waiting tasks of all open jobs.
+
+        Many jobs may be refused in one pass, so each is examined once in a pass.
+        """
+        if self._waiting_at != now:
+            self._waiting_at = now
+            self._waiting_ms = {
+                job.id: waiting_work_ms(job) for job in self._jobs.values()
+            }
+        return sum(self._waiting_ms.get(job_id, 0.0) for job_id in self._jobs)
+
     def refusal_fields(self, job: Job, now: float) -> Mapping[str, int | float]:
         """Return the log fields of a refusal; there are none without shedding."""
         service = _service(job)
