Bound the runs and the open starts of an upstream

Tasks that need no processor capacity fit everywhere, so 400 jobs of 360 such tasks started without a bound: the starts waited for connections until they were overdue and were sent again, and an ordinary request got no answer within 20 s (whole host, two workers). At most 512 runs are placed on an upstream, and at most 256 starts for each upstream wait for replies.

--- a/jackdawspur/leases/_leased_upstream.py
+++ b/jackdawspur/leases/_leased_upstream.py
@@ -18,6 +18,7 @@
 MAX_LEASE_S = 1.0
 # An upstream's clock may be slower than the local one by this fraction.
 CLOCK_DRIFT = 0.02
+MAX_RUNS = 512
 MS_PER_S = 1000.0
 
 
@@ -124,6 +125,14 @@
         """
         return self._free
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether it has as many runs as are tracked, whatever their size.
+
+        Tasks that need no processor capacity would otherwise start without a bound.
+        """
+        return len(self.runs) >= MAX_RUNS
+
     @property
     def tasks(self) -> set[str]:
         """Return the tasks that have runs on this upstream."""
--- a/jackdawspur/runs/_placer.py
+++ b/jackdawspur/runs/_placer.py
@@ -215,6 +215,8 @@
                 suspect and _must_wait(task, job, crashes)
             ):
                 continue
+            if self._starts.is_saturated(len(upstreams)):
+                return
             needed = task.spec.resources
             if service in no_capacity_for and no_capacity_for[service].fits_in(needed):
                 return
--- a/jackdawspur/runs/_starts.py
+++ b/jackdawspur/runs/_starts.py
@@ -14,6 +14,8 @@
 # Time during which an upstream that refused a start gets no other one.
 REFUSED_BACKOFF_S = 0.2
 UNHEALTHY_BACKOFF_S = 0.5
+# Starts without a reply, for each upstream.
+MAX_OPEN_STARTS = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,14 +55,23 @@
             )
         )
 
+    def is_saturated(self, upstreams: int) -> bool:
+        """Return whether more starts wait for replies than upstreams accept at once.
+
+        Further ones would wait for a connection until their replies are overdue.
+        """
+        self._remove_resolved()
+        return len(self._open_starts) >= MAX_OPEN_STARTS * max(1, upstreams)
+
+    def _remove_resolved(self) -> None:
+        starts = self._open_starts
+        while starts and starts[0].run.phase is not RunPhase.STARTING:
+            starts.popleft()
+
     @property
     def overdue_at(self) -> float | None:
         """Return when the next reply will be overdue, None if none is pending."""
-        while (
-            self._open_starts
-            and self._open_starts[0].run.phase is not RunPhase.STARTING
-        ):
-            self._open_starts.popleft()
+        self._remove_resolved()
         return (
             self._open_starts[0].at + self._replies.overdue_s
             if self._open_starts
--- a/jackdawspur/runs/_upstream_choice.py
+++ b/jackdawspur/runs/_upstream_choice.py
@@ -158,7 +158,7 @@
     task: Task, upstream: LeasedUpstream, estimates: Estimates, now: float
 ) -> bool:
     spec = task.spec
-    if not spec.resources.fits_in(upstream.free):
+    if upstream.is_full or not spec.resources.fits_in(upstream.free):
         return False
     entry = upstream.entry
     if entry.id in task.avoid:
