Bound what the clients of all connections hold

Clients that stop short of the end of a body of legal size ended a host: each connection might hold 1 MiB, and 1,024 of them on each of three addresses far more than the machine's memory. The same held for requests behind an open call, for replies that nobody reads, and for descriptors.

One budget for each process follows from its stated memory and descriptors. It counts what all connections of all servers hold; beyond it the connection that holds most is refused with 503 and Retry-After, so small requests don't suffer from large ones. Connections beyond half of the descriptors replace the one that has been without a complete request for longest, on the address that has most. No request is handled while replies of its connection are unsent, and buffers of the kernel are limited to 32 KB, which it would enlarge to megabytes (60 MB of unread replies for 60 clients before).

--- a/jackdawspur/adapters/__init__.py
+++ b/jackdawspur/adapters/__init__.py
@@ -14,8 +14,10 @@
         "_reply_reader": ["ClientResponse"],
         "_links": ["Links"],
         "_log_http": ["HttpLog", "LogTimeouts"],
+        "_process_budget": ["ProcessBudget", "ResourceLimits"],
         "_queues": ["Inbox", "Outbox"],
         "_upstream_http": ["HttpUpstreamClient", "UpstreamTimeouts"],
-        "_web": ["Call", "WebServer", "WebService"],
+        "_web": ["WebServer"],
+        "_web_service": ["Call", "WebService"],
     },
 )
--- /dev/null
+++ b/jackdawspur/adapters/_process_budget.py
@@ -0,0 +1,139 @@
+"""Memory and connections that a process may spend on its clients."""
+
+import abc
+import resource
+from dataclasses import dataclass
+
+__all__ = ["ConnectionOwner", "ProcessBudget", "ResourceLimits"]
+
+BYTES_PER_MB = 1 << 20
+ASSUMED_MEMORY_MB = 256.0
+# Memory of the modules and of the state that doesn't depend on clients.
+BASE_MEMORY_MB = 64.0
+# Fraction of the other memory for what clients sent. The rest is for buffers of the
+# kernel, links and the allocator.
+CLIENT_FRACTION = 0.5
+MIN_CLIENT_FRACTION = 0.125
+# Fraction of the descriptors for connections of clients. The rest is for upstreams,
+# the store and links.
+CONNECTION_FRACTION = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceLimits:
+    """Memory and descriptors that a process may use; None if not stated."""
+
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
+
+    @property
+    def client_bytes(self) -> int:
+        """Return the memory for what clients sent and have not been answered."""
+        memory_mb = self.memory_mb or ASSUMED_MEMORY_MB
+        left_mb = CLIENT_FRACTION * (memory_mb - BASE_MEMORY_MB)
+        return int(max(left_mb, MIN_CLIENT_FRACTION * memory_mb) * BYTES_PER_MB)
+
+    @property
+    def max_connections(self) -> int:
+        """Return the number of connections of clients, on all addresses together."""
+        allowed, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if allowed != resource.RLIM_INFINITY:
+            stated = min(self.max_descriptors or allowed, allowed)
+        else:
+            stated = self.max_descriptors or 1024
+        return max(1, int(CONNECTION_FRACTION * stated))
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields for the log: the limits, and what follows from them."""
+        return {
+            "memory_mb": self.memory_mb,
+            "max_descriptors": self.max_descriptors,
+            "client_bytes": self.client_bytes,
+            "max_connections": self.max_connections,
+        }
+
+
+class ConnectionOwner(abc.ABC):
+    """A server whose connections share the budget of its process."""
+
+    @property
+    @abc.abstractmethod
+    def connections(self) -> int:
+        """Return the number of established connections."""
+
+    @abc.abstractmethod
+    def largest_held(self) -> int:
+        """Return the size of the largest connection that can be released."""
+
+    @abc.abstractmethod
+    def release_largest(self) -> None:
+        """Refuse or close the connection that holds most."""
+
+    @abc.abstractmethod
+    def release_connection(self, newest: object) -> bool:
+        """Close another connection without an open call; return False without one."""
+
+
+class ProcessBudget:
+    """Bound what the clients of all servers of a process hold together.
+
+    A bound on each connection would either refuse legal requests or allow many of them
+    to exceed the memory of the process.
+    """
+
+    def __init__(self, limits: ResourceLimits | None = None) -> None:
+        limits = limits or ResourceLimits()
+        self._max_bytes = limits.client_bytes
+        self._max_connections = limits.max_connections
+        self._used_bytes = 0
+        self._owners: list[ConnectionOwner] = []
+
+    @property
+    def free_bytes(self) -> int:
+        """Return how much more clients may hold, negative beyond the bound."""
+        return self._max_bytes - self._used_bytes
+
+    @property
+    def used_bytes(self) -> int:
+        """Return how much clients hold."""
+        return self._used_bytes
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections on all addresses."""
+        return sum(owner.connections for owner in self._owners)
+
+    def register(self, owner: ConnectionOwner) -> None:
+        """Add a server."""
+        self._owners.append(owner)
+
+    def charge(self, size: int) -> None:
+        """Record that clients hold more bytes, or fewer if `size` is negative."""
+        self._used_bytes += size
+
+    def reclaim(self) -> None:
+        """Release the largest connections until the bound is met.
+
+        Callers with small requests are not affected by others with large ones.
+        """
+        self.make_free(0)
+
+    def make_free(self, size: int) -> bool:
+        """Release the largest connections until a size fits; return whether it does."""
+        while self.free_bytes < size:
+            owner = max(self._owners, key=lambda owner: owner.largest_held())
+            if not owner.largest_held():
+                return False
+            owner.release_largest()
+        return True
+
+    def admit_connection(self, newest: object) -> bool:
+        """Make room for a new connection; return False if all are in use.
+
+        The server with the most connections gives way, so that many callers don't lock
+        out readiness probes.
+        """
+        if self.connections <= self._max_connections:
+            return True
+        by_size = sorted(self._owners, key=lambda o: o.connections, reverse=True)
+        return any(owner.release_connection(newest) for owner in by_size)
--- a/jackdawspur/adapters/_requests.py
+++ b/jackdawspur/adapters/_requests.py
@@ -65,8 +65,13 @@
     as part of the body, so bodies are split off here.
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        max_head_bytes: int = MAX_HEAD_BYTES,
+    ) -> None:
         self._max_body_bytes = max_body_bytes
+        self._max_head_bytes = max_head_bytes
         self._buffer = bytearray()
         self._searched_until = 0
         self._head: _Head | None = None
@@ -112,8 +117,10 @@
 
     def _read_head(self) -> _Head | None:
         end = self._buffer.find(END_OF_HEAD, self._searched_until)
-        if max(end, len(self._buffer) if end < 0 else 0) > MAX_HEAD_BYTES:
-            text = f"the head of a request may have at most {MAX_HEAD_BYTES} bytes"
+        if max(end, len(self._buffer) if end < 0 else 0) > self._max_head_bytes:
+            text = (
+                f"the head of a request may have at most {self._max_head_bytes} bytes"
+            )
             raise RequestError(text, FailureCode.TOO_LARGE)
         if end < 0:
             # Searching the whole buffer again for each byte of a slow sender is costly.
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -1,17 +1,16 @@
 """A bounded HTTP server on circuits with asynchronous replies."""
 
-import abc
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from socket import socket
-from urllib.parse import parse_qs
 
 from circuits import BaseComponent, Event, Timer, handler
-from circuits.web.headers import Headers
 
+from jackdawspur.adapters._process_budget import ConnectionOwner, ProcessBudget
 from jackdawspur.adapters._reply_bytes import encode_reply
+from jackdawspur.adapters._request_queue import LARGE_BYTES, RequestScheduler
 from jackdawspur.adapters._requests import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -19,11 +18,13 @@
     RequestError,
     RequestReader,
 )
+from jackdawspur.adapters._web_connections import WebConnection, WebConnections
+from jackdawspur.adapters._web_service import Call, WebService
 from jackdawspur.adapters._web_sockets import ServerOwner, ServerSockets
 from jackdawspur.callers import HttpResponse, answer_response, refusal_response
 from jackdawspur.model import Answer, FailureCode, JobState
 
-__all__ = ["Call", "WebServer", "WebService"]
+__all__ = ["WebServer"]
 
 MAX_CONNECTIONS = 1024
 # Connections beyond MAX_CONNECTIONS that are refused with a reply before the close;
@@ -35,45 +36,18 @@
 SWEEP_INTERVAL_S = 1.0
 # Interval of probes of callers whose connection isn't read while their call is open.
 PROBE_INTERVAL_S = 0.1
+# Bytes that may follow a request before the connection is no longer read.
+MAX_PIPELINED_BYTES = 65_536
+# Time after which a client may retry that had to give way to others.
+RETRY_AFTER_S = 1
+# Connections whose replies the client doesn't read are closed after this time.
+UNSENT_TIME_LIMIT_S = 10.0
+MAX_LOGGED_CHARACTERS = 200
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
-    """One HTTP request; `call_id` identifies it in the reply."""
-
-    call_id: int
-    method: str
-    path: str
-    query: str
-    headers: Headers
-    body: bytes
-
-    def query_flag(self, name: str) -> bool:
-        """Return whether the query sets the flag to true."""
-        return parse_qs(self.query).get(name, [""])[-1] == "true"
-
-    @property
-    def bearer_token(self) -> str | None:
-        """Return the bearer token, or None if none was sent."""
-        scheme, _, token = self.headers.get("Authorization", "").partition(" ")
-        return token.strip() if scheme.lower() == "bearer" and token else None
-
-
-class WebService(abc.ABC):
-    """Handler of calls; it replies through `WebServer.reply`."""
-
-    @abc.abstractmethod
-    def handle_call(self, call: Call) -> None:
-        """Handle one call."""
-
-    @abc.abstractmethod
-    def caller_disconnected(self, call_id: int) -> None:
-        """Handle the disconnect of the caller of an open call."""
-
-
 class sweep(Event):
     """Close connections that send too slowly."""
 
@@ -86,32 +60,7 @@
     """Handle the next pipelined request of a connection."""
 
 
-@dataclass(eq=False, slots=True)
-class _Connection:
-    """State of one connection.
-
-    `since` is the time when it was accepted, when its unfinished request started or
-    when its last reply was sent, whichever is latest. `half_closed` means that the
-    peer has shut down its sending side, `lingering` that this side has and only waits
-    for the peer's close. `paused` means that it isn't read.
-    """
-
-    sock: socket
-    since: float
-    reader: RequestReader
-    call_id: int | None = None
-    request: HttpRequest | None = None
-    half_closed: bool = False
-    lingering: bool = False
-    paused: bool = False
-
-    @property
-    def idle(self) -> bool:
-        """Return whether no request is open or partly received."""
-        return self.call_id is None and not self.reader.partial
-
-
-class WebServer(BaseComponent, ServerOwner):
+class WebServer(BaseComponent, ServerOwner, ConnectionOwner):
     """HTTP server on one address that bounds body sizes, connections and time."""
 
     def __init__(
@@ -121,15 +70,20 @@
         channel: str = "web",
         clock: Callable[[], float] = time.monotonic,
         max_body_bytes: int = MAX_BODY_BYTES,
+        budget: ProcessBudget | None = None,
     ) -> None:
         super().__init__(channel=channel)
         self._max_body_bytes = max_body_bytes
+        self._max_head_bytes = MAX_HEAD_BYTES
+        self._budget = budget or ProcessBudget()
+        self._budget.register(self)
+        self._scheduler = RequestScheduler(channel, self._handle_next).register(self)
         self._service = service
         self._clock = clock
         self._next_call_id = 1
         self._draining = False
-        self._calls: dict[int, _Connection] = {}
-        self._connections: dict[socket, _Connection] = {}
+        self._calls: dict[int, WebConnection] = {}
+        self._connections = WebConnections(self._budget)
         self._probe_timer: Timer | None = None
         self._sockets = ServerSockets(bind, self, channel).register(self)
         Timer(SWEEP_INTERVAL_S, sweep(), channel, persist=True).register(self)
@@ -159,15 +113,20 @@
         if self._draining:
             request = replace(request, keep_alive=False)
         connection.since = self._clock()
+        connection.body_bytes = 0
         self._sockets.send(connection.sock, encode_reply(reply, request))
         if not request.keep_alive:
             self._finish_connection(connection)
         elif connection.reader.buffered:
-            if not connection.half_closed:
-                self._resume_reading(connection)
-            self.fire(proceed(connection))
+            self._resume_requests(connection)
         elif connection.half_closed:
             self._sockets.close_when_sent(connection.sock)
+        self._account(connection)
+
+    def set_request_limits(self, max_head_bytes: int, max_body_bytes: int) -> None:
+        """Set the largest requests that new connections may send."""
+        self._max_head_bytes = min(MAX_HEAD_BYTES, max_head_bytes)
+        self._max_body_bytes = min(MAX_BODY_BYTES, max_body_bytes)
 
     def set_draining(self, draining: bool) -> None:
         """Set whether each connection is closed after its next reply.
@@ -188,23 +147,19 @@
             self._sockets.close_when_sent(connection.sock)
 
     def on_accepted(self, sock: socket) -> None:
-        """Accept a connection; beyond the bound, close an idle one in its place.
+        """Accept a connection; beyond the bound, close another in its place.
 
-        Otherwise idle connections that are never used would lock out all callers.
+        Otherwise connections that are never used would lock out all callers.
         """
-        connection = _Connection(sock, self._clock(), self._new_reader())
+        connection = WebConnection(sock, self._clock(), self._new_reader())
         self._connections[sock] = connection
         count = len(self._connections)
-        if count <= MAX_CONNECTIONS:
-            return
-        replaced = next((c for c in self._connections.values() if c.idle), connection)
-        if replaced is not connection:
-            self._sockets.close_when_sent(replaced.sock)
-        elif count <= MAX_CONNECTIONS + MAX_REFUSED_CONNECTIONS:
-            text = f"more than {MAX_CONNECTIONS} connections"
-            self._refuse(connection, refusal_response(FailureCode.OVERLOADED, text))
-        else:
+        if count > MAX_CONNECTIONS + MAX_REFUSED_CONNECTIONS:
             self._sockets.close_when_sent(sock)
+        elif count > MAX_CONNECTIONS and not self.release_connection(connection):
+            self._refuse_overloaded(connection, f"more than {count - 1} connections")
+        elif not self._budget.admit_connection(connection):
+            self._refuse_overloaded(connection, "no free connections")
 
     def on_received(self, sock: socket, data: bytes) -> None:
         """Process bytes from a caller."""
@@ -215,18 +170,66 @@
             if connection.idle:
                 connection.since = self._clock()
             connection.reader.feed(data)
+            self._account(connection)
+            self._budget.reclaim()
             self._advance(connection)
 
+    def on_sent(self, sock: socket) -> None:
+        """Handle the next request of a caller that has read its replies."""
+        connection = self._connections.get(sock)
+        if connection is not None and connection.unsent:
+            self._account(connection)
+            if connection.call_id is None and connection.reader.buffered:
+                self._resume_requests(connection)
+
     def on_closed(self, sock: socket) -> None:
         """Remove a closed connection and report its open call to the service."""
-        connection = self._connections.pop(sock)
+        connection = self._connections.remove(sock)
         if self._calls.pop(connection.call_id, None) is not None:
             self._service.caller_disconnected(connection.call_id)
 
+    def largest_held(self) -> int:
+        """Return the size of the largest connection that can be released."""
+        largest = self._connections.largest()
+        return largest.releasable if largest is not None else 0
+
+    def release_largest(self) -> None:
+        """Refuse the unfinished request that holds most, or close its connection."""
+        connection = self._connections.largest()
+        if connection.unsent:
+            self._sockets.abort(connection.sock)
+        elif connection.call_id is None:
+            self._refuse_overloaded(connection, "the host has no memory for it")
+        else:
+            # The answer of the open call ends the connection, so that the client knows
+            # that nothing after it was handled.
+            connection.request = replace(connection.request, keep_alive=False)
+            connection.reader = self._new_reader()
+            self._account(connection)
+            self._pause_reading(connection)
+
+    def release_connection(self, newest: object) -> bool:
+        """Close another connection without an open call; return False without one."""
+        connection = self._connections.least_active(newest)
+        if connection is None:
+            return False
+        self._sockets.abort(connection.sock)
+        return True
+
+    def _account(self, connection: WebConnection) -> None:
+        unsent = self._sockets.unsent_bytes(connection.sock)
+        self._connections.account(connection, unsent)
+
+    def _resume_requests(self, connection: WebConnection) -> None:
+        """Handle the requests that follow one that was answered."""
+        if not connection.half_closed:
+            self._resume_reading(connection)
+        self.fire(proceed(connection))
+
     def _new_reader(self) -> RequestReader:
-        return RequestReader(self._max_body_bytes)
+        return RequestReader(self._max_body_bytes, self._max_head_bytes)
 
-    def _on_end_of_data(self, connection: _Connection) -> None:
+    def _on_end_of_data(self, connection: WebConnection) -> None:
         """Reply to a caller that shut down its sending side, then close.
 
         The caller may still read: its open call is answered, and an incomplete
@@ -240,7 +243,7 @@
         self._pause_reading(connection)
         self._advance(connection)
 
-    def _pause_reading(self, connection: _Connection) -> None:
+    def _pause_reading(self, connection: WebConnection) -> None:
         """Stop reading from a caller, and probe it instead.
 
         A caller that has closed its connection looks like one that is half-closed and
@@ -253,15 +256,18 @@
             timer = Timer(PROBE_INTERVAL_S, probe(), self.channel, persist=True)
             self._probe_timer = timer.register(self)
 
-    def _resume_reading(self, connection: _Connection) -> None:
+    def _resume_reading(self, connection: WebConnection) -> None:
         connection.paused = False
         self._sockets.resume_reading(connection.sock)
 
-    def _probe(self, connection: _Connection) -> None:
+    def _probe(self, connection: WebConnection) -> None:
         """Send an interim response, which fails if an earlier one was reset.
 
         Clients ignore it. Some of them ignore no other interim response than 100.
         """
+        if connection.unsent:
+            # An earlier probe hasn't been read yet.
+            return
         if connection.request is not None and connection.request.accepts_interim:
             self._sockets.send(connection.sock, CONTINUE)
 
@@ -276,13 +282,21 @@
             self._probe_timer = None
 
     @handler("proceed")
-    def _advance(self, connection: _Connection) -> None:
+    def _advance(self, connection: WebConnection) -> None:
         """Handle one request if it is complete and no other is open."""
-        if connection.lingering or connection.sock not in self._connections:
+        if connection.sock not in self._connections or connection.queued:
             return
-        if connection.call_id is not None:
-            if connection.reader.buffered > self._max_body_bytes + MAX_HEAD_BYTES:
+        if connection.call_id is not None or connection.unsent:
+            if connection.reader.buffered > MAX_PIPELINED_BYTES:
                 self._pause_reading(connection)
+        elif not connection.lingering:
+            connection.queued = True
+            self._scheduler.put(connection, connection.reader.buffered)
+
+    def _handle_next(self, connection: WebConnection) -> None:
+        """Handle the next request of a connection, or read on if it isn't complete."""
+        connection.queued = False
+        if connection.lingering or connection.sock not in self._connections:
             return
         try:
             request = connection.reader.next_request()
@@ -290,18 +304,27 @@
             self._refuse(connection, refusal_response(error.code, str(error)))
             return
         if request is not None:
-            self._handle_request(connection, request)
+            self._handle_if_free(connection, request)
         elif connection.half_closed:
             text = "the connection ended before the request was complete"
             self._refuse(connection, refusal_response(FailureCode.INVALID, text))
         elif connection.reader.needs_continue():
             self._sockets.send(connection.sock, CONTINUE)
 
-    def _handle_request(self, connection: _Connection, request: HttpRequest) -> None:
+    def _handle_if_free(self, connection: WebConnection, request: HttpRequest) -> None:
+        """Handle a request; refuse a large one unless memory for others is left."""
+        size = len(request.body)
+        if size > LARGE_BYTES and not self._budget.make_free(2 * size):
+            self._refuse_overloaded(connection, "the host has no memory for it")
+        else:
+            self._handle_request(connection, request)
+
+    def _handle_request(self, connection: WebConnection, request: HttpRequest) -> None:
         call_id = self._next_call_id
         self._next_call_id += 1
         connection.call_id = call_id
-        connection.request = request
+        # The service decodes the body, and the reply needs only the rest.
+        connection.request = replace(request, body=b"") if request.body else request
         self._calls[call_id] = connection
         call = Call(
             call_id,
@@ -315,31 +338,46 @@
             self._service.handle_call(call)
         except Exception:
             # circuits drops exceptions silently, and the caller would get no reply.
-            log.exception("call failed", extra={"path": call.path})
+            log.exception(
+                "call failed", extra={"path": call.path[:MAX_LOGGED_CHARACTERS]}
+            )
             text = "an internal error; whether the job ran is unknown"
             code = FailureCode.OUTCOME_UNKNOWN
             failed = Answer(JobState.FAILED, code=code, message=text)
             self.reply(call_id, answer_response(failed))
+        if connection.call_id is not None:
+            connection.body_bytes = self._service.held_bytes(call)
+        self._account(connection)
 
-    def _refuse(self, connection: _Connection, reply: HttpResponse) -> None:
+    def _refuse_overloaded(self, connection: WebConnection, text: str) -> None:
+        """Refuse a request for which there is no memory or no connection."""
+        log.info("connection refused", extra={"reason": text, "held": connection.held})
+        reply = refusal_response(FailureCode.OVERLOADED, text)
+        self._refuse(connection, replace(reply, retry_after_s=RETRY_AFTER_S))
+
+    def _refuse(self, connection: WebConnection, reply: HttpResponse) -> None:
         """Reply to a request that was not fully read, and close."""
         self._sockets.send(connection.sock, encode_reply(reply, None))
         self._finish_connection(connection)
 
-    def _finish_connection(self, connection: _Connection) -> None:
+    def _finish_connection(self, connection: WebConnection) -> None:
         if connection.half_closed:
             self._sockets.close_when_sent(connection.sock)
             return
         connection.lingering = True
         connection.reader = self._new_reader()
         connection.since = self._clock()
+        self._account(connection)
         self._resume_reading(connection)
         self._sockets.shut_down_sending(connection.sock)
 
     @handler("exception", channel="*")
     def _on_exception(self, _type, _error, trace, handler=None, fevent=None) -> None:
         """Log an exception of a handler; circuits drops it silently."""
-        log.error("handler failed", extra={"event": repr(fevent), "trace": trace})
+        log.error(
+            "handler failed",
+            extra={"event": repr(fevent)[:MAX_LOGGED_CHARACTERS], "trace": trace},
+        )
 
     @handler("sweep")
     def _on_sweep(self) -> None:
@@ -347,10 +385,14 @@
         now = self._clock()
         for connection in list(self._connections.values()):
             age = now - connection.since
+            self._account(connection)
             if connection.lingering and age > LINGER_S:
-                self._sockets.close_when_sent(connection.sock)
-            elif connection.call_id is not None or connection.idle:
+                self._sockets.abort(connection.sock)
+            elif connection.call_id is not None or connection.idle or connection.queued:
                 continue
+            elif connection.unsent:
+                if age > UNSENT_TIME_LIMIT_S:
+                    self._sockets.abort(connection.sock)
             elif age > REQUEST_TIME_LIMIT_S:
                 text = f"the request took over {REQUEST_TIME_LIMIT_S:.0f} s to arrive"
                 self._refuse(connection, refusal_response(FailureCode.INVALID, text))
--- /dev/null
+++ b/jackdawspur/adapters/_web_service.py
@@ -0,0 +1,47 @@
+"""Calls of an HTTP server and their handler."""
+
+import abc
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+
+from circuits.web.headers import Headers
+
+__all__ = ["Call", "WebService"]
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP request; `call_id` identifies it in the reply."""
+
+    call_id: int
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes
+
+    def query_flag(self, name: str) -> bool:
+        """Return whether the query sets the flag to true."""
+        return parse_qs(self.query).get(name, [""])[-1] == "true"
+
+    @property
+    def bearer_token(self) -> str | None:
+        """Return the bearer token, or None if none was sent."""
+        scheme, _, token = self.headers.get("Authorization", "").partition(" ")
+        return token.strip() if scheme.lower() == "bearer" and token else None
+
+
+class WebService(abc.ABC):
+    """Handler of calls; it replies through `WebServer.reply`."""
+
+    @abc.abstractmethod
+    def handle_call(self, call: Call) -> None:
+        """Handle one call."""
+
+    @abc.abstractmethod
+    def caller_disconnected(self, call_id: int) -> None:
+        """Handle the disconnect of the caller of an open call."""
+
+    def held_bytes(self, call: Call) -> int:
+        """Return how many bytes of an open call are held until its reply."""
+        return len(call.body)
--- a/jackdawspur/adapters/_web_sockets.py
+++ b/jackdawspur/adapters/_web_sockets.py
@@ -1,7 +1,7 @@
 """Server sockets of circuits that pass bytes to their owner directly."""
 
 import abc
-from socket import SHUT_WR, socket
+from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
 
 from circuits import handler
 from circuits.net.sockets import TCPServer
@@ -9,6 +9,9 @@
 __all__ = ["ServerOwner", "ServerSockets"]
 
 READ_BYTES = 65_536
+# Buffers of the kernel for each connection, whose memory also counts for the machine.
+# It would otherwise enlarge them to several megabytes.
+KERNEL_BUFFER_BYTES = 32_768
 
 
 class ServerOwner(abc.ABC):
@@ -22,6 +25,10 @@
     def on_received(self, sock: socket, data: bytes) -> None:
         """Process bytes; empty bytes mean that the peer has stopped sending."""
 
+    @abc.abstractmethod
+    def on_sent(self, sock: socket) -> None:
+        """Handle that all bytes for a peer were sent."""
+
     @abc.abstractmethod
     def on_closed(self, sock: socket) -> None:
         """Handle the close of a connection."""
@@ -38,6 +45,9 @@
     def __init__(self, bind: str, owner: ServerOwner, channel: str) -> None:
         super().__init__(bind, channel=channel, bufsize=READ_BYTES)
         self._owner = owner
+        # Connections inherit them from the listening socket.
+        self._sock.setsockopt(SOL_SOCKET, SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        self._sock.setsockopt(SOL_SOCKET, SO_SNDBUF, KERNEL_BUFFER_BYTES)
 
     def send(self, sock: socket, data: bytes) -> None:
         """Send what the kernel accepts now and the rest once the socket is writable."""
@@ -67,6 +77,15 @@
         """Close the connection once all bytes are sent."""
         self.close(sock)
 
+    def abort(self, sock: socket) -> None:
+        """Close the connection at once; bytes that are not sent yet are lost."""
+        self._close(sock)
+
+    def unsent_bytes(self, sock: socket) -> int:
+        """Return the number of bytes that the kernel has not accepted yet."""
+        buffer = self._buffers.get(sock)
+        return sum(map(len, buffer)) if buffer else 0
+
     def pause_reading(self, sock: socket) -> None:
         """Stop reading, so that the kernel applies back pressure to the peer."""
         self._poller.removeReader(sock)
@@ -92,6 +111,11 @@
             return
         self._owner.on_received(sock, data)
 
+    def _write(self, sock: socket, data: bytes) -> None:
+        super()._write(sock, data)
+        if sock in self._clients and not self._buffers.get(sock):
+            self._owner.on_sent(sock)
+
     def _close(self, sock: socket) -> None:
         was_connected = sock in self._clients
         if sock in self._closeq:
