Bound the size of the jobs that a host and its leader hold

A body of 66 bytes states 10,000 tasks, one of 120 KB 10,000 steps: ten of the latter by way of a follower took 113 MB on the leader and kept an ordinary request waiting for 6 s (504); 40 kept a single host busy for over two minutes. Hosts and leaders count tasks, steps and their edges. Jobs above 1,024 (the design size has 360 tasks) share a bound of their own, each may use half of what the others leave, and a leader takes the next one after a time that grows with the last one's size. Refusals are 503 or 429 with Retry-After, and not run. The jobs are charged to the budget of the process, so unfinished requests give way to them. Servers get their limits for heads and bodies from the configuration, and paths are cut in the log.

--- a/jackdawspur/front/_early_calls.py
+++ b/jackdawspur/front/_early_calls.py
@@ -30,6 +30,9 @@
     def __init__(self) -> None:
         self._calls: dict[int, EarlyCall] = {}
 
+    def __contains__(self, call_id: int) -> bool:
+        return call_id in self._calls
+
     def add(self, call: Call, now: float) -> bool:
         """Add a call; return False if the buffer is full."""
         if len(self._calls) >= MAX_CALLS:
--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -9,8 +9,10 @@
     JobEnd,
     JobOutcome,
     JobRequest,
+    JobSizes,
     Progress,
     TaskFailureCounts,
+    job_size,
 )
 
 __all__ = ["OwnJob", "OwnJobs", "end_fields"]
@@ -70,6 +72,7 @@
 
     def __init__(self) -> None:
         self._by_call: dict[int, OwnJob] = {}
+        self.sizes = JobSizes()
 
     def __len__(self) -> int:
         return len(self._by_call)
@@ -78,9 +81,10 @@
         """Return the jobs of all waiting callers."""
         return tuple(self._by_call.values())
 
-    def add(self, job: OwnJob) -> None:
+    def add(self, job: OwnJob, now: float) -> None:
         """Add the job of a waiting caller."""
         self._by_call[job.call] = job
+        self.sizes.add(job.call, job_size(job.request), now)
 
     def limit_deadlines(self, deadline: float) -> None:
         """Limit all deadlines to this time."""
@@ -89,6 +93,7 @@
 
     def pop(self, call: int) -> OwnJob | None:
         """Remove and return the job of a call, None if there is none."""
+        self.sizes.remove(call)
         return self._by_call.pop(call, None)
 
     def find(self, call: int, job_id: str) -> OwnJob | None:
--- a/jackdawspur/front/_ports.py
+++ b/jackdawspur/front/_ports.py
@@ -11,6 +11,7 @@
 from jackdawspur.group import HostAddress
 from jackdawspur.leases import CallOutcome, PollReport, UpstreamEntry
 from jackdawspur.runs import (
+    MAX_TOTAL_SIZE,
     JobOutcome,
     JobRequest,
     PollUpstream,
@@ -121,9 +122,12 @@
 
     @abc.abstractmethod
     def decode_call(
-        self, call: Call, routes: RouteTable
+        self, call: Call, routes: RouteTable, max_size: int = MAX_TOTAL_SIZE
     ) -> CallerRequest | HttpResponse:
-        """Decode a request; return the refusal instead if it is invalid."""
+        """Decode a request; return the refusal instead if it is invalid.
+
+        A job that is larger than `max_size`, as `job_size` counts, is refused too.
+        """
 
     @abc.abstractmethod
     def encode_outcome(self, outcome: JobOutcome) -> HttpResponse:
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -6,7 +6,7 @@
 from circuits import Component, Event as LoopEvent, handler
 from circuits.core.pollers import EPoll
 
-from jackdawspur.adapters import TimerQueue, WebServer
+from jackdawspur.adapters import TimerQueue
 from jackdawspur.callers import HttpResponse
 from jackdawspur.front._clock import now_s, unix_ms
 from jackdawspur.front._heartbeats import Heartbeats
@@ -19,6 +19,7 @@
 from jackdawspur.front._ports import PlatformPorts
 from jackdawspur.front._reload import reload_settings
 from jackdawspur.front._routes import NO_ROUTES, RouteTable
+from jackdawspur.front._servers import HostServers
 from jackdawspur.front._service import CallerService, ReadyService
 from jackdawspur.front._views import StoreView
 from jackdawspur.group import (
@@ -94,8 +95,7 @@
         self.leader_driver = LeaderDriver(
             self, self._ports.upstreams, now, overload_policy(settings)
         )
-        self.callers = CallerService(self, self._ports.callers)
-        self._open_web(settings)
+        self._listen(settings)
         self._flush_pending = False
         self._flush_due = NEVER_S
         self._greet_pending = False
@@ -110,23 +110,24 @@
         self._timer_queue.call_later(0.0, self._start_work)
         self._log_start(limits)
 
+    def _listen(self, settings: HostSettings) -> None:
+        self.callers = CallerService(self, self._ports.callers)
+        self._servers = HostServers(
+            self, settings, self.callers, ReadyService(self), OperatorPages(self)
+        )
+        self._web = self._servers.callers
+        self._job_memory = self._servers.job_memory(
+            self.callers.job_sizes, self.leader_driver.dispatcher.open_jobs.sizes
+        )
+
     def _log_start(self, limits: HostLimits) -> None:
         settings = self._settings
         host = {"host": settings.name, "zone": settings.zone}
         stated = limits.log_fields() | overload_fields(settings)
+        stated |= self._servers.limits.log_fields()
         stated["assumed"] += assumed_fields(settings)
         log.info("host started", extra=host | stated)
 
-    def _open_web(self, settings: HostSettings) -> None:
-        self._web = WebServer(settings.callers, self.callers, "callers").register(self)
-        self._ready_web = WebServer(
-            settings.ready, ReadyService(self), "ready"
-        ).register(self)
-        if settings.metrics is not None:
-            self._metrics_web = WebServer(
-                settings.metrics, OperatorPages(self), "metrics"
-            ).register(self)
-
     @property
     def ready(self) -> bool:
         """Return whether the host serves: with routes and a leader, not draining."""
@@ -151,11 +152,11 @@
 
     def reply_ready(self, call_id: int, reply: HttpResponse) -> None:
         """Reply to a readiness probe."""
-        self._ready_web.reply(call_id, reply)
+        self._servers.ready.reply(call_id, reply)
 
     def reply_metrics(self, call_id: int, reply: HttpResponse) -> None:
         """Reply to an operator."""
-        self._metrics_web.reply(call_id, reply)
+        self._servers.metrics.reply(call_id, reply)
 
     def send(self, host: str, message: GroupMessage) -> None:
         """Send a message to another host."""
@@ -210,6 +211,7 @@
             )
             before = self.routes
             self.routes = routes
+            self._web.set_request_limits(routes.max_head_bytes, routes.max_body_bytes)
             self.callers.on_configured()
             if routes.priorities_by_service != before.priorities_by_service:
                 self.upstreams_changed()
@@ -239,6 +241,7 @@
     def _on_flush(self) -> None:
         self._flush_pending = False
         now = now_s()
+        self._job_memory.update()
         if self.group.pause_s(now):
             # Replies that waited to be read must not cause starts before it resigns.
             self._follow_leader(now)
--- a/jackdawspur/front/_routes.py
+++ b/jackdawspur/front/_routes.py
@@ -19,6 +19,7 @@
     version: int
     routes: tuple[Route, ...]
     max_body_bytes: int = 262_144
+    max_head_bytes: int = 65_536
     _by_host: dict[str, list[Route]] = field(default_factory=dict, repr=False)
 
     def __post_init__(self) -> None:
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -23,7 +23,7 @@
     JobResult,
     Term,
 )
-from jackdawspur.runs import JobEnd, JobOutcome, Offer
+from jackdawspur.runs import JobEnd, JobOutcome, JobSizes, Offer
 
 __all__ = ["CallerService", "ReadyService"]
 
@@ -35,6 +35,8 @@
 # Offers are the only messages that the leader of another group receives from this host,
 # which counts as lost after 0.4 s without one.
 REMOTE_OFFER_INTERVAL_S = 0.12
+# Characters of a path in the log.
+MAX_PATH = 200
 READY = HttpResponse(200, b"{}")
 NOT_READY = HttpResponse(503, b"{}")
 
@@ -104,6 +106,11 @@
         """Return the number of callers that wait."""
         return len(self._jobs)
 
+    @property
+    def job_sizes(self) -> JobSizes:
+        """Return the sizes of the jobs whose callers wait."""
+        return self._jobs.sizes
+
     def handle_call(self, call: Call) -> None:
         """Handle one request."""
         now = now_s()
@@ -122,16 +129,21 @@
         self._owner.reply(call.call_id, reply)
 
     def _decode_and_handle(self, call: Call, arrived: float) -> None:
-        request = self._port.decode_call(call, self._owner.routes)
+        max_size = self._jobs.sizes.max_admitted(now_s())
+        request = self._port.decode_call(call, self._owner.routes, max_size)
         if isinstance(request, HttpResponse):
             log.info(
                 "request refused",
-                extra={"path": call.path, "status": request.status},
+                extra={"path": call.path[:MAX_PATH], "status": request.status},
             )
             self._owner.reply(call.call_id, request)
             return
         self._handle_request(call, request, arrived)
 
+    def held_bytes(self, call: Call) -> int:
+        """Return the size of a call that waits for a configuration, else zero."""
+        return len(call.body) if call.call_id in self._early else 0
+
     def caller_disconnected(self, call_id: int) -> None:
         """Cancel the job of a caller that left."""
         self._early.remove(call_id)
@@ -305,7 +317,8 @@
             reply = self._port.encode_not_ready("this host stops")
             self._owner.reply(call.call_id, reply)
             return
-        self._jobs.add(OwnJob(call.call_id, request.request, arrived, deadline, limit))
+        job = OwnJob(call.call_id, request.request, arrived, deadline, limit)
+        self._jobs.add(job, now)
         self.offer_waiting(now)
 
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -32,7 +32,9 @@
 class Port(PlatformCallerCodec):
     """A codec that decodes each call as the same job."""
 
-    def decode_call(self, call: Call, routes: RouteTable) -> CallerRequest:
+    def decode_call(
+        self, call: Call, routes: RouteTable, max_size: int
+    ) -> CallerRequest:
         return CallerRequest(RequestKind.SUBMIT, ROUTE, "aa", REQUEST, None)
 
 
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -13,7 +13,7 @@
 from jackdawspur.adapters import Call
 from jackdawspur.bench import JobDemand, RunCounters, SimulatedUpstream
 from jackdawspur.callers import HttpResponse
-from jackdawspur.front import PlatformPorts, _clock, _process
+from jackdawspur.front import PlatformPorts, _clock, _process, _servers
 from jackdawspur.front._process import FrontProcess
 from jackdawspur.front.tests.virtual_parts import (
     ROUTE,
@@ -110,8 +110,10 @@
             "Mesh": lambda _link, _poller, deliver: VirtualMesh(
                 self, self._starting, deliver
             ),
-            "WebServer": lambda *_: VirtualWeb(self, self._starting),
         }
+        monkeypatch.setattr(
+            _servers, "WebServer", lambda *_, **__: VirtualWeb(self, self._starting)
+        )
         for name, make in replacements.items():
             monkeypatch.setattr(_process, name, make)
 
--- a/jackdawspur/front/tests/virtual_parts.py
+++ b/jackdawspur/front/tests/virtual_parts.py
@@ -112,6 +112,9 @@
     def set_draining(self, draining: bool) -> None:
         pass
 
+    def set_request_limits(self, max_head_bytes: int, max_body_bytes: int) -> None:
+        pass
+
     def close_idle_connections(self) -> None:
         pass
 
@@ -122,7 +125,9 @@
     def __init__(self, world: "World") -> None:
         self._world = world
 
-    def decode_call(self, call: Call, routes: RouteTable) -> CallerRequest:
+    def decode_call(
+        self, call: Call, routes: RouteTable, max_size: int = 0
+    ) -> CallerRequest:
         sent = self._world.sent[call.path]
         request = sent.request
         return CallerRequest(
--- a/jackdawspur/platform/_bodies.py
+++ b/jackdawspur/platform/_bodies.py
@@ -70,6 +70,7 @@
     """Wire format of the limits of requests."""
 
     max_body_bytes: int = 262_144
+    max_header_bytes: int = 65_536
 
 
 class ConfigurationBody(msgspec.Struct):
--- a/jackdawspur/platform/_callers.py
+++ b/jackdawspur/platform/_callers.py
@@ -16,7 +16,15 @@
 from jackdawspur.leases import Resources
 from jackdawspur.platform._bodies import ConfigurationBody, JobBody, RouteBody, StepBody
 from jackdawspur.platform._entries import MAX_RESOURCE
-from jackdawspur.runs import JobEnd, JobOutcome, JobRequest, JobStep, Route
+from jackdawspur.runs import (
+    MAX_TOTAL_SIZE,
+    JobEnd,
+    JobOutcome,
+    JobRequest,
+    JobStep,
+    Route,
+    job_size,
+)
 
 __all__ = ["PlatformCallerCodec"]
 
@@ -57,7 +65,7 @@
     """Decodes callers' requests and encodes the replies."""
 
     def decode_call(
-        self, call: Call, routes: RouteTable
+        self, call: Call, routes: RouteTable, max_size: int = MAX_TOTAL_SIZE
     ) -> CallerRequest | HttpResponse:
         """Return the decoded request, or the refusal of an invalid one."""
         host = call.headers.get("Host", "").partition(":")[0]
@@ -73,10 +81,10 @@
             return _error_response(
                 400, f"id: {JOB_ID_DIGITS} hexadecimal digits expected"
             )
-        return self._read_job_call(call, route, job_id)
+        return self._read_job_call(call, route, job_id, max_size)
 
     def _read_job_call(
-        self, call: Call, route: Route, job_id: str
+        self, call: Call, route: Route, job_id: str, max_size: int
     ) -> CallerRequest | HttpResponse:
         if call.method == "GET":
             return CallerRequest(RequestKind.STATE, route, job_id, None, None)
@@ -85,7 +93,7 @@
         if call.method != "POST":
             return _error_response(405, "expected POST, GET or DELETE")
         try:
-            request = _to_job_request(job_id, route, _decode_job(call.body))
+            request = _to_job_request(job_id, route, _decode_job(call.body), max_size)
         except (msgspec.DecodeError, RecursionError, ValueError) as error:
             return _error_response(400, str(error))
         if isinstance(request, HttpResponse):
@@ -131,8 +139,11 @@
         except (msgspec.DecodeError, RecursionError) as error:
             raise ConfigurationDecodeError(str(error)) from error
         routes = tuple(_to_route(route) for route in body.routes)
-        _check_numbers(body.version, body.limits.max_body_bytes)
-        return RouteTable(body.version, routes, body.limits.max_body_bytes)
+        limits = body.limits
+        _check_numbers(body.version, limits.max_body_bytes, limits.max_header_bytes)
+        return RouteTable(
+            body.version, routes, limits.max_body_bytes, limits.max_header_bytes
+        )
 
 
 def _check_numbers(*numbers: int) -> None:
@@ -157,7 +168,7 @@
 
 
 def _to_job_request(
-    job_id: str, route: Route, body: JobBody
+    job_id: str, route: Route, body: JobBody, max_size: int
 ) -> JobRequest | HttpResponse:
     if len(body.spec.encode()) > MAX_SPEC_BYTES:
         raise ValueError(f"spec: at most {MAX_SPEC_BYTES} bytes expected")
@@ -167,9 +178,12 @@
     gang_or_speculative = any(step.gang or step.speculative for step in body.steps)
     if not body.best_effort or body.repeat_count or long_running or gang_or_speculative:
         return _error_response(503, "this host doesn't serve jobs of this kind")
-    steps = tuple(_to_step(index, step) for index, step in enumerate(body.steps))
-    if sum(step.count for step in steps) > MAX_TASKS:
+    if sum(max(0, step.count) for step in body.steps) > MAX_TASKS:
         raise ValueError(f"steps: at most {MAX_TASKS} tasks expected")
+    # Refused before its steps are converted, which takes most of the processor time.
+    if job_size(body) > max_size:
+        return _error_response(503, "the host has no memory for a job of this size", 2)
+    steps = tuple(_to_step(index, step) for index, step in enumerate(body.steps))
     return JobRequest(job_id, body.spec, steps, route)
 
 
@@ -206,5 +220,6 @@
     return int(value) / MS_PER_S
 
 
-def _error_response(status: int, text: str) -> HttpResponse:
-    return HttpResponse(status, msgspec.json.encode(_ErrorReply(text)))
+def _error_response(status: int, text: str, retry_after_s: int = 0) -> HttpResponse:
+    body = msgspec.json.encode(_ErrorReply(text))
+    return HttpResponse(status, body, retry_after_s)
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -19,6 +19,7 @@
     StopRun,
 )
 from jackdawspur.runs._job import Job, Task, TaskState
+from jackdawspur.runs._job_sizes import MAX_TOTAL_SIZE, JobSizes, job_size
 from jackdawspur.runs._learned import LearnedRoute, LearnedStats
 from jackdawspur.runs._level_loads import divide_loads
 from jackdawspur.runs._load_reports import (
@@ -63,6 +64,7 @@
     "JobNoted",
     "JobOutcome",
     "JobRequest",
+    "JobSizes",
     "JobStep",
     "LearnedRoute",
     "LearnedStats",
@@ -70,6 +72,7 @@
     "LoadTracker",
     "LossCause",
     "MAX_STATE_AGE_S",
+    "MAX_TOTAL_SIZE",
     "Offer",
     "OverloadPolicy",
     "Placer",
@@ -89,5 +92,6 @@
     "TaskState",
     "demand_update",
     "divide_loads",
+    "job_size",
     "split_round_robin",
 ]
--- a/jackdawspur/runs/_dispatcher.py
+++ b/jackdawspur/runs/_dispatcher.py
@@ -26,6 +26,7 @@
 from jackdawspur.runs._expiring_set import ExpiringSet
 from jackdawspur.runs._job import Job, Task, TaskState
 from jackdawspur.runs._job_endings import JobEndings
+from jackdawspur.runs._job_sizes import job_size
 from jackdawspur.runs._load_tracker import LoadTracker
 from jackdawspur.runs._offered_capacity import RemoteLeader, SpareCapacity
 from jackdawspur.runs._open_jobs import OpenJobs
@@ -198,13 +199,17 @@
             self._effects.append(answer)
             return
         request = offer.request
+        size = job_size(request)
+        if self._is_too_large(offer, size, now):
+            self._endings.refuse_size(offer, size, now)
+            return
         expected = self._estimates.expected_ms(request.route, request.steps)
         job = Job(offer, expected, now)
         if job.id in self._started_jobs:
             job.started = True
             self._started_jobs.record(offer)
         self._overload.arrived(job, now)
-        self._jobs[job.id] = job
+        self._jobs.add(job, size, now)
         self._placer.due = True
         for name in [name for name in job.by_name if name in self._done_tasks]:
             self._done_tasks.discard(name)
@@ -213,6 +218,16 @@
         if job.complete:
             self._endings.complete(job, now)
 
+    def _is_too_large(self, offer: Offer, size: int, now: float) -> bool:
+        """Return whether a new job is too large beside those that are open.
+
+        Many large jobs would exceed the memory of the leader, and each of its passes
+        would take so long that its followers give it up.
+        """
+        if offer.handovers or offer.request.id in self._started_jobs:
+            return False
+        return size > self._jobs.sizes.max_admitted(now)
+
     def drop(self, host: str, job_id: str, call: int, now: float) -> None:
         """Stop a job that nobody waits for, unless it was offered again since."""
         job = self._jobs.get(job_id)
--- a/jackdawspur/runs/_job_endings.py
+++ b/jackdawspur/runs/_job_endings.py
@@ -11,10 +11,13 @@
 from jackdawspur.runs._open_jobs import OpenJobs
 from jackdawspur.runs._pool import UpstreamPool
 from jackdawspur.runs._review import Review
-from jackdawspur.runs._types import JobEnd, JobOutcome
+from jackdawspur.runs._types import JobEnd, JobOutcome, Offer
 
 __all__ = ["JobEndings"]
 
+# Large jobs end or are refused within about this time.
+SIZE_RETRY_S = 2.0
+
 
 class JobEndings:
     """Answer jobs that end, remove them, and stop their runs."""
@@ -74,6 +77,23 @@
         self._answer(job, outcome, now)
         self.remove(job, now)
 
+    def refuse_size(self, offer: Offer, size: int, now: float) -> None:
+        """Refuse a job that is too large beside those that are open."""
+        sizes = self._jobs.sizes
+        self._log.add(
+            Decision.JOB_REFUSED,
+            offer.request.id,
+            "",
+            cause="size",
+            size=size,
+            max_size=sizes.max_admitted(now),
+            open_size=sizes.total,
+            jobs=len(self._jobs),
+        )
+        reason = "the leader has no memory for a job of this size"
+        outcome = JobOutcome(JobEnd.REFUSED, True, SIZE_RETRY_S, reason)
+        self._send(offer, outcome, now)
+
     def remove(self, job: Job, now: float) -> None:
         """Remove a job and stop its runs."""
         del self._jobs[job.id]
@@ -81,8 +101,12 @@
             self._pool.stop(task.name, now)
 
     def _answer(self, job: Job, outcome: JobOutcome, now: float) -> None:
-        offer = job.offer
         outcome = replace(outcome, timing=job_timing(job, now))
-        answer = AnswerJob(offer.host, offer.call, offer.handovers, job.id, outcome)
+        self._send(job.offer, outcome, now)
+
+    def _send(self, offer: Offer, outcome: JobOutcome, now: float) -> None:
+        answer = AnswerJob(
+            offer.host, offer.call, offer.handovers, offer.request.id, outcome
+        )
         self._effects.append(answer)
         self._answers.add(answer, now)
--- a/jackdawspur/runs/_open_jobs.py
+++ b/jackdawspur/runs/_open_jobs.py
@@ -2,6 +2,7 @@
 
 from jackdawspur.runs._crashes import Crashes
 from jackdawspur.runs._job import Job
+from jackdawspur.runs._job_sizes import JobSizes
 from jackdawspur.runs._types import Progress, TaskFailureCounts
 
 __all__ = ["OpenJobs"]
@@ -14,7 +15,25 @@
 
 
 class OpenJobs(dict[str, Job]):
-    """Open jobs by id."""
+    """Open jobs by id, and their sizes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sizes = JobSizes()
+
+    def __delitem__(self, job_id: str) -> None:
+        super().__delitem__(job_id)
+        self.sizes.remove(job_id)
+
+    def add(self, job: Job, size: int, now: float) -> None:
+        """Add a job of the given size."""
+        self[job.id] = job
+        self.sizes.add(job.id, size, now)
+
+    def clear(self) -> None:
+        """Remove all jobs."""
+        super().clear()
+        self.sizes.clear()
 
     def hosts(self) -> set[str]:
         """Return the hosts whose callers wait for a job."""
