Bound what the clients of an entry host hold

Entry hosts had the same fault: 120 clients that stop one byte short of a body of 1 MiB needed 177 MB where 128 are allowed, and 400 idle clients held 420 descriptors of 256 (whole process, settings lowered in a scratch copy of the code before). EntrySettings takes memory_mb and max_descriptors and passes them to the budget of its server.

--- a/jackdawspur/entry/_host.py
+++ b/jackdawspur/entry/_host.py
@@ -14,6 +14,8 @@
     HttpHostList,
     HttpLog,
     Links,
+    ProcessBudget,
+    ResourceLimits,
     TimerQueue,
     WebServer,
     split_address,
@@ -112,7 +114,10 @@
         self._statsd = StatsdReporter(settings.statsd, str(self._local_id))
         self._timer_queue = TimerQueue().register(self)
         self._routes = Routes(self)
-        self._web = WebServer(settings.http, self._routes).register(self)
+        limits = ResourceLimits(settings.memory_mb, settings.max_descriptors)
+        self._web = WebServer(
+            settings.http, self._routes, budget=ProcessBudget(limits)
+        ).register(self)
         self._links = Links(
             self._local_id,
             settings.link,
--- a/jackdawspur/entry/_trial_settings.py
+++ b/jackdawspur/entry/_trial_settings.py
@@ -46,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Sizes:
-    """Size of a deployment; delay of the log and lag of the host list in ms."""
+    """Size of a deployment; delay of the log and lag of the host list in ms.
+
+    `memory_mb` and `max_descriptors` are what each entry host may use.
+    """
 
     zones: tuple[str, ...] = ("north", "south")
     hosts_per_zone: int = 2
@@ -58,6 +61,8 @@
     absent_upstreams: int = 0
     extra_customers: int = 0
     zones_without_log: tuple[str, ...] = ()
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +131,7 @@
             hosts,
             closed_address if host.zone in sizes.zones_without_log else log.address,
             host_list.address,
+            sizes,
         )
         for host in hosts
     )
@@ -177,7 +183,9 @@
     )
 
 
-def _entry_settings(host, hosts, log: str, host_list: str) -> EntrySettings:
+def _entry_settings(
+    host, hosts, log: str, host_list: str, sizes: Sizes
+) -> EntrySettings:
     siblings = tuple(
         PeerSettings(h.zone, h.name, h.http, h.link) for h in hosts if h is not host
     )
@@ -192,6 +200,8 @@
         siblings=siblings,
         operators=(bootstrap_operator,),
         drain_ms=DRAIN_MS,
+        memory_mb=sizes.memory_mb,
+        max_descriptors=sizes.max_descriptors,
     )
 
 
--- a/jackdawspur/front/tests/crowds.py
+++ b/jackdawspur/front/tests/crowds.py
@@ -34,8 +34,14 @@
 class Crowd:
     """Clients that send all they can and read nothing unless told to."""
 
-    def __init__(self, port: int, size: int, receive_buffer: int | None = None) -> None:
-        self._port = port
+    def __init__(
+        self,
+        port: int,
+        size: int,
+        receive_buffer: int | None = None,
+        host: str = "127.0.0.1",
+    ) -> None:
+        self._address = (host, port)
         self._receive_buffer = receive_buffer
         self.socks: list[socket.socket] = []
         self.connect(size)
@@ -54,7 +60,7 @@
                 sock.setsockopt(SOL_SOCKET, SO_RCVBUF, self._receive_buffer)
             sock.settimeout(5.0)
             with suppress(OSError):
-                sock.connect(("127.0.0.1", self._port))
+                sock.connect(self._address)
             sock.setblocking(False)
             self.socks.append(sock)
 
--- a/jackdawspur/settings/_entry.py
+++ b/jackdawspur/settings/_entry.py
@@ -40,7 +40,8 @@
 
     `drain_ms` is the maximum duration of a graceful shutdown, in milliseconds. With
     `crosses_zones` the host may start tasks on upstreams of other zones that lend it
-    slots.
+    slots. `memory_mb` and `max_descriptors` are the memory and the file descriptors
+    that the process may use.
     """
 
     __pydantic_config__: ClassVar[ConfigDict] = STRICT
@@ -55,5 +56,7 @@
     siblings: tuple[PeerSettings, ...] = ()
     operators: tuple[OperatorSettings, ...] = ()
     crosses_zones: bool = True
+    memory_mb: Annotated[float, Field(gt=0, le=1_000_000)] | None = None
+    max_descriptors: Annotated[int, Field(ge=64, le=1_000_000)] | None = None
     drain_ms: Annotated[float, Field(gt=0, le=600_000)] = 15_000.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
