--- a/jackdawspur/adapters/tests/test_process_budget.py
+++ b/jackdawspur/adapters/tests/test_process_budget.py
@@ -205,3 +205,15 @@
         sock.close()
     loop.settle()
     assert budget.used_bytes == 0
+
+
+def test_new_connections_keep_the_limits_that_are_set(loop, services, connect):
+    """Guards against requests that are larger than the configuration allows."""
+    callers, _probes = services
+    callers.server.set_request_limits(200, 1000)
+    too_large = connect(callers, post(1001, 0))
+    assert received(loop, too_large).startswith(b"HTTP/1.1 413 ")
+    allowed = connect(callers, post(1000, 1000))
+    assert received(loop, allowed).startswith(b"HTTP/1.1 200 ")
+    long_head = b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"y" * 200 + b"\r\n\r\n"
+    assert received(loop, connect(callers, long_head)).startswith(b"HTTP/1.1 413 ")
--- a/jackdawspur/front/tests/test_misbehaving_clients.py
+++ b/jackdawspur/front/tests/test_misbehaving_clients.py
@@ -192,6 +192,16 @@
         check_hosts(deployment)
 
 
+def test_connections_to_the_link_leave_descriptors_to_others(start_hosts):
+    """A host can't accept any more: clients connect to the port for other hosts."""
+    deployment = start_hosts(memory_mb=MEMORY_MB, max_descriptors=MAX_DESCRIPTORS)
+    host = deployment.hosts[0]
+    with Crowd(host.link_port, 400):
+        wait_until_idle(deployment)
+        assert open_descriptors(host.process.pid) <= MAX_DESCRIPTORS
+        check_hosts(deployment)
+
+
 def test_long_paths_stay_within_the_log(start_hosts):
     """The log fills its reader: each refusal repeats the path that the client chose."""
     deployment = start_hosts(memory_mb=MEMORY_MB)
--- a/jackdawspur/platform/tests/test_callers.py
+++ b/jackdawspur/platform/tests/test_callers.py
@@ -162,3 +162,21 @@
 def test_malformed_configuration_raises_an_error(codec, text):
     with pytest.raises(ConfigurationDecodeError):
         codec.decode_configuration(text)
+
+
+def test_the_limits_of_requests_are_read(codec, routes):
+    assert (routes.max_body_bytes, routes.max_head_bytes) == (1000, 65_536)
+    limits = {"max_body_bytes": 2000, "max_header_bytes": 300}
+    document = json.dumps({**CONFIGURATION, "limits": limits}).encode()
+    changed = codec.decode_configuration(document)
+    assert (changed.max_body_bytes, changed.max_head_bytes) == (2000, 300)
+
+
+def test_a_job_that_is_too_large_beside_others_is_refused_as_not_run(codec, routes):
+    """Guards against bodies that take far more memory once they are decoded."""
+    job = {**JOB, "steps": [{"count": 40}] * 3}
+    request = call("POST", f"/p/{ID}", job)
+    reply = codec.decode_call(request, routes, 122)
+    assert (reply.status, reply.retry_after_s) == (503, 2)
+    assert json.loads(reply.body)["not_run"]
+    assert codec.decode_call(request, routes, 123).kind is RequestKind.SUBMIT
--- a/jackdawspur/platform/tests/test_settings.py
+++ b/jackdawspur/platform/tests/test_settings.py
@@ -37,6 +37,12 @@
     assert (settings.processor, settings.link_mbps) == (1.5, 12.5)
 
 
+def test_memory_and_descriptors_are_read_without_those_for_files(tmp_path):
+    limits = "limits.memory_mb=300\nlimits.max_fds=4100\n"
+    settings = load_platform_settings(write_settings(tmp_path, VALID_SETTINGS + limits))
+    assert (settings.memory_mb, settings.max_descriptors) == (300.0, 3900)
+
+
 def test_stated_remote_factor_is_read(tmp_path):
     # Guards against ignoring a stated factor: tasks outside their preferred rack were
     # taken to be safe with 2 although the platform states 3.
@@ -54,6 +60,8 @@
         ("port_range=7720,7735", "port_range=", "port_range"),
         ("unknown.field", "limits.link_mbps", "limits.link_mbps"),
         ("unknown.field", "bounds.remote_factor", "bounds.remote_factor"),
+        ("unknown.field", "limits.memory_mb", "limits.memory_mb"),
+        ("unknown.field", "limits.max_fds", "limits.max_fds"),
         ("unknown.field", "limits.cpu_share", "limits.cpu_share or limits.cores"),
     ],
 )
--- a/jackdawspur/settings/tests/test_host.py
+++ b/jackdawspur/settings/tests/test_host.py
@@ -39,6 +39,7 @@
 def test_limits_of_a_host_are_optional(write_settings):
     settings = load_host_settings(write_settings())
     assert (settings.processor, settings.link_mbps) == (None, None)
+    assert (settings.memory_mb, settings.max_descriptors) == (None, None)
     settings = load_host_settings(write_settings(processor=0.5, link_mbps=12.5))
     assert (settings.processor, settings.link_mbps) == (0.5, 12.5)
 
@@ -74,6 +75,8 @@
         ({"link_mbps": 0}, "link_mbps: "),
         ({"link_mbps": -1.0}, "link_mbps: "),
         ({"link_mbps": 1e9}, "link_mbps: "),
+        ({"memory_mb": 0}, "memory_mb: "),
+        ({"max_descriptors": 63}, "max_descriptors: "),
         ({"remote_factor": 0.5}, "remote_factor: "),
         ({"log_level": "LOUD"}, "log_level: "),
         ({"graces": 6}, "graces: unknown field"),
