Count waiting requests as open, and name the servers of a budget

A host that drains could have ended while complete requests waited for processor time. The class ConnectionOwner had the name of the one for client connections.

--- a/jackdawspur/adapters/_process_budget.py
+++ b/jackdawspur/adapters/_process_budget.py
@@ -4,7 +4,7 @@
 import resource
 from dataclasses import dataclass
 
-__all__ = ["ConnectionOwner", "ProcessBudget", "ResourceLimits"]
+__all__ = ["BudgetedServer", "ProcessBudget", "ResourceLimits"]
 
 BYTES_PER_MB = 1 << 20
 ASSUMED_MEMORY_MB = 256.0
@@ -53,7 +53,7 @@
         }
 
 
-class ConnectionOwner(abc.ABC):
+class BudgetedServer(abc.ABC):
     """A server whose connections share the budget of its process."""
 
     @property
@@ -86,7 +86,7 @@
         self._max_bytes = limits.client_bytes
         self._max_connections = limits.max_connections
         self._used_bytes = 0
-        self._owners: list[ConnectionOwner] = []
+        self._servers: list[BudgetedServer] = []
 
     @property
     def free_bytes(self) -> int:
@@ -101,11 +101,11 @@
     @property
     def connections(self) -> int:
         """Return the number of connections on all addresses."""
-        return sum(owner.connections for owner in self._owners)
+        return sum(server.connections for server in self._servers)
 
-    def register(self, owner: ConnectionOwner) -> None:
+    def register(self, server: BudgetedServer) -> None:
         """Add a server."""
-        self._owners.append(owner)
+        self._servers.append(server)
 
     def charge(self, size: int) -> None:
         """Record that clients hold more bytes, or fewer if `size` is negative."""
@@ -121,10 +121,10 @@
     def make_free(self, size: int) -> bool:
         """Release the largest connections until a size fits; return whether it does."""
         while self.free_bytes < size:
-            owner = max(self._owners, key=lambda owner: owner.largest_held())
-            if not owner.largest_held():
+            server = max(self._servers, key=lambda server: server.largest_held())
+            if not server.largest_held():
                 return False
-            owner.release_largest()
+            server.release_largest()
         return True
 
     def admit_connection(self, newest: object) -> bool:
@@ -135,5 +135,5 @@
         """
         if self.connections <= self._max_connections:
             return True
-        by_size = sorted(self._owners, key=lambda o: o.connections, reverse=True)
-        return any(owner.release_connection(newest) for owner in by_size)
+        by_size = sorted(self._servers, key=lambda s: s.connections, reverse=True)
+        return any(server.release_connection(newest) for server in by_size)
--- a/jackdawspur/adapters/_request_queue.py
+++ b/jackdawspur/adapters/_request_queue.py
@@ -41,6 +41,9 @@
         self._used_s = 0.0
         self._large_due = 0.0
 
+    def __len__(self) -> int:
+        return len(self._small) + len(self._large)
+
     @property
     def wait_s(self) -> float | None:
         """Return when the next request can be handled, None if no request waits."""
@@ -93,6 +96,11 @@
         self._requests = RequestQueue(handle)
         self._due = math.inf
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._requests)
+
     def put(self, item: Item, size: int) -> None:
         """Handle a request now or in a later pass of the loop."""
         self._requests.put(item, size)
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -8,7 +8,7 @@
 
 from circuits import BaseComponent, Event, Timer, handler
 
-from jackdawspur.adapters._process_budget import ConnectionOwner, ProcessBudget
+from jackdawspur.adapters._process_budget import BudgetedServer, ProcessBudget
 from jackdawspur.adapters._reply_bytes import encode_reply
 from jackdawspur.adapters._request_queue import LARGE_BYTES, RequestScheduler
 from jackdawspur.adapters._requests import (
@@ -60,7 +60,7 @@
     """Handle the next pipelined request of a connection."""
 
 
-class WebServer(BaseComponent, ServerOwner, ConnectionOwner):
+class WebServer(BaseComponent, ServerOwner, BudgetedServer):
     """HTTP server on one address that bounds body sizes, connections and time."""
 
     def __init__(
@@ -95,8 +95,8 @@
 
     @property
     def open_calls(self) -> int:
-        """Return the number of calls without a reply."""
-        return len(self._calls)
+        """Return the number of calls without a reply, also those that wait."""
+        return len(self._calls) + self._scheduler.waiting
 
     @property
     def connections(self) -> int:
