Keep clients that read their replies slowly or have an open call

Found when the change was read again: a client that reads a large reply for more than 2 s on a connection about to be closed was cut off; a half-closed client whose reply was sent in parts was never disconnected; and a caller with an open call could be cut off for unread probes when memory was short. Time limits count from the last progress now. Three tests; those of whole hosts pass as before.

--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -40,7 +40,7 @@
 MAX_PIPELINED_BYTES = 65_536
 # Time after which a client may retry that had to give way to others.
 RETRY_AFTER_S = 1
-# Connections whose replies the client doesn't read are closed after this time.
+# Connections are closed when the client has read nothing of its replies for this time.
 UNSENT_TIME_LIMIT_S = 10.0
 MAX_LOGGED_CHARACTERS = 200
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -190,23 +190,22 @@
 
     def largest_held(self) -> int:
         """Return the size of the largest connection that can be released."""
-        largest = self._connections.largest()
-        return largest.releasable if largest is not None else 0
+        return self._connections.largest_held()
 
     def release_largest(self) -> None:
         """Refuse the unfinished request that holds most, or close its connection."""
         connection = self._connections.largest()
-        if connection.unsent:
-            self._sockets.abort(connection.sock)
-        elif connection.call_id is None:
-            self._refuse_overloaded(connection, "the host has no memory for it")
-        else:
+        if connection.call_id is not None:
             # The answer of the open call ends the connection, so that the client knows
             # that nothing after it was handled.
             connection.request = replace(connection.request, keep_alive=False)
             connection.reader = self._new_reader()
             self._account(connection)
             self._pause_reading(connection)
+        elif connection.unsent:
+            self._sockets.abort(connection.sock)
+        else:
+            self._refuse_overloaded(connection, "the host has no memory for it")
 
     def release_connection(self, newest: object) -> bool:
         """Close another connection without an open call; return False without one."""
@@ -381,18 +380,21 @@
 
     @handler("sweep")
     def _on_sweep(self) -> None:
-        """Close connections whose request is not complete within the time limit."""
+        """Close connections that make no progress within their time limits."""
         now = self._clock()
         for connection in list(self._connections.values()):
-            age = now - connection.since
+            unsent = connection.unsent
             self._account(connection)
-            if connection.lingering and age > LINGER_S:
+            if connection.unsent < unsent:
+                connection.since = now
+            self._close_overdue(connection, now - connection.since)
+
+    def _close_overdue(self, connection: WebConnection, age: float) -> None:
+        if connection.call_id is not None or connection.queued:
+            return
+        if connection.unsent or connection.lingering:
+            if age > (UNSENT_TIME_LIMIT_S if connection.unsent else LINGER_S):
                 self._sockets.abort(connection.sock)
-            elif connection.call_id is not None or connection.idle or connection.queued:
-                continue
-            elif connection.unsent:
-                if age > UNSENT_TIME_LIMIT_S:
-                    self._sockets.abort(connection.sock)
-            elif age > REQUEST_TIME_LIMIT_S:
-                text = f"the request took over {REQUEST_TIME_LIMIT_S:.0f} s to arrive"
-                self._refuse(connection, refusal_response(FailureCode.INVALID, text))
+        elif not connection.idle and age > REQUEST_TIME_LIMIT_S:
+            text = f"the request took over {REQUEST_TIME_LIMIT_S:.0f} s to arrive"
+            self._refuse(connection, refusal_response(FailureCode.INVALID, text))
--- a/jackdawspur/adapters/_web_connections.py
+++ b/jackdawspur/adapters/_web_connections.py
@@ -38,7 +38,7 @@
     @property
     def idle(self) -> bool:
         """Return whether no request is open or partly received."""
-        return self.call_id is None and not self.reader.partial and not self.unsent
+        return self.call_id is None and not self.reader.partial
 
     @property
     def held(self) -> int:
@@ -81,6 +81,11 @@
         """Return the connection that holds most; among equals, the oldest one."""
         return max(self.values(), key=lambda c: (c.releasable, -c.since), default=None)
 
+    def largest_held(self) -> int:
+        """Return how much of the largest connection can be given up."""
+        largest = self.largest()
+        return largest.releasable if largest is not None else 0
+
     def least_active(self, newest: object) -> WebConnection | None:
         """Return another connection without an open call to close, None without one.
 
--- a/jackdawspur/adapters/tests/test_process_budget.py
+++ b/jackdawspur/adapters/tests/test_process_budget.py
@@ -197,6 +197,62 @@
     assert server.connections == 0
 
 
+def test_a_client_that_reads_slowly_gets_its_whole_reply(loop, budget, connect):
+    """Guards against closing connections that make progress."""
+    now = 1000.0
+    service = Service()
+    service.reply = HttpResponse(200, b"x" * 400_000)
+    server = WebServer("127.0.0.1:0", service, "slow", lambda: now, budget=budget)
+    service.server = server.register(loop.root)
+    loop.settle()
+    sock = connect(service, b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    data = b""
+    while server.connections and now < 2000.0:
+        now += 6.0
+        for _ in range(40):
+            data += received(loop, sock)
+        server._on_sweep()
+    assert data.count(b"x") == 400_000
+
+
+def test_a_half_closed_client_is_disconnected_after_its_reply(
+    loop, budget, services, connect
+):
+    """Guards against connections that stay open because a reply was sent in parts."""
+    callers, _probes = services
+    callers.reply = HttpResponse(200, b"x" * 400_000)
+    sock = connect(callers, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    sock.shutdown(socket.SHUT_WR)
+    data = b""
+
+    def is_complete() -> bool:
+        nonlocal data
+        data += received(loop, sock)
+        return not budget.connections
+
+    loop.run_until(is_complete)
+    loop.settle()
+    while chunk := received(loop, sock):
+        data += chunk
+    assert data.count(b"x") == 400_000
+
+
+def test_an_open_call_is_kept_when_what_follows_it_is_given_up(loop, services, connect):
+    """Guards against a caller whose accepted job is cancelled for want of memory."""
+    callers, _probes = services
+    callers.reply = None
+    waiting = connect(callers, post(0, 0) + post(60_000, 60_000))
+    connect(callers, post(900_000, 700_000))
+    connect(callers, post(900_000, 700_000))
+    for number in range(20):
+        connect(callers, post(60_000, 55_000 + number))
+    callers.server.reply(callers.calls[0], HttpResponse(200, b"{}"))
+    reply = received(loop, waiting)
+    assert reply.replace(b"HTTP/1.1 100 Continue\r\n\r\n", b"").startswith(
+        b"HTTP/1.1 200 "
+    )
+
+
 def test_closed_connections_give_their_memory_back(loop, budget, services, connect):
     callers, _probes = services
     for _ in range(3):
