Accept and refuse many clients in one pass of the loop

Found in a run by hand beside load: an ordinary request waited for 10 s behind 1,000 unfinished bodies. circuits accepts one connection in each pass of the loop, and each pass reads what the crowd sent; each refusal for want of memory examined all connections several times.

--- a/jackdawspur/adapters/_process_budget.py
+++ b/jackdawspur/adapters/_process_budget.py
@@ -2,9 +2,10 @@
 
 import abc
 import resource
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-__all__ = ["BudgetedServer", "ProcessBudget", "ResourceLimits"]
+__all__ = ["BudgetedServer", "ProcessBudget", "Releasable", "ResourceLimits"]
 
 BYTES_PER_MB = 1 << 20
 ASSUMED_MEMORY_MB = 256.0
@@ -17,6 +18,7 @@
 # Fraction of the descriptors for connections of clients. The rest is for upstreams,
 # the store and links.
 CONNECTION_FRACTION = 0.5
+RECLAIM_DIVISOR = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +55,18 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class Releasable:
+    """A connection that can be given up, and how many bytes it holds.
+
+    `since` is when its request started.
+    """
+
+    size: int
+    since: float
+    release: Callable[[], None]
+
+
 class BudgetedServer(abc.ABC):
     """A server whose connections share the budget of its process."""
 
@@ -62,12 +76,8 @@
         """Return the number of established connections."""
 
     @abc.abstractmethod
-    def largest_held(self) -> int:
-        """Return the size of the largest connection that can be released."""
-
-    @abc.abstractmethod
-    def release_largest(self) -> None:
-        """Refuse or close the connection that holds most."""
+    def releasable(self) -> Iterable[Releasable]:
+        """Return the connections that can be refused or closed."""
 
     @abc.abstractmethod
     def release_connection(self, newest: object) -> bool:
@@ -116,16 +126,20 @@
 
         Callers with small requests are not affected by others with large ones.
         """
-        self.make_free(0)
+        if self.free_bytes < 0:
+            # Some more are released, so that the next bytes don't require it again.
+            self.make_free(self._max_bytes // RECLAIM_DIVISOR)
 
     def make_free(self, size: int) -> bool:
         """Release the largest connections until a size fits; return whether it does."""
-        while self.free_bytes < size:
-            server = max(self._servers, key=lambda server: server.largest_held())
-            if not server.largest_held():
-                return False
-            server.release_largest()
-        return True
+        if self.free_bytes < size:
+            held = [item for server in self._servers for item in server.releasable()]
+            held.sort(key=lambda item: (-item.size, item.since))
+            for item in held:
+                if self.free_bytes >= size:
+                    break
+                item.release()
+        return self.free_bytes >= size
 
     def admit_connection(self, newest: object) -> bool:
         """Make room for a new connection; return False if all are in use.
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -2,13 +2,18 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import partial
 from socket import socket
 
 from circuits import BaseComponent, Event, Timer, handler
 
-from jackdawspur.adapters._process_budget import BudgetedServer, ProcessBudget
+from jackdawspur.adapters._process_budget import (
+    BudgetedServer,
+    ProcessBudget,
+    Releasable,
+)
 from jackdawspur.adapters._reply_bytes import encode_reply
 from jackdawspur.adapters._request_queue import LARGE_BYTES, RequestScheduler
 from jackdawspur.adapters._requests import (
@@ -19,7 +24,7 @@
     RequestReader,
 )
 from jackdawspur.adapters._web_connections import WebConnection, WebConnections
-from jackdawspur.adapters._web_service import Call, WebService
+from jackdawspur.adapters._web_service import WebService, make_call
 from jackdawspur.adapters._web_sockets import ServerOwner, ServerSockets
 from jackdawspur.callers import HttpResponse, answer_response, refusal_response
 from jackdawspur.model import Answer, FailureCode, JobState
@@ -188,13 +193,15 @@
         if self._calls.pop(connection.call_id, None) is not None:
             self._service.caller_disconnected(connection.call_id)
 
-    def largest_held(self) -> int:
-        """Return the size of the largest connection that can be released."""
-        return self._connections.largest_held()
+    def releasable(self) -> Iterable[Releasable]:
+        """Return the connections that can be refused or closed."""
+        for connection in self._connections.values():
+            if size := connection.releasable:
+                release = partial(self._release, connection)
+                yield Releasable(size, connection.since, release)
 
-    def release_largest(self) -> None:
-        """Refuse the unfinished request that holds most, or close its connection."""
-        connection = self._connections.largest()
+    def _release(self, connection: WebConnection) -> None:
+        """Refuse an unfinished request, or close the connection."""
         if connection.call_id is not None:
             # The answer of the open call ends the connection, so that the client knows
             # that nothing after it was handled.
@@ -325,14 +332,7 @@
         # The service decodes the body, and the reply needs only the rest.
         connection.request = replace(request, body=b"") if request.body else request
         self._calls[call_id] = connection
-        call = Call(
-            call_id,
-            request.method,
-            request.path,
-            request.query,
-            request.headers,
-            request.body,
-        )
+        call = make_call(call_id, request)
         try:
             self._service.handle_call(call)
         except Exception:
--- a/jackdawspur/adapters/_web_connections.py
+++ b/jackdawspur/adapters/_web_connections.py
@@ -77,15 +77,6 @@
         self._budget.charge(-connection.charged)
         return connection
 
-    def largest(self) -> WebConnection | None:
-        """Return the connection that holds most; among equals, the oldest one."""
-        return max(self.values(), key=lambda c: (c.releasable, -c.since), default=None)
-
-    def largest_held(self) -> int:
-        """Return how much of the largest connection can be given up."""
-        largest = self.largest()
-        return largest.releasable if largest is not None else 0
-
     def least_active(self, newest: object) -> WebConnection | None:
         """Return another connection without an open call to close, None without one.
 
--- a/jackdawspur/adapters/_web_service.py
+++ b/jackdawspur/adapters/_web_service.py
@@ -6,7 +6,9 @@
 
 from circuits.web.headers import Headers
 
-__all__ = ["Call", "WebService"]
+from jackdawspur.adapters._requests import HttpRequest
+
+__all__ = ["Call", "WebService", "make_call"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +33,18 @@
         return token.strip() if scheme.lower() == "bearer" and token else None
 
 
+def make_call(call_id: int, request: HttpRequest) -> Call:
+    """Return the call of a request."""
+    return Call(
+        call_id,
+        request.method,
+        request.path,
+        request.query,
+        request.headers,
+        request.body,
+    )
+
+
 class WebService(abc.ABC):
     """Handler of calls; it replies through `WebServer.reply`."""
 
--- a/jackdawspur/adapters/_web_sockets.py
+++ b/jackdawspur/adapters/_web_sockets.py
@@ -1,6 +1,7 @@
 """Server sockets of circuits that pass bytes to their owner directly."""
 
 import abc
+from errno import EAGAIN, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM
 from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
 
 from circuits import handler
@@ -12,6 +13,10 @@
 # Buffers of the kernel for each connection, whose memory also counts for the machine.
 # It would otherwise enlarge them to several megabytes.
 KERNEL_BUFFER_BYTES = 32_768
+# Connections that are accepted in one pass of the loop.
+MAX_ACCEPTS = 128
+# No connection waits, the client has left, or the system lacks a resource for it.
+ACCEPT_ERRORS = (EAGAIN, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM)
 
 
 class ServerOwner(abc.ABC):
@@ -95,6 +100,21 @@
         if not self._poller.isReading(sock):
             self._poller.addReader(self, sock)
 
+    def _accept(self) -> None:
+        """Accept the connections that wait, up to a bound.
+
+        circuits accepts one in each pass of the loop, so a caller would wait for as
+        many passes as there are connections before it, each with the reads of a crowd.
+        """
+        for _ in range(MAX_ACCEPTS):
+            try:
+                sock, _address = self._sock.accept()
+            except OSError as error:
+                if error.errno not in ACCEPT_ERRORS:
+                    raise
+                return
+            self._on_accept_done(sock)
+
     def _on_accept_done(self, sock: socket, _fire_connect_event: bool = True) -> None:
         super()._on_accept_done(sock, False)
         self._owner.on_accepted(sock)
--- a/jackdawspur/adapters/tests/test_process_budget.py
+++ b/jackdawspur/adapters/tests/test_process_budget.py
@@ -121,6 +121,20 @@
     assert b'"not_run":true' in reply
 
 
+def test_connections_are_accepted_together(loop, services):
+    """Guards against a caller that waits a pass of the loop for each one before it."""
+    callers, _probes = services
+    socks = []
+    for _ in range(10):
+        sock = socket.socket()
+        sock.connect(("127.0.0.1", callers.server.port))
+        socks.append(sock)
+    loop.settle(3)
+    assert callers.server.connections == 10
+    for sock in socks:
+        sock.close()
+
+
 def test_all_servers_share_the_memory(loop, budget, services, connect):
     """Guards against a bound for each address, whose sum exceeds the memory."""
     callers, probes = services
