Remove a property that nobody reads, and name the retry of large jobs once

Found when the change was read again: HostServers.budget was dead, waiting_work_ms was missing in __all__, and the 2 s after which callers of large jobs may retry stood in two modules. Behaviour is the same.

--- a/jackdawspur/front/_servers.py
+++ b/jackdawspur/front/_servers.py
@@ -35,11 +35,6 @@
         if settings.metrics is not None:
             self.metrics = self._listen(settings.metrics, pages, "metrics")
 
-    @property
-    def budget(self) -> ProcessBudget:
-        """Return the budget that the clients of all servers share."""
-        return self._budget
-
     def job_memory(self, own: JobSizes, led: JobSizes) -> JobMemory:
         """Return the part of the budget for the jobs of callers and of the leader."""
         return JobMemory(self.limits, self._budget, own, led)
--- a/jackdawspur/platform/_callers.py
+++ b/jackdawspur/platform/_callers.py
@@ -18,6 +18,7 @@
 from jackdawspur.platform._entries import MAX_RESOURCE
 from jackdawspur.runs import (
     MAX_TOTAL_SIZE,
+    SIZE_RETRY_S,
     JobEnd,
     JobOutcome,
     JobRequest,
@@ -182,7 +183,8 @@
         raise ValueError(f"steps: at most {MAX_TASKS} tasks expected")
     # Refused before its steps are converted, which takes most of the processor time.
     if job_size(body) > max_size:
-        return _error_response(503, "the host has no memory for a job of this size", 2)
+        text = "the host has no memory for a job of this size"
+        return _error_response(503, text, SIZE_RETRY_S)
     steps = tuple(_to_step(index, step) for index, step in enumerate(body.steps))
     return JobRequest(job_id, body.spec, steps, route)
 
--- a/jackdawspur/runs/__init__.py
+++ b/jackdawspur/runs/__init__.py
@@ -19,7 +19,12 @@
     StopRun,
 )
 from jackdawspur.runs._job import Job, Task, TaskState
-from jackdawspur.runs._job_sizes import MAX_TOTAL_SIZE, JobSizes, job_size
+from jackdawspur.runs._job_sizes import (
+    MAX_TOTAL_SIZE,
+    SIZE_RETRY_S,
+    JobSizes,
+    job_size,
+)
 from jackdawspur.runs._learned import LearnedRoute, LearnedStats
 from jackdawspur.runs._level_loads import divide_loads
 from jackdawspur.runs._load_reports import (
@@ -73,6 +78,7 @@
     "LossCause",
     "MAX_STATE_AGE_S",
     "MAX_TOTAL_SIZE",
+    "SIZE_RETRY_S",
     "Offer",
     "OverloadPolicy",
     "Placer",
--- a/jackdawspur/runs/_admission.py
+++ b/jackdawspur/runs/_admission.py
@@ -11,7 +11,7 @@
 from jackdawspur.runs._usable_capacity import usable_capacity
 from jackdawspur.runs._work import expected_run_s, job_work, waiting_work
 
-__all__ = ["Admission", "UnservableJob", "retry_after_s"]
+__all__ = ["Admission", "UnservableJob", "retry_after_s", "waiting_work_ms"]
 
 MS_PER_S = 1000.0
 # Callers receive whole seconds.
--- a/jackdawspur/runs/_job_endings.py
+++ b/jackdawspur/runs/_job_endings.py
@@ -7,6 +7,7 @@
 from jackdawspur.runs._effects import AnswerJob, Decision, Effect
 from jackdawspur.runs._estimates import Estimates
 from jackdawspur.runs._job import Job
+from jackdawspur.runs._job_sizes import SIZE_RETRY_S
 from jackdawspur.runs._losses import job_timing
 from jackdawspur.runs._open_jobs import OpenJobs
 from jackdawspur.runs._pool import UpstreamPool
@@ -15,9 +16,6 @@
 
 __all__ = ["JobEndings"]
 
-# Large jobs end or are refused within about this time.
-SIZE_RETRY_S = 2.0
-
 
 class JobEndings:
     """Answer jobs that end, remove them, and stop their runs."""
--- a/jackdawspur/runs/_job_sizes.py
+++ b/jackdawspur/runs/_job_sizes.py
@@ -3,7 +3,7 @@
 from collections.abc import Hashable, Sequence
 from typing import Protocol
 
-__all__ = ["MAX_TOTAL_SIZE", "JobSizes", "job_size"]
+__all__ = ["MAX_TOTAL_SIZE", "SIZE_RETRY_S", "JobSizes", "job_size"]
 
 # Predecessors of a step that take as much memory and time as one task.
 EDGES_PER_UNIT = 8
@@ -17,6 +17,9 @@
 # taken in advance.
 LARGE_INTERVAL_S = 0.00005
 MAX_ADVANCE_S = 1.0
+# Time after which the caller of a job that is too large beside others may retry: large
+# jobs end or are refused within about this time.
+SIZE_RETRY_S = 2
 
 
 class _Step(Protocol):
