--- a/review/lib2/http_small.py
+++ b/review/lib2/http_small.py
@@ -78,7 +78,12 @@
                 lines += [f"{k}: {v}" for k, v in extra.items()]
                 writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ValueError, OSError):
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ValueError,
+            OSError,
+        ):
             pass
         finally:
             self._writers.discard(writer)
@@ -98,7 +103,9 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             data = b"" if body is None else json.dumps(body).encode()
             lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(data)}"]
-            lines += [f"{k}: {v}" for k, v in ({"Host": address} | (headers or {})).items()]
+            lines += [
+                f"{k}: {v}" for k, v in ({"Host": address} | (headers or {})).items()
+            ]
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
             while True:
                 first, got = await _read_head(reader)
--- a/review/lib2/platform_small.py
+++ b/review/lib2/platform_small.py
@@ -295,7 +295,9 @@
         for run in self.runs.values():
             part = (now - run["at"]) / max(0.001, run["ends"] - run["at"])
             used = self.world.cost(run["task"])
-            running.append([run["task"], run["run"], "", int(100 * min(part, 0.99)), used])
+            running.append(
+                [run["task"], run["run"], "", int(100 * min(part, 0.99)), used]
+            )
         return reply(
             {
                 "clock_ms": self.clock_ms(),
--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -5,7 +5,6 @@
 import random
 import shlex
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -141,7 +140,10 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         role = next(iter(deploy["roles"].values()))
         words = shlex.split(role["run"])
-        self.command = [sys.executable if words[0] == "python3" else words[0], *words[1:]]
+        self.command = [
+            sys.executable if words[0] == "python3" else words[0],
+            *words[1:],
+        ]
         # 127.A.B.0/24 of this run's own, so that several runs don't meet.
         self.net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.port = 7720
@@ -173,13 +175,18 @@
         if known is None or body["spec"] != known["spec"]:
             self.fault("UNASKED", f"{task} on {worker.name}")
         if used > worker.cpu:
-            self.fault("LIMIT", f"{worker.name} uses {used} of {worker.cpu} with {task}")
+            self.fault(
+                "LIMIT", f"{worker.name} uses {used} of {worker.cpu} with {task}"
+            )
         if len(places) > 1:
             self.fault("TWICE", f"{task} runs at {sorted(places)}")
         if known is not None:
             label = known["steps"][int(step)].get("requires", "")
             if label and label not in worker.labels:
-                self.fault("ROUTE", f"{task} requires {label}, {worker.name} has {worker.labels}")
+                self.fault(
+                    "ROUTE",
+                    f"{task} requires {label}, {worker.name} has {worker.labels}",
+                )
 
     def fault(self, rule, text):
         self.broken.append((time.monotonic(), rule, text))
@@ -222,7 +229,13 @@
         return worker
 
     def add_host(self, index, zone):
-        host = Host(self, f"front-{zone}-{index}", f"{self.net}.{10 + index}", zone, (8161, 8167, 7720, 8169))
+        host = Host(
+            self,
+            f"front-{zone}-{index}",
+            f"{self.net}.{10 + index}",
+            zone,
+            (8161, 8167, 7720, 8169),
+        )
         self.hosts.append(host)
         return host
 
