Count the age of requests from before the pause in which they arrived

Callers saw: a host froze for 3.5 s with requests unread. Their callers gave up after 1.5 s and sent the jobs 1.3 s later to another zone, which ran them.

The age of a request counted from the moment at which it was read; its closed connection was recognized by a reset 0.1 s after the start. Leaders of other zones don't know the job, so no fence helps.

Change: a call tells when its last byte was read, also if it then waited behind an open call, in the request queue, in a long accept queue or while the connection wasn't read. What is read within 0.3 s after a pause may have arrived at the start of the pause, and its time limit counts from there. A job without time left is refused at once as not run, with Retry-After, and a log line with its age and limit. Until the 0.3 s are over, jobs that waited on the host are neither offered, redirected nor given up: closed connections, refusals and results that wait unread are handled first. Requests that waited for a configuration through a pause are refused as overdue.

Why it works: a caller sends its job again only after its time limit or after it has closed its connection. The first is known from the age, the second from the connection.

--- a/jackdawspur/adapters/_requests.py
+++ b/jackdawspur/adapters/_requests.py
@@ -1,5 +1,7 @@
 """Incremental parsing of the HTTP requests of one connection."""
 
+import math
+from collections import deque
 from dataclasses import dataclass
 
 from circuits.web.headers import Headers
@@ -21,6 +23,8 @@
 # Value for the parameter `kind` of `HttpParser`.
 REQUESTS_ONLY = 0
 END_OF_HEAD = b"\r\n\r\n"
+# Precision of the times at which bytes were read.
+READ_RESOLUTION_S = 0.02
 HTTP_1 = 1
 HTTP_1_0 = (1, 0)
 
@@ -38,7 +42,7 @@
     """A complete HTTP request.
 
     `accepts_interim` is set if its caller must accept interim responses: HTTP/1.0 has
-    none.
+    none. `received_at` is when its last byte was read.
     """
 
     method: str
@@ -48,6 +52,7 @@
     body: bytes
     keep_alive: bool
     accepts_interim: bool
+    received_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +78,7 @@
         self._max_body_bytes = max_body_bytes
         self._max_head_bytes = max_head_bytes
         self._buffer = bytearray()
+        self._reads = _ReadTimes()
         self._searched_until = 0
         self._head: _Head | None = None
         self._continue_sent = False
@@ -87,9 +93,10 @@
         """Return whether a part of the next request has arrived."""
         return bool(self._buffer) or self._head is not None
 
-    def feed(self, data: bytes) -> None:
-        """Add bytes from the connection."""
+    def feed(self, data: bytes, now: float) -> None:
+        """Add bytes that were read from the connection now."""
         self._buffer += data
+        self._reads.add(len(data), now)
 
     def next_request(self) -> HttpRequest | None:
         """Remove and return the next request, or None if it isn't complete.
@@ -101,11 +108,10 @@
         head = self._head
         if head is None or len(self._buffer) < head.length:
             return None
-        body = bytes(self._buffer[: head.length])
-        del self._buffer[: head.length]
+        body = self._take(head.length)
         self._head = None
         self._continue_sent = False
-        return _build_request(head.parser, body)
+        return _build_request(head.parser, body, self._reads.taken_at)
 
     def needs_continue(self) -> bool:
         """Return whether to send 100 Continue; true at most once per request."""
@@ -127,11 +133,48 @@
             self._searched_until = max(0, len(self._buffer) - len(END_OF_HEAD) + 1)
             return None
         end += len(END_OF_HEAD)
-        parser = _parse(bytes(self._buffer[:end]))
-        del self._buffer[:end]
+        parser = _parse(self._take(end))
         self._searched_until = 0
         return _Head(parser, _body_length(parser.get_headers(), self._max_body_bytes))
 
+    def _take(self, length: int) -> bytes:
+        """Remove and return the first bytes of the buffer."""
+        taken = bytes(self._buffer[:length])
+        del self._buffer[:length]
+        self._reads.take(length)
+        return taken
+
+
+class _ReadTimes:
+    """The times at which the bytes of a buffer were read.
+
+    A request may wait in the buffer for the answer to the one before it.
+    """
+
+    def __init__(self) -> None:
+        # Pairs of the number of bytes read until then, and the time of the read.
+        self._reads: deque[tuple[int, float]] = deque()
+        self._added = self._taken = 0
+        self.taken_at = -math.inf
+
+    def add(self, length: int, now: float) -> None:
+        """Add bytes; reads that follow each other closely count as the first of them.
+
+        Otherwise a client that sends single bytes would use much memory.
+        """
+        self._added += length
+        if self._reads and now - self._reads[-1][1] < READ_RESOLUTION_S:
+            now = self._reads.pop()[1]
+        self._reads.append((self._added, now))
+
+    def take(self, length: int) -> None:
+        """Remove bytes, and set `taken_at` to when the last of them was read."""
+        self._taken += length
+        while self._reads and self._reads[0][0] < self._taken:
+            self._reads.popleft()
+        if length:
+            self.taken_at = self._reads[0][1]
+
 
 def _parse(head: bytes) -> HttpParser:
     parser = HttpParser(REQUESTS_ONLY)
@@ -163,7 +206,7 @@
     return int(text)
 
 
-def _build_request(parser: HttpParser, body: bytes) -> HttpRequest:
+def _build_request(parser: HttpParser, body: bytes, received_at: float) -> HttpRequest:
     return HttpRequest(
         parser.get_method(),
         parser.get_path(),
@@ -172,4 +215,5 @@
         body,
         parser.should_keep_alive(),
         parser.get_version() > HTTP_1_0,
+        received_at,
     )
--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -7,7 +7,7 @@
 from functools import partial
 from socket import socket
 
-from circuits import BaseComponent, Event, Timer, handler
+from circuits import BaseComponent, Timer, handler
 
 from jackdawspur.adapters._process_budget import (
     BudgetedServer,
@@ -24,6 +24,7 @@
     RequestReader,
 )
 from jackdawspur.adapters._web_connections import WebConnection, WebConnections
+from jackdawspur.adapters._web_events import probe, proceed, sweep
 from jackdawspur.adapters._web_service import WebService, make_call
 from jackdawspur.adapters._web_sockets import ServerOwner, ServerSockets
 from jackdawspur.callers import HttpResponse, answer_response, refusal_response
@@ -53,18 +54,6 @@
 log = logging.getLogger(__name__)
 
 
-class sweep(Event):
-    """Close connections that send too slowly."""
-
-
-class probe(Event):
-    """Probe the callers whose connection isn't read."""
-
-
-class proceed(Event):
-    """Handle the next pipelined request of a connection."""
-
-
 class WebServer(BaseComponent, ServerOwner, BudgetedServer):
     """HTTP server on one address that bounds body sizes, connections and time."""
 
@@ -90,7 +79,7 @@
         self._calls: dict[int, WebConnection] = {}
         self._connections = WebConnections(self._budget)
         self._probe_timer: Timer | None = None
-        self._sockets = ServerSockets(bind, self, channel).register(self)
+        self._sockets = ServerSockets(bind, self, channel, clock).register(self)
         Timer(SWEEP_INTERVAL_S, sweep(), channel, persist=True).register(self)
 
     @property
@@ -157,6 +146,7 @@
         Otherwise connections that are never used would lock out all callers.
         """
         connection = WebConnection(sock, self._clock(), self._new_reader())
+        connection.unread_since = self._sockets.backlog_since
         self._connections[sock] = connection
         count = len(self._connections)
         if count > MAX_CONNECTIONS + MAX_REFUSED_CONNECTIONS:
@@ -172,9 +162,10 @@
         if not data:
             self._on_end_of_data(connection)
         elif not connection.lingering:
+            now = self._clock()
             if connection.idle:
-                connection.since = self._clock()
-            connection.reader.feed(data)
+                connection.since = now
+            connection.feed(data, now)
             self._account(connection)
             self._budget.reclaim()
             self._advance(connection)
@@ -256,6 +247,7 @@
         waits for its answer. The system of the former answers a probe with a reset.
         """
         connection.paused = True
+        connection.unread_since = min(connection.unread_since, self._clock())
         self._sockets.pause_reading(connection.sock)
         self._probe(connection)
         if self._probe_timer is None:
--- a/jackdawspur/adapters/_web_connections.py
+++ b/jackdawspur/adapters/_web_connections.py
@@ -1,5 +1,6 @@
 """State of the connections of an HTTP server."""
 
+import math
 from dataclasses import dataclass
 from socket import socket
 
@@ -19,7 +20,8 @@
     for the peer's close. `paused` means that it isn't read, `queued` that a request
     waits to be handled. `body_bytes` is the size of the body of the open call,
     `unsent` that of the replies that the peer hasn't read, and `charged` what of all
-    this the budget of the process includes.
+    this the budget of the process includes. Bytes of the next read may have waited
+    since `unread_since`.
     """
 
     sock: socket
@@ -34,12 +36,18 @@
     body_bytes: int = 0
     unsent: int = 0
     charged: int = 0
+    unread_since: float = math.inf
 
     @property
     def idle(self) -> bool:
         """Return whether no request is open or partly received."""
         return self.call_id is None and not self.reader.partial
 
+    def feed(self, data: bytes, now: float) -> None:
+        """Add bytes that were read now."""
+        self.reader.feed(data, min(now, self.unread_since))
+        self.unread_since = math.inf
+
     @property
     def held(self) -> int:
         """Return the number of bytes that the connection holds."""
--- a/jackdawspur/adapters/_web_service.py
+++ b/jackdawspur/adapters/_web_service.py
@@ -13,7 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """One HTTP request; `call_id` identifies it in the reply."""
+    """One HTTP request; `call_id` identifies it in the reply.
+
+    `received_at` is when its last byte was read, by the clock of the server.
+    """
 
     call_id: int
     method: str
@@ -21,6 +24,7 @@
     query: str
     headers: Headers
     body: bytes
+    received_at: float
 
     def query_flag(self, name: str) -> bool:
         """Return whether the query sets the flag to true."""
@@ -42,6 +46,7 @@
         request.query,
         request.headers,
         request.body,
+        request.received_at,
     )
 
 
--- a/jackdawspur/adapters/_web_sockets.py
+++ b/jackdawspur/adapters/_web_sockets.py
@@ -1,6 +1,8 @@
 """Server sockets of circuits that pass bytes to their owner directly."""
 
 import abc
+import math
+from collections.abc import Callable
 from errno import EAGAIN, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM
 from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
 
@@ -47,9 +49,18 @@
     iterations per request.
     """
 
-    def __init__(self, bind: str, owner: ServerOwner, channel: str) -> None:
+    def __init__(
+        self,
+        bind: str,
+        owner: ServerOwner,
+        channel: str,
+        clock: Callable[[], float],
+    ) -> None:
         super().__init__(bind, channel=channel, bufsize=READ_BYTES)
         self._owner = owner
+        self._clock = clock
+        # Since when connections may have waited to be accepted, infinity if none do.
+        self.backlog_since = math.inf
         # Connections inherit them from the listening socket.
         self._sock.setsockopt(SOL_SOCKET, SO_RCVBUF, KERNEL_BUFFER_BYTES)
         self._sock.setsockopt(SOL_SOCKET, SO_SNDBUF, KERNEL_BUFFER_BYTES)
@@ -112,8 +123,12 @@
             except OSError as error:
                 if error.errno not in ACCEPT_ERRORS:
                     raise
-                return
+                if error.errno == EAGAIN:
+                    self.backlog_since = math.inf
+                    return
+                break
             self._on_accept_done(sock)
+        self.backlog_since = min(self.backlog_since, self._clock())
 
     def _on_accept_done(self, sock: socket, _fire_connect_event: bool = True) -> None:
         super()._on_accept_done(sock, False)
--- a/jackdawspur/front/_process.py
+++ b/jackdawspur/front/_process.py
@@ -17,10 +17,11 @@
 from jackdawspur.front._pages import OperatorPages
 from jackdawspur.front._peer_updates import PeerUpdates
 from jackdawspur.front._ports import PlatformPorts
+from jackdawspur.front._ready_service import ReadyService
 from jackdawspur.front._reload import reload_settings
 from jackdawspur.front._routes import NO_ROUTES, RouteTable
 from jackdawspur.front._servers import HostServers
-from jackdawspur.front._service import CallerService, ReadyService
+from jackdawspur.front._service import CallerService
 from jackdawspur.front._views import StoreView
 from jackdawspur.group import (
     HEARTBEAT_INTERVAL_S,
@@ -242,7 +243,7 @@
         self._flush_pending = False
         now = now_s()
         self._job_memory.update()
-        if self.group.pause_s(now):
+        if self.group.pauses.pause_s(now):
             # Replies that waited to be read must not cause starts before it resigns.
             self._follow_leader(now)
         self.leader_driver.flush(now)
@@ -297,7 +298,7 @@
         self._heartbeats.send(now, to_all)
 
     def _follow_leader(self, now: float) -> None:
-        if self.group.pause_s(now):
+        if self.group.pauses.pause_s(now):
             self.view.log_pause(now)
         changed = self.group.update_leadership(self.can_lead, unix_ms(), now)
         if self.group.by_zone != self._by_zone:
--- a/jackdawspur/front/_servers.py
+++ b/jackdawspur/front/_servers.py
@@ -8,6 +8,7 @@
     WebServer,
     WebService,
 )
+from jackdawspur.front._clock import now_s
 from jackdawspur.front._job_memory import JobMemory
 from jackdawspur.runs import JobSizes
 from jackdawspur.settings import HostSettings
@@ -40,5 +41,5 @@
         return JobMemory(self.limits, self._budget, own, led)
 
     def _listen(self, address: str, service: WebService, channel: str) -> WebServer:
-        server = WebServer(address, service, channel, budget=self._budget)
+        server = WebServer(address, service, channel, now_s, budget=self._budget)
         return server.register(self._process)
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -1,21 +1,16 @@
-"""Handlers of callers' requests and of the platform's readiness probes."""
+"""Handler of callers' requests."""
 
 import logging
-from typing import Protocol
 
 from jackdawspur.adapters import Call, WebService
 from jackdawspur.callers import HttpResponse
 from jackdawspur.front._clock import now_s
 from jackdawspur.front._early_calls import EarlyCalls
-from jackdawspur.front._host_metrics import HostMetrics
 from jackdawspur.front._limits import WaitLimit
 from jackdawspur.front._own_jobs import OwnJob, OwnJobs, end_fields
 from jackdawspur.front._ports import CallerPort, CallerRequest, RequestKind
-from jackdawspur.front._routes import RouteTable
+from jackdawspur.front._service_owner import ServiceOwner
 from jackdawspur.group import (
-    Group,
-    GroupMessage,
-    HostAddress,
     JobCancellation,
     JobOffer,
     JobProgress,
@@ -25,7 +20,7 @@
 )
 from jackdawspur.runs import JobEnd, JobOutcome, JobSizes, Offer
 
-__all__ = ["CallerService", "ReadyService"]
+__all__ = ["CallerService"]
 
 MS_PER_S = 1000.0
 # The answer must be sent this long before the caller's timeout.
@@ -37,60 +32,10 @@
 REMOTE_OFFER_INTERVAL_S = 0.12
 # Characters of a path in the log.
 MAX_PATH = 200
-READY = HttpResponse(200, b"{}")
-NOT_READY = HttpResponse(503, b"{}")
 
 log = logging.getLogger("jackdawspur.callers")
 
 
-class ServiceOwner(Protocol):
-    """The host's parts that the services use."""
-
-    address: HostAddress
-    group: Group
-    metrics: HostMetrics
-    routes: RouteTable
-    leader_driver: "LocalLeader"
-    ready: bool
-
-    def reply(self, call_id: int, reply: HttpResponse) -> None:
-        """Reply to a caller."""
-
-    def reply_ready(self, call_id: int, reply: HttpResponse) -> None:
-        """Reply to a readiness probe."""
-
-    def waiting_jobs(self, route: str) -> int:
-        """Return the number of a route's jobs that wait."""
-
-    def send(self, host: str, message: GroupMessage) -> None:
-        """Send a message to another host."""
-
-
-class LocalLeader(Protocol):
-    """The part of this host that acts while it leads."""
-
-    def accept_offer(self, offer: Offer, now: float) -> None:
-        """Accept a job."""
-
-    def cancel_job(self, host: str, job: str, call: int, now: float) -> None:
-        """Cancel a job whose caller left."""
-
-
-class ReadyService(WebService):
-    """Answers readiness probes: whether this host accepts new connections."""
-
-    def __init__(self, owner: ServiceOwner) -> None:
-        self._owner = owner
-
-    def handle_call(self, call: Call) -> None:
-        """Answer one probe."""
-        reply = READY if self._owner.ready else NOT_READY
-        self._owner.reply_ready(call.call_id, reply)
-
-    def caller_disconnected(self, call_id: int) -> None:
-        """Do nothing: a probe has no state."""
-
-
 class CallerService(WebService):
     """Accepts callers' requests, offers their jobs to the leader and sends replies."""
 
@@ -112,18 +57,23 @@
         return self._jobs.sizes
 
     def handle_call(self, call: Call) -> None:
-        """Handle one request."""
-        now = now_s()
+        """Handle one request, whose age counts from its earliest possible arrival."""
+        arrived = self._owner.group.pauses.earliest_arrival(call.received_at)
         if self._owner.routes.version:
-            self._decode_and_handle(call, now)
-        elif self._stops_at is not None or not self._early.add(call, now):
+            self._decode_and_handle(call, arrived)
+        elif self._stops_at is not None or not self._early.add(call, arrived):
             self._refuse_early(call)
 
     def on_configured(self) -> None:
-        """Handle the requests that waited for a configuration."""
+        """Handle the requests that waited for a configuration, unless for too long."""
+        self._refuse_overdue(now_s())
         for early in self._early.pop_all():
             self._decode_and_handle(early.call, early.arrived)
 
+    def _refuse_overdue(self, now: float) -> None:
+        for early in self._early.pop_overdue(now):
+            self._refuse_early(early.call)
+
     def _refuse_early(self, call: Call) -> None:
         reply = self._port.encode_not_ready("no configuration yet")
         self._owner.reply(call.call_id, reply)
@@ -190,14 +140,14 @@
 
         A job that was handed over is not redirected: an earlier leader may run it. A
         reply to any but the last offer is ignored: the leader has accepted a later one
-        and may run the job.
+        and may run the job. After a pause the job is offered to its own group again.
         """
+        now = now_s()
         job = self._jobs.find(message.call, message.job)
         if job is None or job.handovers or job.remote_term is not None:
             return
-        if message.attempt != job.attempt:
+        if message.attempt != job.attempt or self._is_catching_up(now):
             return
-        now = now_s()
         job.remote_term = Term(message.leader, message.fence)
         job.remote_since = now
         self._owner.metrics.count("jobs_passed_on")
@@ -213,8 +163,10 @@
 
     def tick(self, now: float) -> None:
         """Answer callers whose time has run out, and update remote jobs."""
-        for early in self._early.pop_overdue(now):
-            self._refuse_early(early.call)
+        self._refuse_overdue(now)
+        if self._is_catching_up(now):
+            # Their answers may be among the messages that are not read yet.
+            return
         group = self._owner.group
         leaderless = group.leader(now) is None
         max_wait_s = 0.0 if group.backing_off else MAX_LEADERLESS_S
@@ -243,7 +195,13 @@
             job.remote_term = None
 
     def offer_waiting(self, now: float) -> None:
-        """Offer to the leader the jobs that it does not have."""
+        """Offer to the leader the jobs that it does not have.
+
+        After a pause this waits until it is known which callers have left meanwhile:
+        they may have sent their jobs to other hosts.
+        """
+        if self._is_catching_up(now):
+            return
         group = self._owner.group
         term = group.term(now)
         for job in self._jobs.offered_to_other_terms(term):
@@ -260,6 +218,9 @@
             job.highest_fence = max(job.highest_fence, term.fence)
             self._offer(job, term, now)
 
+    def _is_catching_up(self, now: float) -> bool:
+        return self._owner.group.pauses.is_catching_up(now)
+
     def _leave_with_other_group(self, job: OwnJob, now: float) -> None:
         """Leave a job with the other group that this host belonged to.
 
@@ -314,13 +275,25 @@
             ends_at = min(ends_at, self._stops_at)
         deadline = ends_at - ANSWER_MARGIN_S
         if deadline <= now:
-            reply = self._port.encode_not_ready("this host stops")
-            self._owner.reply(call.call_id, reply)
+            self._refuse_late(call, request.job, limit, now - arrived)
             return
         job = OwnJob(call.call_id, request.request, arrived, deadline, limit)
         self._jobs.add(job, now)
         self.offer_waiting(now)
 
+    def _refuse_late(
+        self, call: Call, job: str, limit: WaitLimit, age_s: float
+    ) -> None:
+        """Refuse a job for whose caller there is no time left."""
+        reason = "the caller's time may be over"
+        if self._stops_at is not None:
+            reason = "this host stops"
+        age_ms = round(age_s * MS_PER_S, 1)
+        fields = {"job": job, "age_ms": age_ms, "reason": reason, "not_run": True}
+        log.info("late request refused", extra=fields | limit.log_fields())
+        self._owner.metrics.count("late_requests")
+        self._owner.reply(call.call_id, self._port.encode_not_ready(reason))
+
     def _offer(self, job: OwnJob, term: Term, now: float) -> None:
         job.offered_at = now
         job.attempt += 1
--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -156,7 +156,7 @@
         log.warning(
             "host was paused",
             extra={
-                "paused_s": round(group.pause_s(now), 3),
+                "paused_s": round(group.pauses.pause_s(now), 3),
                 "leads": group.is_leader,
                 "list_age_s": round(self.age_s(now), 3),
                 "upstreams": len(self.entries),
--- a/jackdawspur/front/tests/faulty.py
+++ b/jackdawspur/front/tests/faulty.py
@@ -2,15 +2,19 @@
 
 import logging
 import random
-from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
 
-from jackdawspur.adapters import Call
 from jackdawspur.front import _process
-from jackdawspur.front.tests.faulty_parts import Caller, FaultyUpstream, TaskCounters
+from jackdawspur.front.tests.faulty_parts import (
+    Caller,
+    FaultyNode,
+    FaultyUpstream,
+    TaskCounters,
+    Timers,
+)
 from jackdawspur.front.tests.virtual import CALL_S, LINK_S, MS_PER_S, SIZE, TASK, World
-from jackdawspur.front.tests.virtual_parts import ROUTE, Node, VirtualTimerQueue
+from jackdawspur.front.tests.virtual_parts import ROUTE, Node
 from jackdawspur.group import decode_message
 from jackdawspur.leases import CallOutcome, UpstreamEntry
 from jackdawspur.model import UpstreamId
@@ -38,34 +42,6 @@
 MAX_RETRANSMITS = 12
 
 
-class Timers(VirtualTimerQueue):
-    """Calls back at virtual times; after a pause, before or after delayed messages."""
-
-    def call_later(self, seconds: float, callback: Callable[[], None]) -> None:
-        node = self._node
-        paused_node = None if self._world.timers_first else node
-
-        def act() -> None:
-            if node.dead:
-                return
-            if node.resumes_at > self._world.now:
-                self._world.after(node.resumes_at - self._world.now, act, paused_node)
-            else:
-                callback()
-
-        self._world.after(seconds, act, paused_node)
-
-
-class FaultyNode(Node):
-    """One process of a host; its timers resume at `resumes_at` after a pause."""
-
-    def __init__(self, name: str) -> None:
-        super().__init__(name)
-        self.resumes_at = 0.0
-        self.pauses: list[tuple[float, float]] = []
-        self.stopping = False
-
-
 class FaultyWorld(World):
     """Runs hosts under faults that a test injects."""
 
@@ -84,6 +60,10 @@
         self.timers_first = False
         # The fraction of callers that retry in any zone.
         self.roaming_fraction = 0.0
+        # Whether callers also retry when their timeout passes without an answer.
+        self.retry_unanswered = False
+        # Time after which a running host knows that a caller has disconnected.
+        self.disconnect_notice_s = 0.0
         self._partitioned_since: dict[tuple[Node, Node], float] = {}
         self.unready_since: dict[str, float] = {}
         self._watch()
@@ -234,8 +214,7 @@
         number = next(self._order)
         self._calls[node, number] = attempt
         node.process._web.open_calls += 1
-        call = Call(number, "POST", path, "", None, b"")
-        self.after(CALL_S, lambda: node.process.callers.handle_call(call), node)
+        self.deliver(node, number, path)
         self.after(attempt.timeout_s + MARGIN_S, lambda: self._give_up(node, number))
         logging.getLogger("caller").info("%s asks %s", caller.request.id, node.name)
 
@@ -245,6 +224,8 @@
         if attempt is not None:
             attempt.unanswered = True
             self._notify_disconnect(node, number)
+            if self.retry_unanswered:
+                self._retry(attempt.caller)
 
     def replied(self, node: Node, number: int, reply) -> None:
         attempt = self._calls.pop((node, number), None)
@@ -300,7 +281,10 @@
             node.process._web.open_calls -= 1
             node.process.callers.caller_disconnected(number)
 
-        self.after(CALL_S, closed, node)
+        def arrive() -> None:
+            self.after(self.disconnect_notice_s, closed, node)
+
+        self.after(CALL_S, arrive, node)
 
     @property
     def open_calls(self) -> list[tuple[Node, int]]:
--- a/jackdawspur/front/tests/faulty_parts.py
+++ b/jackdawspur/front/tests/faulty_parts.py
@@ -2,20 +2,56 @@
 
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from jackdawspur.bench import RunCounters, SimulatedUpstream
 from jackdawspur.front.tests.virtual import SentRequest
-from jackdawspur.front.tests.virtual_parts import Node
+from jackdawspur.front.tests.virtual_parts import Node, VirtualTimerQueue
 from jackdawspur.leases import CallOutcome, PollReport, RunId, RunResult
 from jackdawspur.runs import JobRequest
 
-__all__ = ["Attempt", "Caller", "FaultyUpstream", "TaskCounters"]
+__all__ = [
+    "Attempt",
+    "Caller",
+    "FaultyNode",
+    "FaultyUpstream",
+    "TaskCounters",
+    "Timers",
+]
 
 MAX_STOP_S = 0.05
 MS_PER_S = 1000.0
 
 
+class Timers(VirtualTimerQueue):
+    """Calls back at virtual times; after a pause, before or after delayed messages."""
+
+    def call_later(self, seconds: float, callback: Callable[[], None]) -> None:
+        node = self._node
+        paused_node = None if self._world.timers_first else node
+
+        def act() -> None:
+            if node.dead:
+                return
+            if node.resumes_at > self._world.now:
+                self._world.after(node.resumes_at - self._world.now, act, paused_node)
+            else:
+                callback()
+
+        self._world.after(seconds, act, paused_node)
+
+
+class FaultyNode(Node):
+    """One process of a host; its timers resume at `resumes_at` after a pause."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.resumes_at = 0.0
+        self.pauses: list[tuple[float, float]] = []
+        self.stopping = False
+
+
 @dataclass(eq=False)
 class Attempt(SentRequest):
     """One attempt of a caller at a host; `broken` is set if the connection broke.
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -8,8 +8,10 @@
 from jackdawspur.callers import HttpResponse
 from jackdawspur.front import CallerRequest, RequestKind, RouteTable
 from jackdawspur.front._host_metrics import HostMetrics
+from jackdawspur.front._own_jobs import OFFER_RETRY_S
 from jackdawspur.front._service import CallerService
 from jackdawspur.group import (
+    CATCH_UP_S,
     Group,
     HostAddress,
     HostHeartbeat,
@@ -77,7 +79,7 @@
 def service(owner: Owner) -> CallerService:
     follow(owner.group, "first", 10)
     caller_service = CallerService(owner, Port())
-    caller_service.handle_call(Call(1, "POST", "/q/aa", "", None, b""))
+    caller_service.handle_call(Call(1, "POST", "/q/aa", "", None, b"", clock()))
     return caller_service
 
 
@@ -129,6 +131,63 @@
     assert len(owner.sent) == 3
 
 
+def pause(owner: Owner, seconds: float) -> None:
+    """Let the host resume from a pause now."""
+    owner.group.pauses.update(clock() - seconds)
+    owner.group.pauses.update(clock())
+
+
+def test_after_a_pause_no_job_is_offered_until_all_is_read(owner, service):
+    # Guards against offering the jobs of callers that have left during the pause.
+    pause(owner, 3.0)
+    service.offer_waiting(clock())
+    assert len(owner.sent) == 1
+    later = clock() + OFFER_RETRY_S
+    owner.group.pauses.update(later - CATCH_UP_S)
+    owner.group.pauses.update(later)
+    owner.group.record_message("first", later)
+    service.offer_waiting(later)
+    assert len(owner.sent) == 2
+
+
+def test_a_redirect_that_was_not_read_during_a_pause_is_ignored(owner, service):
+    ((_, first),) = owner.sent
+    pause(owner, 1.0)
+    service.redirect(JobRedirect("aa", 1, first.attempt, "far", 30))
+    assert [to for to, _ in owner.sent] == ["first"]
+
+
+def test_a_result_that_was_not_read_during_a_pause_is_sent_late(owner, service):
+    # Guards against reporting that the time is over, while the result waits unread.
+    pause(owner, 3.0)
+    service.tick(clock() + ROUTE.timeout_ms / 1000)
+    assert not owner.replies
+    service.receive_result(JobResult("aa", 1, 0, JobOutcome(JobEnd.COMPLETE, False)))
+    assert [r.status for r in owner.replies] == [200]
+
+
+def test_a_refusal_that_was_not_read_during_a_pause_is_true(owner, service):
+    # Guards against offering a job again before the refusal of the first offer is read:
+    # the leader would run it, while its caller is told that it did not run.
+    pause(owner, 3.0)
+    service.offer_waiting(clock())
+    service.receive_result(JobResult("aa", 1, 0, REFUSED))
+    assert [r.status for r in owner.replies] == [429]
+    assert len(owner.sent) == 1
+
+
+def test_a_request_read_after_a_pause_counts_from_its_start(owner, service, caplog):
+    caplog.set_level("INFO", logger="jackdawspur.callers")
+    pause(owner, 3.0)
+    service.handle_call(Call(2, "POST", "/q/aa", "", None, b"", clock()))
+    (reply,) = owner.replies
+    assert (reply.status, reply.retry_after_s) == (503, 1)
+    line = caplog.records[-1]
+    assert line.message == "late request refused"
+    assert (line.job, line.limit_ms) == ("aa", ROUTE.timeout_ms)
+    assert 3000.0 <= line.age_ms < 4000.0
+
+
 def test_a_result_that_can_still_reach_its_caller_in_time_is_sent(owner, service):
     # Guards against discarding results that would reach their callers in time.
     service.tick(clock() + ROUTE.timeout_ms / 1000 - ANSWER_LATENCY_S)
@@ -150,7 +209,7 @@
 def test_a_host_about_to_stop_refuses_requests_as_not_run_at_once(owner, service):
     # A caller gets no answer: its request reached a host that was about to stop.
     service.stop_by(clock())
-    service.handle_call(Call(2, "POST", "/q/aa", "", None, b""))
+    service.handle_call(Call(2, "POST", "/q/aa", "", None, b"", clock()))
     (reply,) = owner.replies
     assert (reply.status, reply.retry_after_s) == (503, 1)
     assert len(owner.sent) == 1
--- a/jackdawspur/front/tests/test_early_calls.py
+++ b/jackdawspur/front/tests/test_early_calls.py
@@ -51,9 +51,24 @@
     assert sent.answered_at - sent.sent_at <= 1.0
 
 
+def test_callers_that_waited_through_a_pause_for_a_configuration_are_refused(
+    world: World,
+):
+    # Guards against running their jobs before it is read that they have left.
+    world.storeless |= {"h0", "h1"}
+    start(world)
+    sent = world.submit("h0", 0.1, caller_timeout_s=13.0)
+    world.run(0.3)
+    world.freeze("h0", 3.0)
+    world.storeless.clear()
+    world.run(3.5)
+    assert sent.reply.status == 503
+    assert world.counters.starts == 0
+
+
 def test_early_calls_are_bounded():
     early = EarlyCalls()
-    calls = [Call(n, "POST", "/q/a", "", None, b"") for n in range(MAX_CALLS + 1)]
+    calls = [Call(n, "POST", "/q/a", "", None, b"", 0.0) for n in range(MAX_CALLS + 1)]
     assert [early.add(call, 0.0) for call in calls].count(False) == 1
     early.remove(0)
     assert len(early.pop_overdue(MAX_WAIT_S)) == MAX_CALLS - 1
--- a/jackdawspur/front/tests/virtual.py
+++ b/jackdawspur/front/tests/virtual.py
@@ -187,10 +187,18 @@
         node = self.nodes[host]
         self._calls[node, number] = sent
         node.process._web.open_calls += 1
-        call = Call(number, "POST", f"/q/{job}", "", None, b"")
-        self.after(CALL_S, lambda: node.process.callers.handle_call(call), node)
+        self.deliver(node, number, f"/q/{job}")
         return sent
 
+    def deliver(self, node: Node, number: int, path: str) -> None:
+        """Pass a request to a host, once it runs."""
+
+        def arrive() -> None:
+            call = Call(number, "POST", path, "", None, b"", self.now)
+            node.process.callers.handle_call(call)
+
+        self.after(CALL_S, arrive, node)
+
     def replied(self, node: Node, number: int, reply: HttpResponse) -> None:
         """Record a reply."""
         sent = self._calls.pop((node, number))
--- a/jackdawspur/fuzz/tests/test_callers.py
+++ b/jackdawspur/fuzz/tests/test_callers.py
@@ -135,7 +135,7 @@
     if key is not None:
         headers["Idempotency-Key"] = key
     call_id = len(harness.effects) + 100
-    routes.handle_call(Call(call_id, method, path, query, headers, body))
+    routes.handle_call(Call(call_id, method, path, query, headers, body, 0.0))
     effects = host.effects + harness.wait(1.0)
     for effect in effects:
         if isinstance(effect, SendPeerMessage):
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -54,7 +54,7 @@
         self._extent = Extent(max_upstreams)
         self._contention = LeadershipContention(now)
         self._transfer = LeadershipTransfer(local)
-        self._pauses = PauseDetector()
+        self.pauses = PauseDetector()
         self.fence: Fence = 0
         self.is_leader = False
         self.draining = False
@@ -283,7 +283,7 @@
 
     def update_leadership(self, ready: bool, unix_ms: float, now: float) -> bool:
         """Start or stop leading if due; return whether that changed."""
-        pause_s = self._pauses.update(now)
+        pause_s = self.pauses.update(now)
         if pause_s and self._resign_after_pause(pause_s, now):
             return True
         self._choose_zones(now)
@@ -304,10 +304,6 @@
         self._start_leading(unix_ms, now)
         return True
 
-    def pause_s(self, now: float) -> float:
-        """Return for how long this host was paused, 0 if it was not."""
-        return self._pauses.pause_s(now)
-
     def _resign_after_pause(self, pause_s: float, now: float) -> bool:
         """Stop leading if another host may lead; return whether this host led.
 
--- a/jackdawspur/group/tests/test_pauses.py
+++ b/jackdawspur/group/tests/test_pauses.py
@@ -1,5 +1,6 @@
 """Tests of hosts that resume after a pause."""
 
+from jackdawspur.group._pauses import CATCH_UP_S, PauseDetector
 from jackdawspur.group._vacancy import UNHEARD_LEADER_GRACE_S
 from jackdawspur.group.tests.hosts import UNIX_MS, Hosts
 
@@ -54,3 +55,28 @@
     group = hosts.groups[leader]
     assert not group.update_leadership(True, UNIX_MS, hosts.now)
     assert group.is_leader
+
+
+def test_what_is_read_after_a_pause_may_have_arrived_at_its_start():
+    pauses = PauseDetector()
+    pauses.update(10.0)
+    assert pauses.earliest_arrival(10.3) == 10.3
+    # Read before the pause was noticed, just after it, and later.
+    assert pauses.earliest_arrival(13.0) == 10.0
+    pauses.update(13.1)
+    assert pauses.earliest_arrival(13.0) == 10.0
+    assert pauses.earliest_arrival(13.1 + CATCH_UP_S / 2) == 10.0
+    pauses.update(13.3)
+    assert pauses.earliest_arrival(13.5) == 13.5
+    assert pauses.earliest_arrival(9.9) == 9.9
+
+
+def test_a_pause_before_all_was_read_extends_the_one_before():
+    # Guards against forgetting the age of what was not read between two pauses.
+    pauses = PauseDetector()
+    for now in (10.0, 13.0, 13.1, 16.0):
+        pauses.update(now)
+    assert pauses.earliest_arrival(16.1) == 10.0
+    assert pauses.earliest_arrival(13.05) == 10.0
+    assert pauses.is_catching_up(16.1)
+    assert not pauses.is_catching_up(16.0 + CATCH_UP_S)
--- a/jackdawspur/platform/tests/test_callers.py
+++ b/jackdawspur/platform/tests/test_callers.py
@@ -55,7 +55,7 @@
 def call(method: str, path: str, body: object = None, host="a.example", **headers):
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
     all_headers = Headers([("Host", host), *headers.items()])
-    return Call(1, method, path, "", all_headers, data)
+    return Call(1, method, path, "", all_headers, data, 0.0)
 
 
 def test_job_is_decoded_with_its_route_and_timeout(codec, routes):
--- a/jackdawspur/sessions/tests/session.py
+++ b/jackdawspur/sessions/tests/session.py
@@ -189,7 +189,7 @@
         if key is not None:
             headers["Idempotency-Key"] = key
         data = msgspec.json.encode(body) if body is not None else b""
-        call = Call(number, method, path, query, headers, data)
+        call = Call(number, method, path, query, headers, data, 0.0)
         self._callers[number] = (person, name)
         header = f" Idempotency-Key={key}" if key else ""
         self.add_line(
