Count the age of lists from before the pause in which they arrived

What could happen: a reply of the store with the list of upstreams, or a heartbeat that states the age of a host's list, lies unread during a pause and then counts as new. A leader takes hosts for knowing upstreams that were added since. If such a host is cut off and leads, it starts again what runs on them.

Change: the age of a list counts from the earliest time at which its reply or heartbeat can have arrived. The estimate of the sender's clock still counts from the reading: it is a lower bound, by which late offers are recognized.

Tests: test_a_list_in_a_heartbeat_read_after_a_pause_is_as_old_as_the_pause and test_a_list_that_was_not_read_during_a_pause_is_as_old_as_it; both fail without the change.

--- a/jackdawspur/front/_views.py
+++ b/jackdawspur/front/_views.py
@@ -92,7 +92,7 @@
 
     def on_upstreams(self, entries: tuple[UpstreamEntry, ...]) -> None:
         """Record the list of upstreams read from the store."""
-        self.list_read_at = now_s()
+        self.list_read_at = self._owner.group.pauses.earliest_arrival(now_s())
         self.reachable = True
         self.store_error = ""
         self._set_entries(entries)
--- a/jackdawspur/front/tests/test_late_messages.py
+++ b/jackdawspur/front/tests/test_late_messages.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from jackdawspur.front._clock import now_s
 from jackdawspur.front._views import StoreView
 from jackdawspur.front.tests.faulty import FaultyWorld
-from jackdawspur.group import UpstreamListUpdate
+from jackdawspur.group import Group, HostAddress, UpstreamListUpdate
 from jackdawspur.leases import Resources, UpstreamEntry
 from jackdawspur.model import UpstreamId
 
@@ -55,7 +56,8 @@
 @pytest.fixture
 def view() -> StoreView:
     """Return the view of a host that has not read the store."""
-    return StoreView(SimpleNamespace(upstreams_changed=lambda: None))
+    group = Group(HostAddress("h", "z1", "127.0.0.1:2", 1), now_s())
+    return StoreView(SimpleNamespace(upstreams_changed=lambda: None, group=group))
 
 
 @pytest.mark.parametrize(("latency_s", "accepted"), [(0.01, True), (2.0, False)])
@@ -66,3 +68,16 @@
     update = UpstreamListUpdate(SENT_AT, 0.1, (ENTRY,))
     view.on_upstream_update(update, SENT_AT + latency_s)
     assert bool(view.entries) is accepted
+
+
+def test_a_list_that_was_not_read_during_a_pause_is_as_old_as_it(
+    view: StoreView,
+):
+    # Guards against stating to a leader that this host knows the newest upstreams.
+    pauses = view._owner.group.pauses
+    pauses.update(now_s() - 3.0)
+    view.on_upstreams((ENTRY,))
+    assert view.age_s(now_s()) >= 3.0
+    pauses.update(now_s())
+    view.on_upstreams((ENTRY,))
+    assert view.age_s(now_s()) >= 3.0
--- a/jackdawspur/group/_group.py
+++ b/jackdawspur/group/_group.py
@@ -47,6 +47,8 @@
         self._peers: dict[str, HostHeartbeat] = {}
         self._seen_at: dict[str, float] = {}
         self._sampled_at: dict[str, float] = {}
+        # Lower bounds of the times when the last heartbeats arrived.
+        self._arrived_at: dict[str, float] = {}
         self._addresses: dict[str, HostAddress] = {}
         self._vacancy = Vacancy(now)
         self._max_fence: Fence = 0
@@ -184,6 +186,7 @@
             self._contention.reset(now)
         self._peers[heartbeat.host.name] = heartbeat
         self._seen_at[heartbeat.host.name] = self._sampled_at[heartbeat.host.name] = now
+        self._arrived_at[heartbeat.host.name] = self.pauses.earliest_arrival(now)
         self._max_fence = max(self._max_fence, heartbeat.fence)
         if heartbeat.leads:
             self._choose_zones(now)
@@ -228,7 +231,7 @@
         A list ages since the heartbeat that stated its age, whatever arrived since.
         """
         list_ages = [
-            (b, now - self._sampled_at[b.host.name] + b.upstreams_age_s)
+            (b, now - self._arrived_at[b.host.name] + b.upstreams_age_s)
             for b in self.running_heartbeats(now)
         ]
         return list_bounds(list_ages, now)
--- a/jackdawspur/group/tests/test_pauses.py
+++ b/jackdawspur/group/tests/test_pauses.py
@@ -1,5 +1,7 @@
 """Tests of hosts that resume after a pause."""
 
+from msgspec.structs import replace
+
 from jackdawspur.group._pauses import CATCH_UP_S, PauseDetector
 from jackdawspur.group._vacancy import UNHEARD_LEADER_GRACE_S
 from jackdawspur.group.tests.hosts import UNIX_MS, Hosts
@@ -57,6 +59,20 @@
     assert group.is_leader
 
 
+def test_a_list_in_a_heartbeat_read_after_a_pause_is_as_old_as_the_pause(hosts: Hosts):
+    # Guards against counting on a host that is cut off to know the upstreams that were
+    # added since its last heartbeat, which lay unread.
+    (leader,) = hosts.leaders()
+    follower = next(name for name in hosts.groups if name != leader)
+    group = hosts.groups[follower]
+    last = hosts.heartbeat(leader)
+    sent_at = hosts.now
+    hosts.now += PAUSE_S
+    group.record_heartbeat(replace(last, sent_at=sent_at + 0.01), hosts.now)
+    _longest, all_read_at = group.peer_list_bounds(hosts.now)
+    assert all_read_at <= sent_at - last.upstreams_age_s
+
+
 def test_what_is_read_after_a_pause_may_have_arrived_at_its_start():
     pauses = PauseDetector()
     pauses.update(10.0)
