Give busy hosts more time to read what arrived during a pause

A host whose passes take long after a pause could offer a job before it had probed the closed connection of its caller: 0.3 s may be less than the three passes that this takes. It waits for four updates, too. Found by reading; the unit test failed before.

The new test of a lone leader fails in 1 of 2 cases on the code before, since the leader offered the job to itself again; it passes since.

--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -11,7 +11,6 @@
 from jackdawspur.front._own_jobs import OFFER_RETRY_S
 from jackdawspur.front._service import CallerService
 from jackdawspur.group import (
-    CATCH_UP_S,
     Group,
     HostAddress,
     HostHeartbeat,
@@ -20,6 +19,7 @@
     JobRedirect,
     JobResult,
 )
+from jackdawspur.group._pauses import CATCH_UP_S, CATCH_UP_UPDATES
 from jackdawspur.leases import Resources
 from jackdawspur.platform import PlatformCallerCodec
 from jackdawspur.runs import JobEnd, JobOutcome, JobRequest, JobStep, Route
@@ -143,8 +143,8 @@
     service.offer_waiting(clock())
     assert len(owner.sent) == 1
     later = clock() + OFFER_RETRY_S
-    owner.group.pauses.update(later - CATCH_UP_S)
-    owner.group.pauses.update(later)
+    for _ in range(CATCH_UP_UPDATES):
+        owner.group.pauses.update(later - CATCH_UP_S)
     owner.group.record_message("first", later)
     service.offer_waiting(later)
     assert len(owner.sent) == 2
--- a/jackdawspur/front/tests/test_unread_messages.py
+++ b/jackdawspur/front/tests/test_unread_messages.py
@@ -7,6 +7,8 @@
 from jackdawspur.front.tests.virtual_parts import Node
 
 HOSTS = {"a1": "z1", "b1": "z2", "a2": "z1", "b2": "z2"}
+# In each zone; each has capacity for two tasks.
+UPSTREAMS = 4
 PAUSE_S = 3.5
 # Resumes at several moments between the heartbeats of others, which are 0.1 s apart.
 PAUSES_S = (3.42, 3.44, 3.46, 3.48, 3.5)
@@ -23,11 +25,11 @@
 
 def make(monkeypatch, timers_first: bool) -> FaultyWorld:
     """Return two zones with a leader each."""
-    world = FaultyWorld(monkeypatch, most_upstreams=4, seed=1)
+    world = FaultyWorld(monkeypatch, most_upstreams=UPSTREAMS, seed=1)
     world.timers_first = timers_first
     world.disconnect_notice_s = DISCONNECT_NOTICE_S
     for zone in ("z1", "z2"):
-        world.add_upstreams(zone, 4)
+        world.add_upstreams(zone, UPSTREAMS)
     for name, zone in HOSTS.items():
         world.start(name, zone)
     world.run(3.0)
@@ -111,6 +113,26 @@
     assert_run_once(world, [caller])
 
 
+def test_a_lone_leader_starts_nothing_before_it_has_read_who_left(world: FaultyWorld):
+    # Guards against a leader without followers, which remains the leader after a pause
+    # and reads first that it has capacity for a waiting job, whose caller has left.
+    follower, leader = (node_of(world, "z1", leads) for leads in (False, True))
+    world.kill(follower.name)
+    world.run(3.0)
+    for node in (leader, node_of(world, "z2", leads=True)):
+        for _ in range(UPSTREAMS):
+            world.ask("z2", 0.5, 2, node, caller_timeout_s=PATIENT_S)
+    world.run(0.1)
+    caller = world.ask("z1", TASK_S, 2, leader, caller_timeout_s=PATIENT_S)
+    world.run(0.37)
+    assert not caller.tasks & world.counters.started
+    world.freeze(leader.name, PAUSE_S)
+    world.run(LEFT_AFTER_S)
+    send_elsewhere(world, caller)
+    world.run(PAUSE_S + 3.0)
+    assert_run_once(world, [caller])
+
+
 def test_a_caller_that_waits_through_a_pause_is_served(world: FaultyWorld):
     frozen = node_of(world, "z1", leads=False)
     early = world.ask("z1", TASK_S, 1, frozen, caller_timeout_s=PATIENT_S)
--- a/jackdawspur/group/__init__.py
+++ b/jackdawspur/group/__init__.py
@@ -24,12 +24,10 @@
     decode_message,
     encode_message,
 )
-from jackdawspur.group._pauses import CATCH_UP_S
 from jackdawspur.group._staleness import is_stale_message
 from jackdawspur.group._terms import Term
 
 __all__ = [
-    "CATCH_UP_S",
     "CapacityOffer",
     "ConfigurationUpdate",
     "FOLLOWER_TIMEOUT_S",
--- a/jackdawspur/group/_pauses.py
+++ b/jackdawspur/group/_pauses.py
@@ -9,6 +9,8 @@
 # Within this time after a pause a host reads what arrived meanwhile, and recognizes the
 # connections that callers have closed: a reset answers a probe, which are 0.1 s apart.
 CATCH_UP_S = 0.3
+# A busy host needs more time for that: each pass of its loop includes one update.
+CATCH_UP_UPDATES = 4
 
 
 class PauseDetector:
@@ -17,6 +19,7 @@
     def __init__(self) -> None:
         self._updated_at: float | None = None
         self._paused_at = self._resumed_at = -math.inf
+        self._updates = CATCH_UP_UPDATES
 
     def pause_s(self, now: float) -> float:
         """Return the time since the last update, 0 if it is at most `MAX_PAUSE_S`."""
@@ -28,12 +31,16 @@
         pause_s = self.pause_s(now)
         if pause_s:
             self._paused_at, self._resumed_at = self._current_pause_start(), now
+            self._updates = 0
+        self._updates += 1
         self._updated_at = now
         return pause_s
 
     def is_catching_up(self, now: float) -> bool:
         """Return whether messages that arrived during a pause may still be unread."""
-        return bool(self.pause_s(now)) or now - self._resumed_at < CATCH_UP_S
+        if self.pause_s(now) or now - self._resumed_at < CATCH_UP_S:
+            return True
+        return self._updates < CATCH_UP_UPDATES
 
     def earliest_arrival(self, read_at: float) -> float:
         """Return a lower bound of the arrival time of what was read at `read_at`.
--- a/jackdawspur/group/tests/test_pauses.py
+++ b/jackdawspur/group/tests/test_pauses.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from jackdawspur.group._pauses import CATCH_UP_S, PauseDetector
+from jackdawspur.group._pauses import CATCH_UP_S, CATCH_UP_UPDATES, PauseDetector
 from jackdawspur.group._vacancy import UNHEARD_LEADER_GRACE_S
 from jackdawspur.group.tests.hosts import UNIX_MS, Hosts
 
@@ -95,4 +95,16 @@
     assert pauses.earliest_arrival(16.1) == 10.0
     assert pauses.earliest_arrival(13.05) == 10.0
     assert pauses.is_catching_up(16.1)
+    for _ in range(CATCH_UP_UPDATES):
+        pauses.update(16.3)
     assert not pauses.is_catching_up(16.0 + CATCH_UP_S)
+
+
+def test_a_busy_host_has_more_time_to_read_after_a_pause():
+    # Guards against offering jobs before closed connections were probed.
+    pauses = PauseDetector()
+    for now in (10.0, 13.0, 13.35, 13.7):
+        pauses.update(now)
+    assert pauses.is_catching_up(13.75)
+    pauses.update(14.0)
+    assert not pauses.is_catching_up(14.0)
