--- a/jackdawspur/group/_pauses.py
+++ b/jackdawspur/group/_pauses.py
@@ -9,7 +9,7 @@
 # Within this time after a pause a host reads what arrived meanwhile, and recognizes the
 # connections that callers have closed: a reset answers a probe, which are 0.1 s apart.
 CATCH_UP_S = 0.3
-# A busy host needs more time for that: each pass of its loop includes one update.
+# A busy host needs more time for that: a pass of its loop makes at most one update.
 CATCH_UP_UPDATES = 4
 
 
