Count a request on an idle connection as new, whatever waited before

A connection that was accepted from a long queue, or that wasn't read for a while, kept the time since when its bytes may have waited, although none did: its next request, sent a minute later, would have been refused as a minute old. The socket is now asked whether bytes wait. A host that was paused after its stop signal gave its callers no answer before it ended; it answers at their deadlines again.

test_a_request_sent_later_is_new fails in both cases without the first change, test_a_stopping_host_answers_its_callers_also_after_a_pause without the second.

--- a/jackdawspur/adapters/_web.py
+++ b/jackdawspur/adapters/_web.py
@@ -146,7 +146,8 @@
         Otherwise connections that are never used would lock out all callers.
         """
         connection = WebConnection(sock, self._clock(), self._new_reader())
-        connection.unread_since = self._sockets.backlog_since
+        backlog_since = self._sockets.backlog_since
+        connection.unread_since = self._sockets.unread_since(sock, backlog_since)
         self._connections[sock] = connection
         count = len(self._connections)
         if count > MAX_CONNECTIONS + MAX_REFUSED_CONNECTIONS:
@@ -257,6 +258,8 @@
     def _resume_reading(self, connection: WebConnection) -> None:
         connection.paused = False
         self._sockets.resume_reading(connection.sock)
+        since = connection.unread_since
+        connection.unread_since = self._sockets.unread_since(connection.sock, since)
 
     def _probe(self, connection: WebConnection) -> None:
         """Send an interim response, which fails if an earlier one was reset.
--- a/jackdawspur/adapters/_web_sockets.py
+++ b/jackdawspur/adapters/_web_sockets.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Callable
 from errno import EAGAIN, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM
-from socket import SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
+from socket import MSG_PEEK, SHUT_WR, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
 
 from circuits import handler
 from circuits.net.sockets import TCPServer
@@ -102,6 +102,15 @@
         buffer = self._buffers.get(sock)
         return sum(map(len, buffer)) if buffer else 0
 
+    def unread_since(self, sock: socket, since: float) -> float:
+        """Return `since` if received bytes wait to be read, else infinity."""
+        if since == math.inf:
+            return since
+        try:
+            return since if sock.recv(1, MSG_PEEK) else math.inf
+        except OSError:
+            return math.inf
+
     def pause_reading(self, sock: socket) -> None:
         """Stop reading, so that the kernel applies back pressure to the peer."""
         self._poller.removeReader(sock)
--- a/jackdawspur/adapters/tests/test_received_times.py
+++ b/jackdawspur/adapters/tests/test_received_times.py
@@ -125,6 +125,30 @@
     assert service.received == [1000.0, 1000.0]
 
 
+@pytest.mark.parametrize("pauses", [False, True])
+def test_a_request_sent_later_is_new(
+    monkeypatch,
+    loop: Loop,
+    server: WebServer,
+    service: Service,
+    connect: Connect,
+    pauses: bool,
+):
+    # Guards against taking the first request of an idle connection for one that waited.
+    monkeypatch.setattr(_web_sockets, "MAX_ACCEPTS", 1)
+    callers = [connect() for _ in range(2)]
+    loop.run_until(lambda: server.connections == 2)
+    if pauses:
+        for connection in server._connections.values():
+            server._pause_reading(connection)
+            server._resume_reading(connection)
+    loop.advance(60.0)
+    for caller in callers:
+        caller.sendall(REQUEST)
+    loop.settle()
+    assert service.received == [1060.0] * 2
+
+
 def test_the_read_times_of_a_slow_sender_need_little_memory():
     reader = RequestReader()
     for number in range(10_000):
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -164,7 +164,7 @@
     def tick(self, now: float) -> None:
         """Answer callers whose time has run out, and update remote jobs."""
         self._refuse_overdue(now)
-        if self._is_catching_up(now):
+        if self._stops_at is None and self._is_catching_up(now):
             # Their answers may be among the messages that are not read yet.
             return
         group = self._owner.group
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -166,6 +166,14 @@
     assert [r.status for r in owner.replies] == [200]
 
 
+def test_a_stopping_host_answers_its_callers_also_after_a_pause(owner, service):
+    # Guards against ending the process with callers unanswered.
+    service.stop_by(clock() + 0.1)
+    pause(owner, 3.0)
+    service.tick(clock() + 0.1)
+    assert [r.status for r in owner.replies] == [504]
+
+
 def test_a_refusal_that_was_not_read_during_a_pause_is_true(owner, service):
     # Guards against offering a job again before the refusal of the first offer is read:
     # the leader would run it, while its caller is told that it did not run.
