Count the wait for a leader from the read of a request

A job that was never offered is refused when there was no leader for 0.8 s. Since that wait counted from the start of the pause, so it was over before the hosts could elect a leader, which takes 0.6 s.

Change: the wait for a leader counts from when the request was read. Its time limit still counts from the start of the pause.

--- a/jackdawspur/front/_own_jobs.py
+++ b/jackdawspur/front/_own_jobs.py
@@ -28,6 +28,8 @@
 class OwnJob:
     """A job whose caller waits on this host; times in seconds of this host's clock.
 
+    The time limit counts from `arrived`, before which the request can't have arrived,
+    and the wait for a leader from `received_at`, when it was read.
     `attempt` counts the offers of the job to any leader.
     `remote_term` is the term of another group that has had the job since
     `remote_since`: the job was redirected to it, or this host belonged to that group
@@ -41,6 +43,7 @@
     call: int
     request: JobRequest
     arrived: float
+    received_at: float
     deadline: float
     limit: WaitLimit
     handovers: int = 0
@@ -155,7 +158,7 @@
         """
         ended = []
         for job in self._by_call.values():
-            gave_up_waiting = leaderless and now - job.arrived >= max_wait_s
+            gave_up_waiting = leaderless and now - job.received_at >= max_wait_s
             outcome = _outcome(job, gave_up_waiting, now)
             if outcome is not None:
                 ended.append((job, outcome))
--- a/jackdawspur/front/_service.py
+++ b/jackdawspur/front/_service.py
@@ -277,7 +277,10 @@
         if deadline <= now:
             self._refuse_late(call, request.job, limit, now - arrived)
             return
-        job = OwnJob(call.call_id, request.request, arrived, deadline, limit)
+        received_at = call.received_at
+        job = OwnJob(
+            call.call_id, request.request, arrived, received_at, deadline, limit
+        )
         self._jobs.add(job, now)
         self.offer_waiting(now)
 
--- a/jackdawspur/front/tests/test_callers.py
+++ b/jackdawspur/front/tests/test_callers.py
@@ -9,7 +9,7 @@
 from jackdawspur.front import CallerRequest, RequestKind, RouteTable
 from jackdawspur.front._host_metrics import HostMetrics
 from jackdawspur.front._own_jobs import OFFER_RETRY_S
-from jackdawspur.front._service import CallerService
+from jackdawspur.front._service import MAX_LEADERLESS_S, CallerService
 from jackdawspur.group import (
     Group,
     HostAddress,
@@ -137,14 +137,37 @@
     owner.group.pauses.update(clock())
 
 
+def run_host(owner: Owner, since: float, now: float) -> None:
+    """Let the host run without a pause."""
+    for step in range(CATCH_UP_UPDATES + 1):
+        at = since + (now - since) * step / CATCH_UP_UPDATES
+        owner.group.pauses.update(at)
+
+
+def test_a_request_read_after_a_pause_waits_for_a_leader(owner):
+    # Guards against refusing requests before a leader is elected, whenever all hosts
+    # of a group were paused.
+    caller_service = CallerService(owner, Port())
+    pause(owner, 0.7)
+    caller_service.handle_call(Call(1, "POST", "/q/aa", "", None, b"", clock()))
+    resumed_at = clock()
+    later, end = resumed_at + CATCH_UP_S, resumed_at + MAX_LEADERLESS_S
+    run_host(owner, resumed_at, later)
+    caller_service.tick(later)
+    assert not owner.replies
+    run_host(owner, later, end)
+    caller_service.tick(end)
+    assert [r.status for r in owner.replies] == [429]
+
+
 def test_after_a_pause_no_job_is_offered_until_all_is_read(owner, service):
     # Guards against offering the jobs of callers that have left during the pause.
     pause(owner, 3.0)
     service.offer_waiting(clock())
     assert len(owner.sent) == 1
-    later = clock() + OFFER_RETRY_S
-    for _ in range(CATCH_UP_UPDATES):
-        owner.group.pauses.update(later - CATCH_UP_S)
+    resumed_at = clock()
+    later = resumed_at + OFFER_RETRY_S
+    run_host(owner, resumed_at, later)
     owner.group.record_message("first", later)
     service.offer_waiting(later)
     assert len(owner.sent) == 2
